--- /dev/null
+++ b/components/daemon/src/configuration.rs
@@ -0,0 +1,111 @@
+//! Taking in revisions and lists of VMs from any source, and passing them on.
+
+use crate::links::{self, Reply};
+use crate::node::Node;
+use crate::{home_driver, relay};
+use async_std::task;
+use membership::VmList;
+use names::Name;
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use rollout::{Configuration, Offered, Summary};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::Frame;
+
+/// Mean time between two comparisons with a peer chosen at random.
+const COMPARE_EVERY: Duration = Duration::from_millis(1_000);
+/// Peers told at once of something new.
+const TOLD_AT_ONCE: usize = 4;
+/// One comparison in so many is made with a peer of any hall, the others within the own hall.
+const FAR_COMPARISON: u32 = 4;
+
+/// Takes in a revision; tells peers when it is new.
+pub fn take_in(node: &Rc<Node>, configuration: Configuration) -> Offered {
+    let before = node.in_force();
+    let revision = configuration.head.revision;
+    let offered = node.rollout.borrow_mut().offer(configuration);
+    match &offered {
+        Offered::Taken => {
+            tracing::info!(revision, "a revision is in force");
+            if let Some(after) = node.in_force() {
+                relay::groups_changed(node, before.as_deref(), &after);
+            }
+            node.refresh_budget();
+            tell_some(node);
+        }
+        Offered::Same => {}
+        other => tracing::warn!(revision, ?other, "a revision was not taken"),
+    }
+    offered
+}
+
+/// Takes in a list of VMs; tells peers when it is new.
+pub fn take_in_vms(node: &Rc<Node>, list: VmList) {
+    let version = list.version;
+    if !node.view.borrow_mut().update(list) {
+        return;
+    }
+    tracing::info!(version, "a list of VMs was taken in");
+    node.refresh_budget();
+    home_driver::leaving_changed(node);
+    tell_some(node);
+}
+
+/// Answers a peer's summary with whatever is newer here, or asks for what is newer there.
+pub fn compare(node: &Rc<Node>, theirs: &Summary, reply: &Reply) {
+    let mine = node.summary();
+    if mine.revision > theirs.revision {
+        if let Some(in_force) = node.in_force() {
+            let configuration = Arc::new(in_force.configuration.clone());
+            reply.send(node, Frame::Configuration(configuration));
+        }
+    }
+    if mine.list_version > theirs.list_version {
+        let list = Arc::new(node.view.borrow().list().clone());
+        reply.send(node, Frame::Vms(list));
+    }
+    if mine.revision < theirs.revision || mine.list_version < theirs.list_version {
+        reply.send(node, Frame::Summary(mine));
+    }
+}
+
+/// Compares knowledge with a peer now and then, for as long as the node runs.
+pub async fn run_comparisons(node: Rc<Node>) {
+    loop {
+        let millis = COMPARE_EVERY.as_millis() as u64;
+        let pause = rand::rng().random_range(millis / 2..millis * 3 / 2);
+        task::sleep(Duration::from_millis(pause)).await;
+        let far = rand::rng().random_range(0..FAR_COMPARISON) == 0;
+        if let Some(peer) = pick(&node, far, 1).pop() {
+            links::send(&node, &peer, &Frame::Summary(node.summary()));
+        }
+    }
+}
+
+/// Tells a few peers what this node knows; they ask for what they lack.
+fn tell_some(node: &Rc<Node>) {
+    let summary = node.summary();
+    let mut peers = pick(node, false, TOLD_AT_ONCE - 1);
+    peers.extend(pick(node, true, 1));
+    for peer in peers {
+        links::send(node, &peer, &Frame::Summary(summary.clone()));
+    }
+}
+
+fn pick(node: &Rc<Node>, any_hall: bool, count: usize) -> Vec<Name> {
+    let view = node.view.borrow();
+    let peers: Vec<&Name> = view
+        .list()
+        .vms
+        .iter()
+        .filter(|vm| vm.name != node.cfg.vm)
+        .filter(|vm| any_hall || vm.hall == node.cfg.hall)
+        .map(|vm| &vm.name)
+        .collect();
+    peers
+        .choose_multiple(&mut rand::rng(), count)
+        .map(|name| (*name).clone())
+        .collect()
+}
--- /dev/null
+++ b/components/daemon/src/entry_driver.rs
@@ -0,0 +1,182 @@
+//! Carries out the decisions of the entry duty.
+
+use crate::home_driver;
+use crate::links::{self, Reply};
+use crate::node::{Node, Waiter, Whole};
+use crate::stats;
+use async_channel::{Receiver, Sender};
+use async_std::future::timeout;
+use declarations::Service;
+use entry::{Action, Call, Event, Outcome, Treatment};
+use futures_util::future::{select, Either};
+use home::{Load, Offer};
+use names::{AttemptId, Moment, Name};
+use rollout::InForce;
+use std::future::Future;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::sync::Arc;
+use wire::{Frame, Request};
+
+/// Events of one call that may wait; a call has few attempts and each ends once.
+const EVENTS: usize = 32;
+
+/// One request on its way to an outcome.
+struct Running<'a> {
+    node: &'a Rc<Node>,
+    req: Arc<Request>,
+    treatment: Treatment,
+    call: Call<Whole>,
+    tx: Sender<Event<Whole>>,
+    attempts: Vec<AttemptId>,
+}
+
+/// Takes a request to its outcome; none when the caller hung up.
+pub async fn run_call(
+    node: &Rc<Node>,
+    in_force: &InForce,
+    service: &Service,
+    treatment: Treatment,
+    req: Arc<Request>,
+    deadline: Moment,
+    hung_up: impl Future<Output = ()>,
+) -> Option<Outcome<Whole>> {
+    let candidates = node.candidates(in_force, service);
+    let (tx, rx) = async_channel::bounded(EVENTS);
+    let mut running = Running {
+        node,
+        req,
+        call: Call::new(
+            service.name.clone(),
+            treatment.clone(),
+            deadline,
+            candidates,
+        ),
+        treatment,
+        tx,
+        attempts: Vec::new(),
+    };
+    let outcome = running.run(rx, deadline, pin!(hung_up)).await;
+    running.forget();
+    outcome
+}
+
+impl Running<'_> {
+    async fn run(
+        &mut self,
+        rx: Receiver<Event<Whole>>,
+        deadline: Moment,
+        mut hung_up: Pin<&mut impl Future<Output = ()>>,
+    ) -> Option<Outcome<Whole>> {
+        let mut event = Event::Begin;
+        loop {
+            if let Some(outcome) = self.step(event) {
+                return Some(outcome);
+            }
+            if self.call.is_done() {
+                return None;
+            }
+            let next = pin!(timeout(self.node.clock.until(deadline), rx.recv()));
+            event = match select(next, hung_up.as_mut()).await {
+                Either::Left((Ok(Ok(event)), _)) => event,
+                Either::Left((_, _)) => self.expired(),
+                Either::Right(((), _)) => Event::HungUp,
+            };
+        }
+    }
+
+    /// At the deadline an offer that never left this node was truly not run.
+    fn expired(&mut self) -> Event<Whole> {
+        let Some(id) = self.attempts.last().copied() else {
+            return Event::Expired;
+        };
+        let unsent = self
+            .node
+            .waiters
+            .borrow()
+            .get(&id)
+            .is_some_and(|waiter| waiter.sent_to.is_none());
+        if unsent && links::withdraw(self.node, id) {
+            return Event::NotSent(id);
+        }
+        Event::Expired
+    }
+
+    fn step(&mut self, event: Event<Whole>) -> Option<Outcome<Whole>> {
+        let now = self.node.now();
+        let actions = {
+            let mut entry = self.node.entry.borrow_mut();
+            self.call.step(now, event, &mut entry)
+        };
+        let mut outcome = None;
+        for action in actions {
+            match action {
+                Action::Finish(finished) => outcome = Some(finished),
+                Action::Offer { id, to, may_queue } => self.offer(id, to, may_queue),
+                Action::Ask { id, to } => links::ask(self.node, &to, id),
+                Action::Cancel { id, to } => self.cancel(id, &to),
+            }
+        }
+        outcome
+    }
+
+    fn offer(&mut self, id: AttemptId, to: Name, may_queue: bool) {
+        let node = self.node;
+        let left = self.call.deadline().since(node.now());
+        let offer = Offer {
+            id,
+            service: self.req.service.clone(),
+            remaining_us: left.saturating_sub(home_driver::WAY_BACK_US),
+            priority: self.treatment.priority,
+            repeatable: self.treatment.repeatable,
+            may_queue,
+        };
+        let local = to == node.cfg.vm;
+        stats::attempt_offered(local);
+        self.attempts.push(id);
+        let waiter = Waiter {
+            tx: self.tx.clone(),
+            vm: to.clone(),
+            sent_to: local.then_some(node.boot),
+        };
+        node.waiters.borrow_mut().insert(id, waiter);
+        if local {
+            home_driver::offer(node, offer, self.req.clone(), Reply::Own);
+        } else {
+            links::offer(node, &to, offer, self.req.clone());
+        }
+    }
+
+    fn cancel(&mut self, id: AttemptId, to: &Name) {
+        if *to == self.node.cfg.vm {
+            home_driver::cancel(self.node, id);
+        } else {
+            links::send(self.node, to, &Frame::Cancel { id });
+        }
+    }
+
+    /// Takes the call's attempts out of the node's books; what comes for them now is late.
+    fn forget(&mut self) {
+        let mut waiters = self.node.waiters.borrow_mut();
+        for id in &self.attempts {
+            waiters.remove(id);
+        }
+    }
+}
+
+/// Takes in the state of an upstream that came with an answer or a refusal.
+pub fn reported(node: &Rc<Node>, vm: &Name, load: Load) {
+    let now = node.now();
+    node.entry.borrow_mut().reported(now, vm, load);
+}
+
+/// Hands an event to the call that waits for the attempt; counts it as late when there is none.
+pub fn deliver(node: &Rc<Node>, id: AttemptId, event: Event<Whole>) {
+    let waiters = node.waiters.borrow();
+    let delivered = waiters
+        .get(&id)
+        .is_some_and(|waiter| waiter.tx.try_send(event).is_ok());
+    if !delivered {
+        stats::late("event");
+    }
+}
--- /dev/null
+++ b/components/daemon/src/home_driver.rs
@@ -0,0 +1,273 @@
+//! Carries out the decisions of the home duty.
+
+use crate::links::Reply;
+use crate::node::{Job, Node, Whole};
+use crate::platform_watch;
+use crate::stats;
+use crate::upstream::Failure;
+use async_std::future::timeout;
+use async_std::task;
+use futures_util::future::{select, Either};
+use home::{Action, AskReply, Home, Offer, Reason, Refusal, Verdict};
+use names::{AttemptId, BootId, MILLISECOND};
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::{Answer, Frame, Request};
+
+/// An upstream that has not answered so long after the caller's deadline is given up.
+const OVERRUN: Duration = Duration::from_secs(30);
+/// Time between two looks at a queue that holds something.
+const QUEUE_TICK: Duration = Duration::from_millis(5);
+/// Time between two looks at an empty queue.
+const IDLE_TICK: Duration = Duration::from_millis(20);
+
+/// Takes in an offer and does what the home duty decides.
+pub fn offer(node: &Rc<Node>, offer: Offer, req: Arc<Request>, reply: Reply) {
+    let now = node.now();
+    let job = Job {
+        req,
+        reply: reply.clone(),
+        deadline: now + offer.remaining_us,
+        repeatable: offer.repeatable,
+        cancel: None,
+    };
+    if node.home.borrow().is_none() {
+        let refusal = Refusal {
+            reason: Reason::NoUpstream,
+            retry_after_ms: 1_000,
+        };
+        let load = node.load();
+        reply.send(
+            node,
+            Frame::Refused {
+                id: offer.id,
+                refusal,
+                load,
+            },
+        );
+        return;
+    }
+    node.jobs.borrow_mut().entry(offer.id).or_insert(job);
+    with_home(node, |home| home.offer(now, &offer));
+}
+
+/// Answers a question about an attempt. An attempt of another boot of this node is unknown here.
+pub fn ask(node: &Rc<Node>, id: AttemptId, boot: BootId, route: Reply) {
+    let now = node.now();
+    let reply = if boot != node.boot {
+        AskReply::Forgotten
+    } else {
+        let mut home = node.home.borrow_mut();
+        home.as_mut()
+            .map_or(AskReply::Forgotten, |home| home.ask(now, id))
+    };
+    if reply == AskReply::Started {
+        if let Some(job) = node.jobs.borrow_mut().get_mut(&id) {
+            job.reply = route.clone();
+        }
+    } else {
+        node.jobs.borrow_mut().remove(&id);
+    }
+    route.send(node, Frame::Told { id, reply });
+}
+
+/// Drops a queued attempt; a running one is cut off only if it may run more than once.
+pub fn cancel(node: &Rc<Node>, id: AttemptId) {
+    let now = node.now();
+    let running = node
+        .home
+        .borrow_mut()
+        .as_mut()
+        .is_some_and(|home| home.cancel(now, id));
+    if !running {
+        node.jobs.borrow_mut().remove(&id);
+        return;
+    }
+    let jobs = node.jobs.borrow();
+    let cancel = jobs
+        .get(&id)
+        .filter(|job| job.repeatable)
+        .and_then(|job| job.cancel.as_ref());
+    if let Some(tx) = cancel {
+        tx.try_send(()).ok();
+    }
+}
+
+/// Brings the home duty in line with what the sources say of leaving, and tells connected peers.
+pub fn leaving_changed(node: &Rc<Node>) {
+    let leaving = node.is_leaving();
+    let now = node.now();
+    let before = node.load().leaving;
+    if node.home.borrow().is_none() || before == leaving {
+        return;
+    }
+    tracing::info!(leaving, "the upstream's state changed");
+    with_home(node, |home| {
+        if leaving {
+            home.leave(now)
+        } else {
+            home.stay();
+            Vec::new()
+        }
+    });
+    for reply in node.incoming.borrow().values() {
+        reply.send(node, Frame::Leaving { leaving });
+    }
+}
+
+/// Lets the home duty's time pass.
+pub async fn run_ticks(node: Rc<Node>) {
+    loop {
+        let busy = node
+            .home
+            .borrow()
+            .as_ref()
+            .is_some_and(|home| home.has_queue());
+        task::sleep(if busy { QUEUE_TICK } else { IDLE_TICK }).await;
+        if node.was_paused() {
+            platform_watch::paused(&node);
+        }
+        let now = node.now();
+        node.last_tick.set(now);
+        if node.home.borrow().is_some() {
+            with_home(&node, |home| home.tick(now));
+        }
+    }
+}
+
+fn with_home(node: &Rc<Node>, decide: impl FnOnce(&mut Home<Whole>) -> Vec<Action>) {
+    let actions = match node.home.borrow_mut().as_mut() {
+        Some(home) => decide(home),
+        None => Vec::new(),
+    };
+    for action in actions {
+        perform(node, action);
+    }
+}
+
+fn perform(node: &Rc<Node>, action: Action) {
+    match action {
+        Action::Start(id) => start(node, id),
+        Action::Refuse(id, refusal) => {
+            stats::attempt_refused(refusal.reason.as_str());
+            let load = node.load();
+            end_job(node, id, Frame::Refused { id, refusal, load });
+        }
+        Action::Revoke(id) => {
+            let load = node.load();
+            end_job(node, id, Frame::Revoked { id, load });
+        }
+    }
+}
+
+fn end_job(node: &Rc<Node>, id: AttemptId, frame: Frame) {
+    let job = node.jobs.borrow_mut().remove(&id);
+    if let Some(job) = job {
+        job.reply.send(node, frame);
+    }
+}
+
+fn start(node: &Rc<Node>, id: AttemptId) {
+    let (tx, rx) = async_channel::bounded(1);
+    let job = {
+        let mut jobs = node.jobs.borrow_mut();
+        let job = jobs.get_mut(&id).expect("a started attempt has a job");
+        job.cancel = Some(tx);
+        job.clone()
+    };
+    let node = node.clone();
+    task::spawn_local(async move {
+        let work = pin!(exchange(&node, id, &job));
+        let cancelled = pin!(rx.recv());
+        match select(work, cancelled).await {
+            Either::Left(((verdict, answer), _)) => finish(&node, id, verdict, answer),
+            Either::Right(_) => finish(&node, id, Verdict::Cancelled, None),
+        }
+    });
+}
+
+/// One exchange with the upstream, and what it means for the attempt.
+async fn exchange(node: &Rc<Node>, id: AttemptId, job: &Job) -> (Verdict, Option<Answer>) {
+    let Some(pool) = node.pool.clone() else {
+        return (Verdict::NotSent, None);
+    };
+    let left = node.clock.until(job.deadline);
+    let extra = [
+        ("drumwheel-deadline-ms", left.as_millis().to_string()),
+        ("drumwheel-level", (job.req.level + 1).to_string()),
+        ("drumwheel-attempt", id.to_string()),
+    ];
+    match timeout(left + OVERRUN, pool.exchange(&job.req, &extra)).await {
+        Ok(Ok(answer)) => judge(node, job, answer),
+        Ok(Err(Failure::NotSent(error))) => {
+            stats::upstream_failed("not-sent");
+            tracing::debug!(%error, "the upstream was not reached");
+            (Verdict::NotSent, None)
+        }
+        Ok(Err(Failure::Broken(error))) => {
+            stats::upstream_failed("broken");
+            tracing::debug!(%error, "the upstream broke off");
+            (Verdict::Broken, None)
+        }
+        Err(_) => {
+            stats::upstream_failed("overrun");
+            (Verdict::Broken, None)
+        }
+    }
+}
+
+/// Reads the headers by which an upstream says that it leaves or did not start the request.
+fn judge(node: &Rc<Node>, job: &Job, mut answer: Answer) -> (Verdict, Option<Answer>) {
+    let in_force = node.in_force();
+    let service = in_force
+        .as_ref()
+        .and_then(|in_force| in_force.declarations.services.get(&job.req.service));
+    let Some(service) = service else {
+        return (Verdict::Good, Some(answer));
+    };
+    let drains = take_header(&mut answer, service.drain_header.as_deref());
+    if drains != node.upstream_leaving.get() {
+        node.upstream_leaving.set(drains);
+        leaving_changed(node);
+    }
+    if take_header(&mut answer, service.shed_header.as_deref()) {
+        return (Verdict::Shed, None);
+    }
+    answer
+        .headers
+        .retain(|(name, _)| !name.starts_with("drumwheel-"));
+    let verdict = if answer.is_error() {
+        Verdict::Error
+    } else {
+        Verdict::Good
+    };
+    (verdict, Some(answer))
+}
+
+fn take_header(answer: &mut Answer, name: Option<&str>) -> bool {
+    let Some(name) = name else {
+        return false;
+    };
+    let before = answer.headers.len();
+    answer.headers.retain(|(other, _)| other != name);
+    answer.headers.len() < before
+}
+
+/// Records the end of a running attempt, then tells it.
+fn finish(node: &Rc<Node>, id: AttemptId, verdict: Verdict, answer: Option<Answer>) {
+    let now = node.now();
+    let answer = answer.map(Arc::new);
+    let kept = answer.clone();
+    with_home(node, |home| home.completed(now, id, verdict, kept));
+    let load = node.load();
+    match answer {
+        Some(answer) => end_job(node, id, Frame::Answered { id, answer, load }),
+        None => end_job(node, id, Frame::Broken { id, load }),
+    }
+}
+
+/// Time an entry node leaves for the way back, so that a refusal at the deadline still arrives in
+/// time: two crossings and some slack, in microseconds.
+pub const WAY_BACK_US: u64 = 3 * MILLISECOND;
--- /dev/null
+++ b/components/daemon/src/links/dial.rs
@@ -0,0 +1,175 @@
+//! Opening a connection to another node and reading from it.
+
+use super::{frames, lost, max_bytes, not_sent, socket, transmit_up, Link, Reply, UpLink};
+use super::{MAX_WAITING_FRAMES, REDIAL_US};
+use crate::node::Node;
+use crate::stats;
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use errors::{Error, Result, Step};
+use futures_util::stream::SplitStream;
+use names::Name;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{Frame, Handshake, Welcome};
+
+/// Longest time for connecting and proving.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time spent with one seed.
+const SEED_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Opens a connection to `vm`, sends what waits for it and reads until it breaks.
+pub async fn run(node: Rc<Node>, vm: Name) {
+    let opened = timeout(DIAL_TIMEOUT, open(&node, &vm))
+        .await
+        .unwrap_or_else(|_| Err(Error::new(Step::Handshake, &vm, "no answer in time")));
+    match opened {
+        Ok((up, mut stream)) => {
+            tracing::info!(peer = %vm, boot = %up.boot, "connected to a peer");
+            stats::link_changed("up");
+            let tx = up.tx.clone();
+            install(&node, &vm, up);
+            let error = read(&node, &vm, &mut stream).await;
+            tx.close();
+            stats::link_changed("down");
+            tracing::info!(peer = %vm, %error, "lost the connection to a peer");
+            node.links.borrow_mut().remove(&vm);
+            lost(&node, &vm);
+        }
+        Err(error) => {
+            stats::link_changed("failed");
+            tracing::debug!(%error, "no connection to a peer");
+            fail(&node, &vm);
+        }
+    }
+}
+
+async fn open(node: &Rc<Node>, vm: &Name) -> Result<(UpLink, SplitStream<socket::Socket>)> {
+    let address = {
+        let view = node.view.borrow();
+        let listed = view.vm(vm);
+        listed
+            .map(|vm| vm.peers.clone())
+            .ok_or_else(|| Error::new(Step::Connect, vm, "not in the platform's list"))?
+    };
+    let stream = TcpStream::connect(&address)
+        .await
+        .map_err(|error| Error::new(Step::Connect, &address, error))?;
+    let mut socket = socket::open(stream, &address, max_bytes(node)).await?;
+    let welcome = prove(node, &mut socket, &address).await?;
+    if welcome.hello.vm != *vm {
+        let cause = format!("{} stands at this address now", welcome.hello.vm);
+        return Err(Error::new(Step::Handshake, vm, cause));
+    }
+    let now = node.now();
+    if node.view.borrow_mut().met(vm, welcome.hello.boot) {
+        node.entry.borrow_mut().forget(vm);
+    }
+    let (tx, stream) = socket::split(socket, MAX_WAITING_FRAMES);
+    let up = UpLink {
+        tx,
+        boot: welcome.hello.boot,
+        heard: Cell::new(now),
+        asked: Cell::new(None),
+        used: Cell::new(now),
+    };
+    Ok((up, stream))
+}
+
+/// Learns from the peers at the addresses in the settings: the list of VMs and the revision.
+pub async fn ask_seeds(node: &Rc<Node>) {
+    for address in node.cfg.seeds.clone() {
+        let peer = address.to_string();
+        if let Err(error) = timeout(SEED_TIMEOUT, ask_seed(node, &peer))
+            .await
+            .unwrap_or(Ok(()))
+        {
+            tracing::debug!(%error, "a seed gave no answer");
+        }
+    }
+}
+
+/// Reads what one seed has that is newer, until it has nothing more to say.
+async fn ask_seed(node: &Rc<Node>, peer: &str) -> Result<()> {
+    let stream = TcpStream::connect(peer)
+        .await
+        .map_err(|error| Error::new(Step::Connect, peer, error))?;
+    let mut socket = socket::open(stream, peer, max_bytes(node)).await?;
+    let welcome = prove(node, &mut socket, peer).await?;
+    let summary = wire::encode(&Frame::Summary(node.summary()));
+    socket::send_now(&mut socket, peer, summary).await?;
+    let (tx, mut stream) = socket::split(socket, MAX_WAITING_FRAMES);
+    let reply = Reply::Peer(tx);
+    loop {
+        let bytes = socket::receive(&mut stream, peer).await?;
+        let frame = wire::decode(peer, &bytes)?;
+        frames::take_in(node, &welcome.hello.vm, frame, &reply);
+    }
+}
+
+async fn prove(node: &Rc<Node>, socket: &mut socket::Socket, peer: &str) -> Result<Welcome> {
+    let handshake = Handshake::new(
+        &node.cfg.fleet_key,
+        node.cfg.vm.clone(),
+        node.boot,
+        rand::random(),
+    );
+    socket::send_now(socket, peer, wire::encode_message(&handshake.hello())).await?;
+    let bytes = socket::receive(socket, peer).await?;
+    let welcome: Welcome = wire::decode_message(peer, &bytes)?;
+    let proof = handshake.prove_to(&welcome)?;
+    socket::send_now(socket, peer, wire::encode_message(&proof)).await?;
+    Ok(welcome)
+}
+
+fn install(node: &Rc<Node>, vm: &Name, up: UpLink) {
+    let up = Rc::new(up);
+    let before = node
+        .links
+        .borrow_mut()
+        .insert(vm.clone(), Link::Up(up.clone()));
+    if let Some(Link::Connecting(pending)) = before {
+        for frame in pending {
+            transmit_up(node, &up, frame);
+        }
+    }
+}
+
+async fn read(node: &Rc<Node>, vm: &Name, stream: &mut SplitStream<socket::Socket>) -> Error {
+    let (tx, up) = match node.links.borrow().get(vm) {
+        Some(Link::Up(up)) => (up.tx.clone(), up.clone()),
+        _ => return Error::new(Step::Frame, vm, "the connection was replaced"),
+    };
+    let reply = Reply::Peer(tx);
+    loop {
+        let bytes = match socket::receive(stream, vm.as_str()).await {
+            Ok(bytes) => bytes,
+            Err(error) => return error,
+        };
+        up.heard.set(node.now());
+        up.asked.set(None);
+        let frame = match wire::decode(vm.as_str(), &bytes) {
+            Ok(frame) => frame,
+            Err(error) => {
+                stats::bad_input("peer");
+                return error;
+            }
+        };
+        frames::take_in(node, vm, frame, &reply);
+    }
+}
+
+fn fail(node: &Rc<Node>, vm: &Name) {
+    let until = node.now() + REDIAL_US;
+    let before = node
+        .links
+        .borrow_mut()
+        .insert(vm.clone(), Link::Failed(until));
+    if let Some(Link::Connecting(pending)) = before {
+        let pending: Vec<Frame> = pending;
+        for frame in &pending {
+            not_sent(node, frame);
+        }
+    }
+}
--- /dev/null
+++ b/components/daemon/src/links/frames.rs
@@ -0,0 +1,71 @@
+//! What a node does with each frame.
+
+use super::{offered, Reply};
+use crate::entry_driver::{deliver, reported};
+use crate::node::Node;
+use crate::{configuration, home_driver, relay};
+use entry::Event;
+use home::AskReply;
+use names::Name;
+use std::rc::Rc;
+use wire::Frame;
+
+/// Takes in a frame that came from `from`; answers go to `reply`.
+pub fn take_in(node: &Rc<Node>, from: &Name, frame: Frame, reply: &Reply) {
+    match frame {
+        Frame::Offer { offer, req, .. } => offered(node, offer, req, reply),
+        Frame::Ask { id, boot } => home_driver::ask(node, id, boot, reply.clone()),
+        Frame::Cancel { id } => home_driver::cancel(node, id),
+        Frame::Heartbeat => reply.send(node, Frame::Alive { load: node.load() }),
+        Frame::Refused { id, refusal, load } => {
+            reported(node, from, load);
+            deliver(node, id, Event::Refused(id, refusal));
+        }
+        Frame::Revoked { id, load } => {
+            reported(node, from, load);
+            deliver(node, id, Event::Revoked(id));
+        }
+        Frame::Answered { id, answer, load } => {
+            reported(node, from, load);
+            let error = answer.is_error();
+            deliver(node, id, Event::Answered { id, answer, error });
+        }
+        Frame::Broken { id, load } => {
+            reported(node, from, load);
+            deliver(node, id, Event::Broken(id));
+        }
+        Frame::Told { id, reply } => told(node, id, reply),
+        Frame::Alive { load } => {
+            reported(node, from, load);
+            node.entry.borrow_mut().trust(from);
+        }
+        Frame::Leaving { leaving } => node.entry.borrow_mut().leaving(from, leaving),
+        Frame::Relay {
+            id,
+            remaining_us,
+            key,
+            priority,
+            revision,
+            req,
+        } => {
+            let relay = relay::Relay {
+                remaining_us,
+                key,
+                priority,
+                revision,
+                req,
+            };
+            relay::take_in(node, id, relay, reply.clone());
+        }
+        Frame::Relayed { id, outcome } => relay::relayed(node, id, outcome),
+        Frame::Summary(summary) => configuration::compare(node, &summary, reply),
+        Frame::Configuration(configuration) => {
+            configuration::take_in(node, (*configuration).clone());
+        }
+        Frame::Vms(list) => configuration::take_in_vms(node, (*list).clone()),
+    }
+}
+
+fn told(node: &Rc<Node>, id: names::AttemptId, reply: AskReply<crate::node::Whole>) {
+    deliver(node, id, Event::Told(id, reply));
+}
--- /dev/null
+++ b/components/daemon/src/links/heartbeat.rs
@@ -0,0 +1,87 @@
+//! Finding out that another node is frozen, while something waits there.
+//!
+//! A heartbeat is a measuring act and passes the budget. Nothing is sent to a node at which
+//! nothing waits, or from which anything was heard lately.
+
+use super::{push, Link, UpLink};
+use crate::entry_driver;
+use crate::node::Node;
+use async_std::task;
+use budget::Act;
+use entry::Event;
+use names::{AttemptId, Moment, Name, MILLISECOND};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use wire::Frame;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+/// A node at which something waits is asked when nothing was heard for so long, in microseconds.
+const QUIET_US: u64 = 150 * MILLISECOND;
+/// A heartbeat not answered for so long means that the node does not run, in microseconds.
+const SILENT_US: u64 = 250 * MILLISECOND;
+/// A connection unused for so long is closed, in microseconds.
+const IDLE_US: u64 = 60_000 * MILLISECOND;
+
+/// Looks after the connections to other nodes for as long as the node runs.
+pub async fn run_heartbeats(node: Rc<Node>) {
+    loop {
+        task::sleep(LOOK).await;
+        let waiting = waiting_by_vm(&node);
+        let links: Vec<(Name, Rc<UpLink>)> = node
+            .links
+            .borrow()
+            .iter()
+            .filter_map(|(vm, link)| match link {
+                Link::Up(up) => Some((vm.clone(), up.clone())),
+                _ => None,
+            })
+            .collect();
+        for (vm, up) in links {
+            let attempts = waiting.get(&vm).map_or(&[][..], |ids| ids.as_slice());
+            look(&node, &up, attempts);
+        }
+    }
+}
+
+fn look(node: &Rc<Node>, up: &UpLink, attempts: &[AttemptId]) {
+    let now = node.now();
+    if attempts.is_empty() {
+        up.asked.set(None);
+        if now.since(up.used.get()) > IDLE_US {
+            up.tx.close();
+        }
+        return;
+    }
+    match up.asked.get() {
+        Some(asked) if now.since(asked) > SILENT_US => {
+            for id in attempts {
+                entry_driver::deliver(node, *id, Event::Silent(*id));
+            }
+            up.asked.set(None);
+        }
+        Some(_) => {}
+        None => ask(node, up, now),
+    }
+}
+
+fn ask(node: &Rc<Node>, up: &UpLink, now: Moment) {
+    let quiet = now.since(up.heard.get().max(up.used.get())) > QUIET_US;
+    if !quiet || !node.gate.borrow_mut().spend(now, Act::HEARTBEAT) {
+        return;
+    }
+    if push(&up.tx, &Frame::Heartbeat) {
+        up.asked.set(Some(now));
+    }
+}
+
+fn waiting_by_vm(node: &Rc<Node>) -> HashMap<Name, Vec<AttemptId>> {
+    let mut waiting: HashMap<Name, Vec<AttemptId>> = HashMap::new();
+    for (id, waiter) in node.waiters.borrow().iter() {
+        if waiter.sent_to.is_some() {
+            waiting.entry(waiter.vm.clone()).or_default().push(*id);
+        }
+    }
+    waiting
+}
--- /dev/null
+++ b/components/daemon/src/links/mod.rs
@@ -0,0 +1,240 @@
+//! Connections between nodes: one WebSocket for each direction, opened by the node that sends.
+
+mod accept;
+mod dial;
+mod frames;
+mod heartbeat;
+mod socket;
+
+pub use accept::serve;
+pub use dial::ask_seeds;
+pub use heartbeat::run_heartbeats;
+
+use crate::entry_driver;
+use crate::home_driver;
+use crate::node::Node;
+use crate::stats;
+use async_channel::Sender;
+use declarations::MAX_BUNDLE_BYTES;
+use entry::Event;
+use home::{Offer, Reason};
+use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use wire::{Frame, RelayOutcome, Request, MAX_FRAME_OVERHEAD};
+
+/// Frames that may wait for one connection. When it is full the connection counts as broken.
+const MAX_WAITING_FRAMES: usize = 1_024;
+/// After a failed dial no other is tried for so long, in microseconds.
+const REDIAL_US: u64 = 100 * MILLISECOND;
+
+/// A connection to another node, or the way to one.
+#[derive(Debug)]
+pub enum Link {
+    /// Being opened; frames wait.
+    Connecting(Vec<Frame>),
+    /// Open.
+    Up(Rc<UpLink>),
+    /// Could not be opened; not tried again before this moment.
+    Failed(Moment),
+}
+
+/// An open connection to another node.
+#[derive(Debug)]
+pub struct UpLink {
+    /// Frames to send, encoded.
+    pub tx: Sender<Vec<u8>>,
+    /// Boot of the other node.
+    pub boot: BootId,
+    /// When the last frame came.
+    pub heard: Cell<Moment>,
+    /// When an unanswered heartbeat was sent.
+    pub asked: Cell<Option<Moment>>,
+    /// When the last frame that isn't a heartbeat was sent.
+    pub used: Cell<Moment>,
+}
+
+/// Where the end of an attempt is told.
+#[derive(Debug, Clone)]
+pub enum Reply {
+    /// The entry duty of this node.
+    Own,
+    /// The node at the other end of a connection.
+    Peer(Sender<Vec<u8>>),
+}
+
+impl Reply {
+    /// Sends a frame. When a peer's queue is full its connection is closed: the other side then
+    /// asks what became of its attempts.
+    pub fn send(&self, node: &Rc<Node>, frame: Frame) {
+        match self {
+            Reply::Own => frames::take_in(node, &node.cfg.vm, frame, &Reply::Own),
+            Reply::Peer(tx) => {
+                if !push(tx, &frame) {
+                    tx.close();
+                }
+            }
+        }
+    }
+}
+
+/// Offers an attempt to another node.
+pub fn offer(node: &Rc<Node>, to: &Name, offer: Offer, req: Arc<Request>) {
+    let sent_us = node.now().0;
+    let frame = Frame::Offer {
+        sent_us,
+        offer,
+        req,
+    };
+    transmit(node, to, frame);
+}
+
+/// Asks another node about an attempt that was sent to it.
+pub fn ask(node: &Rc<Node>, to: &Name, id: AttemptId) {
+    let boot = node
+        .waiters
+        .borrow()
+        .get(&id)
+        .and_then(|waiter| waiter.sent_to);
+    match boot {
+        Some(boot) => transmit(node, to, Frame::Ask { id, boot }),
+        None => entry_driver::deliver(node, id, Event::NotSent(id)),
+    }
+}
+
+/// Sends a frame that needs no answer.
+pub fn send(node: &Rc<Node>, to: &Name, frame: &Frame) {
+    transmit(node, to, frame.clone());
+}
+
+/// Takes an offer back that still waits for its connection. Returns whether it did.
+pub fn withdraw(node: &Rc<Node>, id: AttemptId) -> bool {
+    let mut links = node.links.borrow_mut();
+    for link in links.values_mut() {
+        let Link::Connecting(pending) = link else {
+            continue;
+        };
+        let before = pending.len();
+        pending.retain(|frame| !matches!(frame, Frame::Offer { offer, .. } if offer.id == id));
+        if pending.len() < before {
+            return true;
+        }
+    }
+    false
+}
+
+fn transmit(node: &Rc<Node>, to: &Name, frame: Frame) {
+    let now = node.now();
+    let mut links = node.links.borrow_mut();
+    match links.get_mut(to) {
+        Some(Link::Up(up)) => {
+            let up = up.clone();
+            drop(links);
+            transmit_up(node, &up, frame);
+        }
+        Some(Link::Connecting(pending)) if pending.len() < MAX_WAITING_FRAMES => {
+            pending.push(frame);
+        }
+        Some(Link::Connecting(_)) => {
+            drop(links);
+            not_sent(node, &frame);
+        }
+        Some(Link::Failed(until)) if now < *until => {
+            drop(links);
+            not_sent(node, &frame);
+        }
+        Some(Link::Failed(_)) | None => {
+            links.insert(to.clone(), Link::Connecting(vec![frame]));
+            drop(links);
+            async_std::task::spawn_local(dial::run(node.clone(), to.clone()));
+        }
+    }
+}
+
+/// Sends over an open connection, after a look whether the other side is still the same boot.
+fn transmit_up(node: &Rc<Node>, up: &UpLink, frame: Frame) {
+    if let Frame::Ask { id, boot } = &frame {
+        if *boot != up.boot {
+            entry_driver::deliver(node, *id, Event::Gone(*id));
+            return;
+        }
+    }
+    if !push(&up.tx, &frame) {
+        not_sent(node, &frame);
+        return;
+    }
+    up.used.set(node.now());
+    if let Frame::Offer { offer, .. } = &frame {
+        if let Some(waiter) = node.waiters.borrow_mut().get_mut(&offer.id) {
+            waiter.sent_to = Some(up.boot);
+        }
+    }
+}
+
+fn push(tx: &Sender<Vec<u8>>, frame: &Frame) -> bool {
+    let bytes = wire::encode(frame);
+    if is_control(frame) {
+        stats::control_bytes(bytes.len());
+    }
+    tx.try_send(bytes).is_ok()
+}
+
+fn is_control(frame: &Frame) -> bool {
+    !matches!(
+        frame,
+        Frame::Offer { .. } | Frame::Answered { .. } | Frame::Relay { .. } | Frame::Relayed { .. }
+    )
+}
+
+/// Tells whoever waits for an answer to `frame` that no byte of it left this node.
+fn not_sent(node: &Rc<Node>, frame: &Frame) {
+    match frame {
+        Frame::Offer { offer, .. } => {
+            entry_driver::deliver(node, offer.id, Event::NotSent(offer.id));
+        }
+        Frame::Ask { id, .. } => entry_driver::deliver(node, *id, Event::Gone(*id)),
+        Frame::Relay { id, .. } => {
+            let outcome = RelayOutcome::NotRun(home::Refusal {
+                reason: Reason::Unreachable,
+                retry_after_ms: 1_000,
+            });
+            crate::relay::relayed(node, *id, outcome);
+        }
+        _ => {}
+    }
+}
+
+/// The connection to `vm` broke: whoever has something there is told.
+fn lost(node: &Rc<Node>, vm: &Name) {
+    let lost: Vec<AttemptId> = node
+        .waiters
+        .borrow()
+        .iter()
+        .filter(|(_, waiter)| waiter.vm == *vm && waiter.sent_to.is_some())
+        .map(|(id, _)| *id)
+        .collect();
+    for id in lost {
+        entry_driver::deliver(node, id, Event::Lost(id));
+    }
+    let relays: Vec<AttemptId> = node
+        .relays
+        .borrow()
+        .iter()
+        .filter(|(_, (_, owner))| owner == vm)
+        .map(|(id, _)| *id)
+        .collect();
+    for id in relays {
+        crate::relay::relayed(node, id, RelayOutcome::Unknown(Reason::Lost));
+    }
+}
+
+/// Largest message between nodes, in bytes: a whole body or a whole set of declarations.
+fn max_bytes(node: &Node) -> usize {
+    node.cfg.max_body_bytes.max(MAX_BUNDLE_BYTES) + MAX_FRAME_OVERHEAD
+}
+
+/// Forwards an offer that arrived from a peer to the home duty.
+fn offered(node: &Rc<Node>, offer: Offer, req: Arc<Request>, reply: &Reply) {
+    home_driver::offer(node, offer, req, reply.clone());
+}
--- /dev/null
+++ b/components/daemon/src/links/socket.rs
@@ -0,0 +1,98 @@
+//! WebSockets over async-std's TCP streams.
+
+use async_channel::{Receiver, Sender};
+use async_std::net::TcpStream;
+use errors::{Error, Result, Step};
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::WebSocketStream;
+use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+
+/// A WebSocket to another node.
+pub type Socket = WebSocketStream<Compat<TcpStream>>;
+
+/// Opens a WebSocket over a connected stream.
+pub async fn open(stream: TcpStream, peer: &str, max_bytes: usize) -> Result<Socket> {
+    nodelay(&stream, peer)?;
+    let url = format!("ws://{peer}/");
+    tokio_tungstenite::client_async_with_config(url, stream.compat(), Some(config(max_bytes)))
+        .await
+        .map(|(socket, _)| socket)
+        .map_err(|error| Error::new(Step::Connect, peer, error))
+}
+
+/// Accepts a WebSocket on a stream that a peer opened.
+pub async fn accept(stream: TcpStream, peer: &str, max_bytes: usize) -> Result<Socket> {
+    nodelay(&stream, peer)?;
+    tokio_tungstenite::accept_async_with_config(stream.compat(), Some(config(max_bytes)))
+        .await
+        .map_err(|error| Error::new(Step::Connect, peer, error))
+}
+
+/// The next binary message.
+pub async fn receive(
+    stream: &mut (impl futures_util::Stream<Item = tokio_tungstenite::tungstenite::Result<Message>>
+              + Unpin),
+    peer: &str,
+) -> Result<Vec<u8>> {
+    loop {
+        match stream.next().await {
+            Some(Ok(Message::Binary(bytes))) => return Ok(bytes.to_vec()),
+            Some(Ok(Message::Close(_))) | None => {
+                return Err(Error::new(
+                    Step::Frame,
+                    peer,
+                    "the peer closed the connection",
+                ))
+            }
+            Some(Ok(Message::Text(_))) => {
+                return Err(Error::new(Step::Frame, peer, "a text message"))
+            }
+            Some(Ok(_)) => {}
+            Some(Err(error)) => return Err(Error::new(Step::Frame, peer, error)),
+        }
+    }
+}
+
+/// Sends one message at once.
+pub async fn send_now(socket: &mut Socket, peer: &str, bytes: Vec<u8>) -> Result<()> {
+    socket
+        .send(Message::Binary(bytes.into()))
+        .await
+        .map_err(|error| Error::new(Step::Frame, peer, error))
+}
+
+/// Splits a socket; a task writes what the returned sender is given, flushing when it runs dry.
+pub fn split(socket: Socket, waiting: usize) -> (Sender<Vec<u8>>, SplitStream<Socket>) {
+    let (sink, stream) = socket.split();
+    let (tx, rx) = async_channel::bounded(waiting);
+    async_std::task::spawn_local(write(sink, rx));
+    (tx, stream)
+}
+
+async fn write(mut sink: SplitSink<Socket, Message>, rx: Receiver<Vec<u8>>) {
+    while let Ok(bytes) = rx.recv().await {
+        if sink.feed(Message::Binary(bytes.into())).await.is_err() {
+            break;
+        }
+        if rx.is_empty() && sink.flush().await.is_err() {
+            break;
+        }
+    }
+    rx.close();
+    sink.close().await.ok();
+}
+
+fn config(max_bytes: usize) -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(max_bytes))
+        .max_frame_size(Some(max_bytes))
+}
+
+fn nodelay(stream: &TcpStream, peer: &str) -> Result<()> {
+    stream
+        .set_nodelay(true)
+        .map_err(|error| Error::new(Step::Connect, peer, error))
+}
--- /dev/null
+++ b/components/daemon/src/node.rs
@@ -0,0 +1,247 @@
+//! The state of a node, shared by its tasks on one thread.
+
+use crate::clock::Clock;
+use crate::links::{Link, Reply};
+use crate::platform_watch::PlatformState;
+use crate::upstream::Pool;
+use async_channel::Sender;
+use budget::{Gate, HallBudget};
+use declarations::Service;
+use entry::{Candidate, Entry, Event, Rule};
+use home::{Home, Load};
+use keys::{KeyHash, Table};
+use membership::View;
+use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
+use platform::Client;
+use rollout::{InForce, Rollout, Summary};
+use settings::Settings;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use wire::{Answer, RelayOutcome, Request};
+
+/// Keys that a node remembers at most.
+const MAX_KEYS: usize = 100_000;
+/// Whole answers kept for repeated keys.
+const MAX_KEY_ANSWERS: usize = 256;
+
+/// Regular work that is late by so much means that the process was paused, in microseconds.
+const PAUSE_US: u64 = 1_000 * MILLISECOND;
+
+/// The type of a whole answer in all state machines.
+pub type Whole = Arc<Answer>;
+
+/// A request that a home duty has taken in.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The request.
+    pub req: Arc<Request>,
+    /// Where its end is told.
+    pub reply: Reply,
+    /// The caller's deadline on this node's clock.
+    pub deadline: Moment,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Tells the running exchange that nobody waits for it.
+    pub cancel: Option<Sender<()>>,
+}
+
+/// An entry-side attempt that has not ended.
+#[derive(Debug, Clone)]
+pub struct Waiter {
+    /// The call's events.
+    pub tx: Sender<Event<Whole>>,
+    /// The VM it was offered to.
+    pub vm: Name,
+    /// Boot of the home node once any byte of the offer may have left this node.
+    pub sent_to: Option<BootId>,
+}
+
+/// Everything that the tasks of a node share. One thread runs them all, so no lock is needed; a
+/// borrow never lives across an `await`.
+pub struct Node {
+    /// Settings.
+    pub cfg: Settings,
+    /// Boot of this process.
+    pub boot: BootId,
+    /// Clock.
+    pub clock: Clock,
+    /// Home duty, on a node that has an upstream.
+    pub home: RefCell<Option<Home<Whole>>>,
+    /// Requests the home duty has taken in.
+    pub jobs: RefCell<HashMap<AttemptId, Job>>,
+    /// Connections to the upstream.
+    pub pool: Option<Rc<Pool>>,
+    /// Entry duty.
+    pub entry: RefCell<Entry>,
+    /// Attempts that have not ended.
+    pub waiters: RefCell<HashMap<AttemptId, Waiter>>,
+    /// Relays that have not ended.
+    pub relays: RefCell<HashMap<AttemptId, (Sender<RelayOutcome>, Name)>>,
+    /// Counter of relays.
+    pub next_relay: Cell<u64>,
+    /// Connections to other nodes.
+    pub links: RefCell<HashMap<Name, Link>>,
+    /// Connections from other nodes.
+    pub incoming: RefCell<HashMap<u64, Reply>>,
+    /// Idempotency keys this node owns.
+    pub keys: RefCell<Table<Whole>>,
+    /// Relays that wait for the same key.
+    pub key_waiters: RefCell<HashMap<KeyHash, Vec<Sender<RelayOutcome>>>>,
+    /// Measuring budget.
+    pub gate: RefCell<Gate>,
+    /// Declarations in force.
+    pub rollout: RefCell<Rollout>,
+    /// When each service's group last changed, with the upstreams before.
+    pub moved: RefCell<HashMap<Name, (Moment, Vec<Name>)>>,
+    /// Fleet as this node sees it.
+    pub view: RefCell<View>,
+    /// Platform's object API.
+    pub platform: Rc<Client>,
+    /// What the platform last said of itself.
+    pub platform_state: RefCell<PlatformState>,
+    /// Whether a planned stop has begun.
+    pub stopping: Cell<bool>,
+    /// Whether an operator drains the upstream.
+    pub drained: Cell<bool>,
+    /// Whether the upstream said that it is leaving.
+    pub upstream_leaving: Cell<bool>,
+    /// When the node's regular work last ran; long ago means that the process was paused.
+    pub last_tick: Cell<Moment>,
+    /// Requests of callers and relays in progress.
+    pub open_calls: Cell<usize>,
+    /// Connections of callers.
+    pub open_callers: Cell<usize>,
+    /// Connections of peers that have not proved themselves.
+    pub strangers: Cell<usize>,
+}
+
+impl Node {
+    /// A node that has just started.
+    pub fn new(cfg: Settings) -> Rc<Node> {
+        let clock = Clock::start();
+        let boot = BootId::draw();
+        let home = cfg.upstream.map(|_| {
+            Home::new(home::Config {
+                slots: cfg.slots,
+                seed: boot.0,
+                ..home::Config::default()
+            })
+        });
+        let pool = cfg
+            .upstream
+            .map(|address| Rc::new(Pool::new(address, cfg.warm_connections, cfg.max_body_bytes)));
+        Rc::new(Node {
+            home: RefCell::new(home),
+            jobs: RefCell::default(),
+            pool,
+            entry: RefCell::new(Entry::new(boot, rule(&cfg.rule), boot.0)),
+            waiters: RefCell::default(),
+            relays: RefCell::default(),
+            next_relay: Cell::new(0),
+            links: RefCell::default(),
+            incoming: RefCell::default(),
+            keys: RefCell::new(Table::new(MAX_KEYS, MAX_KEY_ANSWERS)),
+            key_waiters: RefCell::default(),
+            gate: RefCell::new(Gate::new(clock.now())),
+            rollout: RefCell::default(),
+            moved: RefCell::default(),
+            view: RefCell::default(),
+            platform: Rc::new(Client::new(cfg.platform.clone())),
+            platform_state: RefCell::default(),
+            stopping: Cell::new(false),
+            drained: Cell::new(false),
+            upstream_leaving: Cell::new(false),
+            last_tick: Cell::new(clock.now()),
+            open_calls: Cell::new(0),
+            open_callers: Cell::new(0),
+            strangers: Cell::new(0),
+            clock,
+            boot,
+            cfg,
+        })
+    }
+
+    /// The present moment.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Whether the process seems to have been paused and its regular work has not run since.
+    pub fn was_paused(&self) -> bool {
+        self.now().since(self.last_tick.get()) > PAUSE_US
+    }
+
+    /// The revision by which a request that arrives now is served.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.rollout.borrow().in_force()
+    }
+
+    /// What this node knows, for its peers.
+    pub fn summary(&self) -> Summary {
+        Summary {
+            revision: self.rollout.borrow().revision(),
+            list_version: self.view.borrow().list().version,
+        }
+    }
+
+    /// State of the upstream beside this node.
+    pub fn load(&self) -> Load {
+        let now = self.now();
+        self.home
+            .borrow()
+            .as_ref()
+            .map(|home| home.load(now))
+            .unwrap_or_default()
+    }
+
+    /// Whether any source says that the upstream beside this node is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.stopping.get()
+            || self.drained.get()
+            || self.upstream_leaving.get()
+            || self.view.borrow().is_leaving(&self.cfg.vm)
+    }
+
+    /// The upstreams that may serve `service`: declared, known to the platform and not leaving.
+    pub fn candidates(&self, in_force: &InForce, service: &Service) -> Vec<Candidate> {
+        let view = self.view.borrow();
+        in_force
+            .declarations
+            .upstreams(service)
+            .iter()
+            .filter(|vm| !view.is_leaving(vm))
+            .filter_map(|vm| {
+                let listed = view.vm(vm)?;
+                Some(Candidate {
+                    vm: vm.clone(),
+                    same_hall: listed.hall == self.cfg.hall,
+                    own: *vm == self.cfg.vm,
+                })
+            })
+            .collect()
+    }
+
+    /// Sets the measuring budget from the declarations and the fleet.
+    pub fn refresh_budget(&self) {
+        let measuring = self
+            .in_force()
+            .and_then(|in_force| in_force.declarations.halls.get(&self.cfg.hall).copied());
+        let measuring = measuring.unwrap_or_default();
+        let hall = HallBudget {
+            messages_per_s: measuring.messages_per_s,
+            slot_us_per_s: measuring.slot_us_per_s,
+        };
+        let nodes = self.view.borrow().in_hall(&self.cfg.hall).count() as u32;
+        self.gate.borrow_mut().set(self.now(), hall, nodes);
+    }
+}
+
+fn rule(name: &str) -> Rule {
+    match name {
+        "random" => Rule::Random,
+        "two-choices" => Rule::TwoChoices,
+        _ => Rule::Expected,
+    }
+}
--- /dev/null
+++ b/components/daemon/src/operators.rs
@@ -0,0 +1,269 @@
+//! The operators' address: metrics, health, status, drain, and revisions pushed by `apply`.
+//!
+//! It is served by tide on a thread of its own. Requests for the node's state go to the node's
+//! thread over a bounded channel, so a node that hangs is seen here as one that doesn't answer.
+
+use crate::configuration;
+use crate::home_driver;
+use crate::node::Node;
+use async_channel::{Receiver, Sender};
+use async_std::future::timeout;
+use errors::{Error, Result, Step};
+use metrics_exporter_prometheus::PrometheusHandle;
+use rollout::{Configuration, Offered};
+use serde::Serialize;
+use std::rc::Rc;
+use std::time::Duration;
+use tide::{Request, Response, StatusCode};
+
+/// Commands that may wait for the node's thread.
+const MAX_COMMANDS: usize = 64;
+/// Longest wait for the node's thread.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest pushed revision, in bytes.
+const MAX_PUSH_BYTES: usize = 16 * 1024 * 1024;
+
+/// A node's state, for operators and scripts.
+#[derive(Debug, Clone, Serialize)]
+pub struct Status {
+    /// VM.
+    pub vm: String,
+    /// Data hall.
+    pub hall: String,
+    /// Boot.
+    pub boot: String,
+    /// Revision in force; 0 for none.
+    pub revision: u64,
+    /// Identity of the change that made it.
+    pub change: String,
+    /// Version of the platform's list.
+    pub list_version: u64,
+    /// Whether the platform answered last time.
+    pub platform_reachable: bool,
+    /// Whether the upstream takes no new work.
+    pub leaving: bool,
+    /// Attempts running at the upstream.
+    pub in_flight: u32,
+    /// Attempts queued for the upstream.
+    pub queued: u32,
+    /// Attempts that may run at once.
+    pub limit: u32,
+    /// Recent service time, in microseconds.
+    pub service_us: u64,
+    /// Messages spent on measuring.
+    pub measuring_messages: u64,
+    /// Slot time spent on measuring, in microseconds.
+    pub measuring_slot_us: u64,
+    /// Calls made to the platform.
+    pub platform_calls: u64,
+    /// Ended attempts on record.
+    pub records: usize,
+    /// Idempotency keys on record.
+    pub keys: usize,
+    /// Attempts started.
+    pub started: u64,
+}
+
+/// A request to the node's thread.
+pub enum Command {
+    /// Give the state.
+    Status(Sender<Status>),
+    /// Take no new work, or take it again.
+    Drain(bool, Sender<()>),
+    /// Take in a revision that the platform accepted.
+    Push(Box<Configuration>, Sender<Offered>),
+}
+
+#[derive(Clone)]
+struct Shared {
+    tx: Sender<Command>,
+    prometheus: PrometheusHandle,
+    fleet_key: String,
+}
+
+/// A channel for commands.
+pub fn channel() -> (Sender<Command>, Receiver<Command>) {
+    async_channel::bounded(MAX_COMMANDS)
+}
+
+/// Serves operators on `address` for as long as the process runs.
+pub async fn serve(
+    address: std::net::SocketAddr,
+    tx: Sender<Command>,
+    prometheus: PrometheusHandle,
+    fleet_key: String,
+) -> Result<()> {
+    let mut app = tide::with_state(Shared {
+        tx,
+        prometheus,
+        fleet_key,
+    });
+    app.at("/metrics").get(metrics);
+    app.at("/livez").get(livez);
+    app.at("/readyz").get(readyz);
+    app.at("/status").get(status);
+    app.at("/drain").post(|req| drain(req, true));
+    app.at("/undrain").post(|req| drain(req, false));
+    app.at("/configuration").post(push);
+    app.listen(address)
+        .await
+        .map_err(|error| Error::new(Step::Operators, address, error))
+}
+
+/// Carries out commands on the node's thread.
+pub async fn run_commands(node: Rc<Node>, rx: Receiver<Command>) {
+    while let Ok(command) = rx.recv().await {
+        match command {
+            Command::Status(tx) => {
+                tx.try_send(state(&node)).ok();
+            }
+            Command::Drain(drained, tx) => {
+                node.drained.set(drained);
+                home_driver::leaving_changed(&node);
+                tx.try_send(()).ok();
+            }
+            Command::Push(configuration, tx) => {
+                let offered = configuration::take_in(&node, *configuration);
+                tx.try_send(offered).ok();
+            }
+        }
+    }
+}
+
+fn state(node: &Rc<Node>) -> Status {
+    let load = node.load();
+    let spent = node.gate.borrow().spent();
+    let in_force = node.in_force();
+    let home = node.home.borrow();
+    let counters = home
+        .as_ref()
+        .map(|home| home.counters())
+        .unwrap_or_default();
+    Status {
+        vm: node.cfg.vm.to_string(),
+        hall: node.cfg.hall.to_string(),
+        boot: node.boot.to_string(),
+        revision: node.rollout.borrow().revision(),
+        change: in_force
+            .map(|in_force| in_force.configuration.head.change.id.clone())
+            .unwrap_or_default(),
+        list_version: node.view.borrow().list().version,
+        platform_reachable: node.platform_state.borrow().reachable,
+        leaving: load.leaving,
+        in_flight: load.in_flight,
+        queued: load.queued,
+        limit: load.limit,
+        service_us: load.service_us,
+        measuring_messages: spent.messages,
+        measuring_slot_us: spent.slot_us,
+        platform_calls: node.platform.calls(),
+        records: home.as_ref().map_or(0, |home| home.records()),
+        keys: node.keys.borrow().len(),
+        started: counters.started,
+    }
+}
+
+async fn ask<T>(shared: &Shared, command: impl FnOnce(Sender<T>) -> Command) -> tide::Result<T> {
+    let (tx, rx) = async_channel::bounded(1);
+    let busy = || tide::Error::from_str(StatusCode::ServiceUnavailable, "the node is busy");
+    shared.tx.try_send(command(tx)).map_err(|_| busy())?;
+    match timeout(ANSWER_TIMEOUT, rx.recv()).await {
+        Ok(Ok(answer)) => Ok(answer),
+        _ => Err(busy()),
+    }
+}
+
+async fn metrics(req: Request<Shared>) -> tide::Result {
+    let shared = req.state();
+    let state = ask(shared, Command::Status).await?;
+    export(&state);
+    Ok(Response::builder(StatusCode::Ok)
+        .body(shared.prometheus.render())
+        .content_type("text/plain")
+        .build())
+}
+
+fn export(state: &Status) {
+    let gauges = [
+        ("drumwheel_revision", state.revision as f64),
+        ("drumwheel_list_version", state.list_version as f64),
+        ("drumwheel_in_flight", state.in_flight as f64),
+        ("drumwheel_queued", state.queued as f64),
+        ("drumwheel_limit", state.limit as f64),
+        ("drumwheel_service_us", state.service_us as f64),
+        ("drumwheel_leaving", f64::from(u8::from(state.leaving))),
+        (
+            "drumwheel_measuring_messages",
+            state.measuring_messages as f64,
+        ),
+        (
+            "drumwheel_measuring_slot_us",
+            state.measuring_slot_us as f64,
+        ),
+        ("drumwheel_platform_calls", state.platform_calls as f64),
+        ("drumwheel_records", state.records as f64),
+        ("drumwheel_keys", state.keys as f64),
+        ("drumwheel_started", state.started as f64),
+    ];
+    for (name, value) in gauges {
+        crate::stats::set(name, value);
+    }
+}
+
+async fn livez(req: Request<Shared>) -> tide::Result {
+    ask(req.state(), Command::Status).await?;
+    Ok("live\n".into())
+}
+
+async fn readyz(req: Request<Shared>) -> tide::Result {
+    let state = ask(req.state(), Command::Status).await?;
+    if state.revision == 0 {
+        let mut res = Response::new(StatusCode::ServiceUnavailable);
+        res.set_body("no configuration yet\n");
+        return Ok(res);
+    }
+    Ok("ready\n".into())
+}
+
+async fn status(req: Request<Shared>) -> tide::Result {
+    let state = ask(req.state(), Command::Status).await?;
+    Ok(Response::builder(StatusCode::Ok)
+        .body(tide::Body::from_json(&state)?)
+        .build())
+}
+
+async fn drain(req: Request<Shared>, drained: bool) -> tide::Result {
+    authorise(&req)?;
+    ask(req.state(), |tx| Command::Drain(drained, tx)).await?;
+    Ok(if drained { "drained\n" } else { "undrained\n" }.into())
+}
+
+async fn push(mut req: Request<Shared>) -> tide::Result {
+    authorise(&req)?;
+    if req.len().is_none_or(|length| length > MAX_PUSH_BYTES) {
+        return Err(tide::Error::from_str(
+            StatusCode::PayloadTooLarge,
+            "a revision needs a length within the limit",
+        ));
+    }
+    let bytes = req.body_bytes().await?;
+    let configuration: Configuration = wire::decode_message("operator", &bytes)
+        .map_err(|error| tide::Error::from_str(StatusCode::BadRequest, error.to_string()))?;
+    let offered = ask(req.state(), |tx| Command::Push(Box::new(configuration), tx)).await?;
+    Ok(format!("{offered:?}\n").into())
+}
+
+/// Changes need the fleet's key as a bearer token.
+fn authorise(req: &Request<Shared>) -> tide::Result<()> {
+    let expected = format!("Bearer {}", req.state().fleet_key);
+    let given = req
+        .header("authorization")
+        .map(|values| values.last().as_str().to_string());
+    if given.as_deref() == Some(expected.as_str()) {
+        return Ok(());
+    }
+    Err(tide::Error::from_str(
+        StatusCode::Unauthorized,
+        "needs the fleet's key",
+    ))
+}
--- /dev/null
+++ b/components/daemon/src/platform_watch.rs
@@ -0,0 +1,345 @@
+//! What a node asks of the platform: the head, the list of VMs, and the record of its own boots.
+
+use crate::configuration;
+use crate::links;
+use crate::node::Node;
+use async_std::task;
+use errors::{Error, Result, Step};
+use keys::{KeyHash, KEY_WINDOW_US};
+use membership::{watchers, VmList};
+use names::Name;
+use platform::{Object, Write};
+use rand::Rng;
+use rollout::{content_key, Configuration, Digest, Head, HEAD_KEY};
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long one watch waits.
+const WATCH: Duration = Duration::from_secs(10);
+/// Shortest and longest pause after a failed call; the pause doubles in between.
+const LEAST_PAUSE_MS: u64 = 100;
+const MOST_PAUSE_MS: u64 = 3_000;
+/// Mean pause between two looks of a node that doesn't watch.
+const POLL_MS: u64 = 60_000;
+/// Time after which a node without any knowledge asks again.
+const BLANK_POLL_MS: u64 = 500;
+
+/// What the platform last said of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlatformState {
+    /// Whether the last call got an answer.
+    pub reachable: bool,
+    /// Version of the head object last read.
+    pub head_version: u64,
+}
+
+/// Record of a VM's boots, kept in the platform so that a successor knows what its predecessor
+/// left behind.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BootRecord {
+    /// The last boot.
+    pub boot: u64,
+    /// Whether it ended by a planned stop.
+    pub stopped: bool,
+    /// Whether it knew the keys of its own predecessor.
+    pub known: bool,
+    /// Keys used within the key window when it stopped.
+    pub keys: Vec<KeyHash>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Topic {
+    Head,
+    Vms,
+}
+
+/// Keeps the head up to date for as long as the node runs.
+pub async fn run_head(node: Rc<Node>) {
+    keep(node, Topic::Head).await
+}
+
+/// Keeps the list of VMs up to date for as long as the node runs.
+pub async fn run_vms(node: Rc<Node>) {
+    keep(node, Topic::Vms).await
+}
+
+/// Finds out what the predecessor of this boot left behind, and records this boot. Until that is
+/// done, a key without a record may have been used.
+pub async fn run_boot_record(node: Rc<Node>) {
+    let started = node.now();
+    let mut pause = LEAST_PAUSE_MS;
+    node.keys
+        .borrow_mut()
+        .uncertain_until(names::Moment(u64::MAX));
+    loop {
+        match claim(&node).await {
+            Ok(true) => return,
+            Ok(false) => {
+                tracing::warn!("the predecessor was not stopped as planned; its keys are unknown");
+                let mut keys = node.keys.borrow_mut();
+                keys.certain();
+                keys.uncertain_until(started + KEY_WINDOW_US);
+                return;
+            }
+            Err(error) => tracing::debug!(%error, "the record of boots was not written"),
+        }
+        pause = rest(pause).await;
+    }
+}
+
+/// Leaves the keys of this boot for its successor. Part of a planned stop.
+pub async fn hand_over(node: &Rc<Node>) -> Result<()> {
+    let key = boot_key(&node.cfg.vm);
+    let current = node.platform.read(&key).await?;
+    let version = current.map(|object| object.version);
+    let uncertain = node.keys.borrow().is_uncertain(node.now());
+    if uncertain {
+        let cause = "this boot itself does not know its predecessor's keys";
+        return Err(Error::new(Step::Platform, &key, cause));
+    }
+    let record = BootRecord {
+        boot: node.boot.0,
+        stopped: true,
+        known: true,
+        keys: node.keys.borrow().hand_over(),
+    };
+    match node.platform.write(&key, version, to_json(&record)).await? {
+        Write::Written => Ok(()),
+        Write::Conflict => Err(Error::new(Step::Platform, &key, "another boot wrote it")),
+    }
+}
+
+/// Writes this boot's record. Returns whether the predecessor's keys are known.
+async fn claim(node: &Rc<Node>) -> Result<bool> {
+    let key = boot_key(&node.cfg.vm);
+    let before = node.platform.read(&key).await?;
+    let (version, record) = match before {
+        Some(object) => {
+            let predecessor: BootRecord = serde_json::from_slice(&object.value)
+                .map_err(|error| Error::new(Step::Platform, &key, error))?;
+            if predecessor.boot == node.boot.0 {
+                return Ok(settle(node, predecessor));
+            }
+            (Some(object.version), successor(node, predecessor))
+        }
+        None => (None, first_record(node)),
+    };
+    let written = node.platform.write(&key, version, to_json(&record)).await?;
+    if written == Write::Conflict {
+        return Err(Error::new(Step::Platform, &key, "written meanwhile"));
+    }
+    Ok(settle(node, record))
+}
+
+fn first_record(node: &Rc<Node>) -> BootRecord {
+    BootRecord {
+        boot: node.boot.0,
+        stopped: false,
+        known: true,
+        keys: Vec::new(),
+    }
+}
+
+fn successor(node: &Rc<Node>, predecessor: BootRecord) -> BootRecord {
+    BootRecord {
+        boot: node.boot.0,
+        stopped: false,
+        known: predecessor.stopped,
+        keys: predecessor.keys,
+    }
+}
+
+/// Takes in what the record of this boot says of its predecessor.
+fn settle(node: &Rc<Node>, record: BootRecord) -> bool {
+    let now = node.now();
+    let mut keys = node.keys.borrow_mut();
+    keys.take_over(now, record.keys);
+    if record.known {
+        keys.certain();
+    }
+    record.known
+}
+
+/// Takes in that the process was paused.
+pub fn paused(node: &Rc<Node>) {
+    let now = node.now();
+    let mut keys = node.keys.borrow_mut();
+    if keys.is_uncertain(now) {
+        return;
+    }
+    tracing::warn!("the process was paused");
+    keys.uncertain_until(names::Moment(u64::MAX));
+    task::spawn_local(run_after_pause(node.clone()));
+}
+
+/// After a pause this boot may have been replaced: until the platform says that it was not, a key
+/// without a record may have been used.
+pub async fn run_after_pause(node: Rc<Node>) {
+    let key = boot_key(&node.cfg.vm);
+    let mut pause = LEAST_PAUSE_MS;
+    loop {
+        match node.platform.read(&key).await {
+            Ok(Some(object)) => {
+                let record = serde_json::from_slice::<BootRecord>(&object.value);
+                if record.is_ok_and(|record| record.boot == node.boot.0) {
+                    node.keys.borrow_mut().certain();
+                    tracing::info!("still the latest boot after a pause");
+                } else {
+                    tracing::warn!("replaced by another boot during a pause");
+                }
+                return;
+            }
+            Ok(None) => return,
+            Err(error) => tracing::debug!(%error, "the record of boots was not read"),
+        }
+        pause = rest(pause).await;
+    }
+}
+
+async fn keep(node: Rc<Node>, topic: Topic) {
+    let mut pause = LEAST_PAUSE_MS;
+    loop {
+        let watching = is_watcher(&node);
+        match look(&node, topic, watching).await {
+            Ok(()) => {
+                set_reachable(&node, true);
+                pause = LEAST_PAUSE_MS;
+                if !watching {
+                    wait_to_poll(&node, topic).await;
+                }
+            }
+            Err(error) => {
+                tracing::debug!(%error, "the platform gave no answer");
+                set_reachable(&node, false);
+                ask_seeds(&node);
+                pause = rest(pause).await;
+            }
+        }
+    }
+}
+
+async fn look(node: &Rc<Node>, topic: Topic, watching: bool) -> Result<()> {
+    let wait = if watching { WATCH } else { Duration::ZERO };
+    match topic {
+        Topic::Head => {
+            let after = node.platform_state.borrow().head_version;
+            if let Some(object) = node.platform.watch(HEAD_KEY, after, wait).await? {
+                take_head(node, object).await?;
+            } else if watching {
+                pause_if_blank(node).await;
+            }
+        }
+        Topic::Vms => {
+            let after = node.view.borrow().list().version;
+            if let Some(object) = node.platform.watch_vms(after, wait).await? {
+                take_vms(node, object)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn take_head(node: &Rc<Node>, object: Object) -> Result<()> {
+    let head = Head::from_bytes(&object.value)
+        .map_err(|error| Error::new(Step::Platform, HEAD_KEY, error))?;
+    let wanted = node.rollout.borrow_mut().wants(&head);
+    if wanted.is_ok() {
+        let objects = fetch(node, &head).await?;
+        configuration::take_in(node, Configuration { head, objects });
+    } else if let Err(offered) = wanted {
+        if offered != rollout::Offered::Same {
+            tracing::warn!(?offered, revision = head.revision, "the platform went back");
+        }
+    }
+    node.platform_state.borrow_mut().head_version = object.version;
+    Ok(())
+}
+
+/// Reads the content of `head`, except for what is in force already.
+async fn fetch(node: &Rc<Node>, head: &Head) -> Result<BTreeMap<Digest, ByteBuf>> {
+    let in_force = node.in_force();
+    let mut objects = BTreeMap::new();
+    for digest in head.files.iter().flat_map(|file| &file.parts) {
+        let known = in_force
+            .as_ref()
+            .and_then(|in_force| in_force.configuration.objects.get(digest));
+        let bytes = match known {
+            Some(bytes) => bytes.clone(),
+            None => read_content(node, digest).await?,
+        };
+        objects.insert(digest.clone(), bytes);
+    }
+    Ok(objects)
+}
+
+async fn read_content(node: &Rc<Node>, digest: &Digest) -> Result<ByteBuf> {
+    let key = content_key(digest);
+    let object = node.platform.read(&key).await?;
+    object
+        .map(|object| ByteBuf::from(object.value))
+        .ok_or_else(|| Error::new(Step::Platform, key, "a content object is missing"))
+}
+
+fn take_vms(node: &Rc<Node>, object: Object) -> Result<()> {
+    let list: VmList = serde_json::from_slice(&object.value)
+        .map_err(|error| Error::new(Step::Platform, "the list of VMs", error))?;
+    configuration::take_in_vms(node, list);
+    Ok(())
+}
+
+fn is_watcher(node: &Rc<Node>) -> bool {
+    let view = node.view.borrow();
+    watchers(&view, &node.cfg.hall).contains(&node.cfg.vm)
+}
+
+/// A head that does not exist yet answers at once; don't ask in a tight loop.
+async fn pause_if_blank(node: &Rc<Node>) {
+    if node.platform_state.borrow().head_version == 0 {
+        task::sleep(Duration::from_millis(BLANK_POLL_MS)).await;
+    }
+}
+
+async fn wait_to_poll(node: &Rc<Node>, topic: Topic) {
+    let blank = match topic {
+        Topic::Head => node.in_force().is_none(),
+        Topic::Vms => node.view.borrow().list().version == 0,
+    };
+    let mean = if blank { BLANK_POLL_MS } else { POLL_MS };
+    let pause = rand::rng().random_range(mean / 2..mean * 3 / 2);
+    task::sleep(Duration::from_millis(pause)).await;
+}
+
+/// Without the platform a node learns from the peers that its settings name.
+fn ask_seeds(node: &Rc<Node>) {
+    if node.view.borrow().list().version > 0 {
+        return;
+    }
+    let node = node.clone();
+    task::spawn_local(async move { links::ask_seeds(&node).await });
+}
+
+fn set_reachable(node: &Rc<Node>, reachable: bool) {
+    let mut state = node.platform_state.borrow_mut();
+    if state.reachable != reachable {
+        state.reachable = reachable;
+        tracing::info!(reachable, "the platform's state changed");
+    }
+}
+
+/// Pauses with jitter; returns the next, longer pause.
+async fn rest(pause: u64) -> u64 {
+    let jittered = rand::rng().random_range(pause / 2..=pause);
+    task::sleep(Duration::from_millis(jittered)).await;
+    (pause * 2).min(MOST_PAUSE_MS)
+}
+
+fn boot_key(vm: &Name) -> String {
+    format!("drumwheel/boots/{vm}")
+}
+
+fn to_json(record: &BootRecord) -> Vec<u8> {
+    serde_json::to_vec(record).expect("a record always serialises")
+}
--- /dev/null
+++ b/components/daemon/src/stop.rs
@@ -0,0 +1,64 @@
+//! The planned stop of a node.
+
+use crate::home_driver;
+use crate::node::Node;
+use crate::platform_watch;
+use async_std::prelude::*;
+use async_std::task;
+use signal_hook::consts::signal::{SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Callers' connections stay open so long after the stop began; each answer asks to close.
+const GRACE: Duration = Duration::from_millis(1_000);
+/// Time between two looks whether everything has ended.
+const LOOK: Duration = Duration::from_millis(20);
+/// Longest wait for the platform to take the keys.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
+
+/// Waits for a stop signal, then ends the node's work; returns when it may exit.
+pub async fn run(node: Rc<Node>) -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    signals.next().await;
+    stop(&node).await;
+    Ok(())
+}
+
+async fn stop(node: &Rc<Node>) {
+    tracing::info!("a planned stop begins");
+    node.stopping.set(true);
+    home_driver::leaving_changed(node);
+    task::sleep(GRACE).await;
+    let began = Instant::now();
+    let limit = Duration::from_millis(node.cfg.stop_wait_ms);
+    while !is_idle(node) && began.elapsed() < limit {
+        task::sleep(LOOK).await;
+    }
+    let left = node.open_calls.get();
+    let idle = is_idle(node);
+    hand_over(node).await;
+    if idle {
+        tracing::info!("the planned stop is complete");
+    } else {
+        tracing::warn!(left, "the planned stop ran out of time");
+    }
+}
+
+async fn hand_over(node: &Rc<Node>) {
+    let handed = async_std::future::timeout(HAND_OVER_LIMIT, platform_watch::hand_over(node)).await;
+    match handed {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => tracing::warn!(%error, "the keys were not handed over"),
+        Err(_) => tracing::warn!("the keys were not handed over in time"),
+    }
+}
+
+fn is_idle(node: &Rc<Node>) -> bool {
+    let home_idle = node
+        .home
+        .borrow()
+        .as_ref()
+        .is_none_or(|home| home.is_idle());
+    home_idle && node.open_calls.get() == 0
+}
--- /dev/null
+++ b/components/declarations/src/examples.rs
@@ -0,0 +1,85 @@
+//! Operators' examples beside a policy: a request and the treatment it should get.
+
+use errors::Problems;
+use policy::{Input, Policy, Treatment};
+use sections::Reader;
+
+/// Runs every example of `file` against `policy`; a difference is a problem of the example.
+pub(crate) fn run(file: &str, text: &str, policy: &Policy) -> Result<(), Problems> {
+    let mut reader = Reader::new(file, text)?;
+    for (section, _) in reader.named("example") {
+        run_one(&mut reader, &section, policy);
+    }
+    reader.finish(&["example"])
+}
+
+fn run_one(reader: &mut Reader, section: &str, policy: &Policy) {
+    let Some(input) = input(reader, section) else {
+        return;
+    };
+    match policy.evaluate(&input) {
+        Ok(treatment) => compare(reader, section, &treatment),
+        Err(error) => reader.problem(section, "", "", &format!("the policy fails: {error}")),
+    }
+}
+
+fn input(reader: &mut Reader, section: &str) -> Option<Input> {
+    let method = reader.required(section, "method", "an HTTP method")?;
+    let path = reader.required(section, "path", "a path that begins with /")?;
+    let headers = reader.text(section, "headers").unwrap_or_default();
+    let caller = reader.text(section, "caller").unwrap_or_default();
+    let hall = reader.text(section, "hall").unwrap_or_default();
+    let level = reader.number_or(section, "level", 0..=64, 0) as i64;
+    Some(Input {
+        method,
+        path,
+        headers: parse_headers(&headers),
+        caller,
+        hall,
+        level,
+    })
+}
+
+/// Reads `name: value; name: value`.
+fn parse_headers(text: &str) -> Vec<(String, String)> {
+    text.split(';')
+        .filter_map(|part| part.split_once(':'))
+        .map(|(name, value)| (name.trim().to_lowercase(), value.trim().to_string()))
+        .collect()
+}
+
+fn compare(reader: &mut Reader, section: &str, treatment: &Treatment) {
+    let found = [
+        ("expect.repeatable", treatment.repeatable.to_string()),
+        ("expect.deadline_ms", treatment.deadline_ms.to_string()),
+        ("expect.priority", treatment.priority.to_string()),
+        ("expect.attempts", treatment.attempts.to_string()),
+        (
+            "expect.refuse",
+            treatment.refuse.clone().unwrap_or_default(),
+        ),
+    ];
+    let mut expected_any = false;
+    for (key, found) in found {
+        let Some(expected) = reader.text(section, key) else {
+            continue;
+        };
+        expected_any = true;
+        if expected != found {
+            reader.problem(
+                section,
+                key,
+                &expected,
+                &format!("the policy gives {found:?}"),
+            );
+        }
+    }
+    if !expected_any {
+        reader.problem(
+            section,
+            "",
+            "",
+            "an example needs at least one expect.* key",
+        );
+    }
+}
--- /dev/null
+++ b/components/declarations/src/lib.rs
@@ -0,0 +1,13 @@
+//! Declarations of the operators: services, groups of upstreams, policies and measuring budgets.
+//!
+//! Declarations are a set of files: `services.ini`, the policies it names, and examples beside
+//! each policy. They are checked whole; the examples are run.
+
+mod bundle;
+mod check;
+mod examples;
+mod model;
+
+pub use bundle::{Bundle, MAX_BUNDLE_BYTES, SERVICES_FILE};
+pub use check::check;
+pub use model::{Declarations, Group, HallMeasuring, Service};
--- /dev/null
+++ b/components/entry/src/call.rs
@@ -0,0 +1,456 @@
+//! The life of one request at its entry node.
+
+use crate::choice::{Candidate, Rule};
+use crate::shared::Entry;
+use home::{AskReply, Reason, Refusal};
+use names::{AttemptId, Moment, Name};
+
+/// Offers that ask for a free slot at once, before one that may queue.
+const IMMEDIATE_OFFERS: u32 = 2;
+/// Offers of one request at most, counting those that were refused or handed back.
+const MOST_OFFERS: u32 = 6;
+/// Told to callers when no home duty named a time, in milliseconds.
+const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+
+/// What the policy says of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Treatment {
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Priority; a higher number is served first.
+    pub priority: u8,
+    /// Runs of a repeatable request at most, counting the first.
+    pub attempts: u32,
+}
+
+/// Something that happened to a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event<A> {
+    /// The call starts.
+    Begin,
+    /// The home duty refused the attempt.
+    Refused(AttemptId, Refusal),
+    /// The home duty handed the queued attempt back.
+    Revoked(AttemptId),
+    /// A whole answer; `error` when it reports an error of the upstream.
+    Answered {
+        /// The attempt that ran.
+        id: AttemptId,
+        /// The whole answer.
+        answer: A,
+        /// Whether the upstream reports an error of its own.
+        error: bool,
+    },
+    /// The upstream broke off: the attempt ran, and there is no whole answer.
+    Broken(AttemptId),
+    /// No byte of the offer left this node.
+    NotSent(AttemptId),
+    /// The connection to the home node broke after the offer was sent.
+    Lost(AttemptId),
+    /// The home duty's answer to a question.
+    Told(AttemptId, AskReply<A>),
+    /// The home duty that had the attempt is gone or can't be reached.
+    Gone(AttemptId),
+    /// The home node does not answer heartbeats.
+    Silent(AttemptId),
+    /// The caller's deadline passed.
+    Expired,
+    /// The caller closed its connection.
+    HungUp,
+}
+
+/// Something the daemon has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action<A> {
+    /// Offer the request to the home duty beside `to`.
+    Offer {
+        /// The new attempt.
+        id: AttemptId,
+        /// The VM.
+        to: Name,
+        /// Whether it may be queued there.
+        may_queue: bool,
+    },
+    /// Ask the home duty beside `to` about the attempt.
+    Ask {
+        /// The attempt.
+        id: AttemptId,
+        /// The VM.
+        to: Name,
+    },
+    /// Tell the home duty beside `to` that nobody waits for the attempt.
+    Cancel {
+        /// The attempt.
+        id: AttemptId,
+        /// The VM.
+        to: Name,
+    },
+    /// Give the caller its outcome.
+    Finish(Outcome<A>),
+}
+
+/// What the caller is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome<A> {
+    /// The whole answer.
+    Answered(A),
+    /// Not run anywhere, and never will be.
+    NotRun(Refusal),
+    /// It may have run.
+    Unknown(Reason),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum State {
+    Idle,
+    Waiting { id: AttemptId, to: Name },
+    Asking { id: AttemptId, to: Name },
+    Done,
+}
+
+/// One request at its entry node. `A` is the type of a whole answer.
+#[derive(Debug)]
+pub struct Call<A> {
+    service: Name,
+    treatment: Treatment,
+    deadline: Moment,
+    candidates: Vec<Candidate>,
+    state: State,
+    refused_by: Vec<Name>,
+    closed: Vec<Name>,
+    offers: u32,
+    runs: u32,
+    maybe_ran: bool,
+    fallback: Option<A>,
+    last_refusal: Option<Refusal>,
+    late: u64,
+}
+
+impl<A: Clone> Call<A> {
+    /// A call that has not begun.
+    pub fn new(
+        service: Name,
+        treatment: Treatment,
+        deadline: Moment,
+        candidates: Vec<Candidate>,
+    ) -> Call<A> {
+        Call {
+            service,
+            treatment,
+            deadline,
+            candidates,
+            state: State::Idle,
+            refused_by: Vec::new(),
+            closed: Vec::new(),
+            offers: 0,
+            runs: 0,
+            maybe_ran: false,
+            fallback: None,
+            last_refusal: None,
+            late: 0,
+        }
+    }
+
+    /// Whether the outcome has been given.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Offers made so far.
+    pub fn offers(&self) -> u32 {
+        self.offers
+    }
+
+    /// Events dropped because their attempt was no longer the call's.
+    pub fn late(&self) -> u64 {
+        self.late
+    }
+
+    /// The caller's deadline.
+    pub fn deadline(&self) -> Moment {
+        self.deadline
+    }
+
+    /// Takes in an event and returns what has to be done.
+    pub fn step(&mut self, now: Moment, event: Event<A>, entry: &mut Entry) -> Vec<Action<A>> {
+        if self.is_done() {
+            self.late += 1;
+            return Vec::new();
+        }
+        match event {
+            Event::Begin => self.next(now, entry),
+            Event::Expired => self.expired(entry),
+            Event::HungUp => self.hung_up(entry),
+            Event::Refused(id, refusal) => self.refused(now, id, refusal, entry),
+            Event::Revoked(id) => self.revoked(now, id, entry),
+            Event::Answered { id, answer, error } => self.answered(now, id, answer, error, entry),
+            Event::Broken(id) | Event::Gone(id) => self.broken(now, id, entry),
+            Event::NotSent(id) => self.not_sent(now, id, entry),
+            Event::Lost(id) => self.lost(now, id, entry),
+            Event::Told(id, reply) => self.told(now, id, reply, entry),
+            Event::Silent(id) => self.silent(now, id, entry),
+        }
+    }
+
+    /// Makes the next offer, or gives up.
+    fn next(&mut self, now: Moment, entry: &mut Entry) -> Vec<Action<A>> {
+        self.state = State::Idle;
+        if now >= self.deadline {
+            return self.give_up(Reason::Deadline, entry);
+        }
+        if self.offers >= MOST_OFFERS {
+            return self.give_up(Reason::Busy, entry);
+        }
+        let may_queue = entry.rule() != Rule::Expected || self.queue_next();
+        let Some(to) = self.pick(now, may_queue, entry) else {
+            return self.give_up(Reason::NoUpstream, entry);
+        };
+        let id = entry.next_attempt();
+        entry.offered(&to);
+        self.offers += 1;
+        self.state = State::Waiting { id, to: to.clone() };
+        vec![Action::Offer { id, to, may_queue }]
+    }
+
+    fn queue_next(&self) -> bool {
+        let open = self.candidates.len() - self.closed.len().min(self.candidates.len());
+        self.offers >= IMMEDIATE_OFFERS || self.refused_by.len() + 1 >= open
+    }
+
+    /// An offer that may queue goes to any that is open; one that may not, to those not yet asked.
+    fn pick(&self, now: Moment, may_queue: bool, entry: &mut Entry) -> Option<Name> {
+        let open: Vec<&Candidate> = self
+            .candidates
+            .iter()
+            .filter(|candidate| !self.closed.contains(&candidate.vm))
+            .filter(|candidate| may_queue || !self.refused_by.contains(&candidate.vm))
+            .collect();
+        entry.choose(now, &open)
+    }
+
+    fn refused(
+        &mut self,
+        now: Moment,
+        id: AttemptId,
+        refusal: Refusal,
+        entry: &mut Entry,
+    ) -> Vec<Action<A>> {
+        let Some(vm) = self.end(id, entry) else {
+            return Vec::new();
+        };
+        self.last_refusal = Some(refusal);
+        let queued = self.queue_next_was_tried(&vm);
+        match refusal.reason {
+            Reason::Deadline => return self.give_up(Reason::Deadline, entry),
+            Reason::Busy if !queued => self.refused_by.push(vm),
+            Reason::Leaving => {
+                entry.leaving(&vm, true);
+                self.closed.push(vm);
+            }
+            _ => self.closed.push(vm),
+        }
+        self.next(now, entry)
+    }
+
+    /// Whether the home duty beside `vm` refused an offer of this call before.
+    fn queue_next_was_tried(&self, vm: &Name) -> bool {
+        self.refused_by.contains(vm)
+    }
+
+    fn revoked(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
+        let Some(vm) = self.end(id, entry) else {
+            return Vec::new();
+        };
+        self.closed.push(vm);
+        if self.closed.len() >= self.candidates.len() {
+            self.closed.clear();
+        }
+        self.next(now, entry)
+    }
+
+    fn answered(
+        &mut self,
+        now: Moment,
+        id: AttemptId,
+        answer: A,
+        error: bool,
+        entry: &mut Entry,
+    ) -> Vec<Action<A>> {
+        let Some(vm) = self.end(id, entry) else {
+            return Vec::new();
+        };
+        self.runs += 1;
+        if !error {
+            entry.budget(&self.service).earn();
+            return self.finish(Outcome::Answered(answer));
+        }
+        if !self.may_retry(entry) {
+            return self.finish(Outcome::Answered(answer));
+        }
+        self.fallback = Some(answer);
+        self.retry_elsewhere(now, vm, entry)
+    }
+
+    fn broken(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
+        let Some(vm) = self.end(id, entry) else {
+            return Vec::new();
+        };
+        self.runs += 1;
+        self.maybe_ran = true;
+        if !self.may_retry(entry) {
+            return self.give_up(Reason::Lost, entry);
+        }
+        self.retry_elsewhere(now, vm, entry)
+    }
+
+    fn not_sent(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
+        let Some(vm) = self.end(id, entry) else {
+            return Vec::new();
+        };
+        entry.suspect(now, &vm);
+        self.last_refusal = Some(Refusal {
+            reason: Reason::Unreachable,
+            retry_after_ms: DEFAULT_RETRY_AFTER_MS,
+        });
+        self.closed.push(vm);
+        self.next(now, entry)
+    }
+
+    /// A request that may not be repeated is asked after; another goes to the next upstream.
+    fn lost(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
+        let Some(to) = self.current(id) else {
+            return self.dropped();
+        };
+        entry.suspect(now, &to);
+        let asked = matches!(self.state, State::Asking { .. });
+        if self.treatment.repeatable || asked {
+            return self.broken(now, id, entry);
+        }
+        self.state = State::Asking { id, to: to.clone() };
+        vec![Action::Ask { id, to }]
+    }
+
+    fn told(
+        &mut self,
+        now: Moment,
+        id: AttemptId,
+        reply: AskReply<A>,
+        entry: &mut Entry,
+    ) -> Vec<Action<A>> {
+        let Some(vm) = self.current(id) else {
+            return self.dropped();
+        };
+        entry.trust(&vm);
+        match reply {
+            AskReply::Started => {
+                self.state = State::Waiting { id, to: vm };
+                Vec::new()
+            }
+            AskReply::Answered(answer) => self.answered(now, id, answer, false, entry),
+            AskReply::Ran | AskReply::Forgotten => self.broken(now, id, entry),
+            AskReply::Revoked => self.revoked(now, id, entry),
+        }
+    }
+
+    /// Leaves a silent node when the request may run twice; otherwise waits on.
+    fn silent(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
+        let Some(vm) = self.current(id) else {
+            return self.dropped();
+        };
+        entry.suspect(now, &vm);
+        if !self.treatment.repeatable || !self.may_retry(entry) {
+            return Vec::new();
+        }
+        self.end(id, entry);
+        self.runs += 1;
+        self.maybe_ran = true;
+        let mut actions = vec![Action::Cancel { id, to: vm.clone() }];
+        actions.extend(self.retry_elsewhere(now, vm, entry));
+        actions
+    }
+
+    fn expired(&mut self, entry: &mut Entry) -> Vec<Action<A>> {
+        let Some((id, to)) = self.active() else {
+            return self.give_up(Reason::Deadline, entry);
+        };
+        self.end(id, entry);
+        self.maybe_ran = true;
+        let mut actions = vec![Action::Cancel { id, to }];
+        actions.extend(self.give_up(Reason::Deadline, entry));
+        actions
+    }
+
+    fn hung_up(&mut self, entry: &mut Entry) -> Vec<Action<A>> {
+        let active = self.active();
+        if let Some((id, _)) = &active {
+            self.end(*id, entry);
+        }
+        self.state = State::Done;
+        active
+            .map(|(id, to)| Action::Cancel { id, to })
+            .into_iter()
+            .collect()
+    }
+
+    /// Whether another run is within the policy, the call's level and the service's budget.
+    fn may_retry(&self, entry: &mut Entry) -> bool {
+        self.treatment.repeatable
+            && self.runs < self.treatment.attempts
+            && entry.budget(&self.service).spend()
+    }
+
+    fn retry_elsewhere(&mut self, now: Moment, vm: Name, entry: &mut Entry) -> Vec<Action<A>> {
+        if self.closed.len() + 1 < self.candidates.len() {
+            self.closed.push(vm);
+        }
+        self.next(now, entry)
+    }
+
+    /// The outcome when there is no further offer: never "not run" when any attempt may have run.
+    fn give_up(&mut self, reason: Reason, _entry: &mut Entry) -> Vec<Action<A>> {
+        if let Some(answer) = self.fallback.take() {
+            return self.finish(Outcome::Answered(answer));
+        }
+        if self.maybe_ran {
+            return self.finish(Outcome::Unknown(reason));
+        }
+        let refusal = self.last_refusal.unwrap_or(Refusal {
+            reason,
+            retry_after_ms: DEFAULT_RETRY_AFTER_MS,
+        });
+        self.finish(Outcome::NotRun(refusal))
+    }
+
+    fn finish(&mut self, outcome: Outcome<A>) -> Vec<Action<A>> {
+        self.state = State::Done;
+        vec![Action::Finish(outcome)]
+    }
+
+    /// Ends the current attempt when it is `id`; counts the event as late otherwise.
+    fn end(&mut self, id: AttemptId, entry: &mut Entry) -> Option<Name> {
+        let Some(vm) = self.current(id) else {
+            self.late += 1;
+            return None;
+        };
+        entry.ended(&vm);
+        self.state = State::Idle;
+        Some(vm)
+    }
+
+    fn current(&self, id: AttemptId) -> Option<Name> {
+        let (mine, vm) = self.active()?;
+        (mine == id).then_some(vm)
+    }
+
+    fn active(&self) -> Option<(AttemptId, Name)> {
+        match &self.state {
+            State::Waiting { id, to } | State::Asking { id, to } => Some((*id, to.clone())),
+            State::Idle | State::Done => None,
+        }
+    }
+
+    fn dropped(&mut self) -> Vec<Action<A>> {
+        self.late += 1;
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/components/entry/src/choice.rs
@@ -0,0 +1,183 @@
+//! The choice of an upstream for one attempt.
+
+use home::Load;
+use names::{Moment, Name, MILLISECOND};
+use rand::rngs::SmallRng;
+use rand::Rng;
+use std::collections::HashMap;
+
+/// A report older than this says nothing of how full an upstream is.
+const FULLNESS_KEPT_US: u64 = 20 * MILLISECOND;
+/// A report older than this says nothing of how slow or failing an upstream is.
+const SLOWNESS_KEPT_US: u64 = 1_000 * MILLISECOND;
+/// Service time assumed of an upstream of which nothing is known.
+const UNKNOWN_SERVICE_US: u64 = 5 * MILLISECOND;
+/// Cost of an error in terms of waiting, in microseconds.
+const ERROR_COST_US: f64 = 100.0 * MILLISECOND as f64;
+/// Cost of crossing to another hall and back, in microseconds.
+const CROSSING_US: f64 = 2.0 * MILLISECOND as f64;
+/// Cost of another node in the same hall, in microseconds.
+const HOP_US: f64 = 0.3 * MILLISECOND as f64;
+/// Share of the cost that is drawn at random, so that entry nodes don't all pick the same upstream.
+const SPREAD: f64 = 0.5;
+/// At most this many candidates are weighed; more are sampled.
+const MOST_WEIGHED: usize = 8;
+
+/// How upstreams are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Rule {
+    /// Least expected time to an answer; full upstreams refuse, the last offer may queue.
+    #[default]
+    Expected,
+    /// Two at random, the one that reported less load; baseline of the benchmark.
+    TwoChoices,
+    /// One at random; baseline of the benchmark.
+    Random,
+}
+
+/// An upstream that may serve a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The VM.
+    pub vm: Name,
+    /// Whether it is in this node's hall.
+    pub same_hall: bool,
+    /// Whether it is this node's own upstream.
+    pub own: bool,
+}
+
+/// What this node knows of one upstream.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Attempts of this node that are not ended.
+    pub outstanding: u32,
+    /// Offers made since the last report.
+    pub since_report: u32,
+    /// The last report.
+    pub load: Option<Load>,
+    /// When the report arrived.
+    pub reported: Moment,
+    /// Until when the node beside the upstream is taken as not answering.
+    pub suspect_until: Moment,
+}
+
+impl View {
+    /// Whether the upstream must get no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.load.is_some_and(|load| load.leaving)
+    }
+
+    fn is_suspect(&self, now: Moment) -> bool {
+        now < self.suspect_until
+    }
+
+    /// Expected time to an answer, in microseconds.
+    fn expected_us(&self, now: Moment, candidate: &Candidate) -> f64 {
+        let age = now.since(self.reported);
+        let known = self.load.filter(|_| age < SLOWNESS_KEPT_US);
+        let service = known.map_or(UNKNOWN_SERVICE_US, |load| load.service_us) as f64;
+        let errors = known.map_or(0.0, |load| load.errors_permille as f64 / 1000.0);
+        let limit = known.map_or(1, |load| load.limit.max(1)) as f64;
+        let occupied = self.occupied(age);
+        let wait = (occupied + 1.0 - limit).max(0.0) * service / limit;
+        let pressure = service * occupied / limit / 4.0;
+        service + wait + pressure + errors * ERROR_COST_US + way_us(candidate)
+    }
+
+    fn occupied(&self, age: u64) -> f64 {
+        let reported = self.load.map_or(0, |load| load.in_flight + load.queued) as f64;
+        let fresh = 1.0 - (age as f64 / FULLNESS_KEPT_US as f64).min(1.0);
+        let own = self.outstanding as f64;
+        (reported * fresh + self.since_report as f64 * fresh).max(own)
+    }
+
+    fn reported_load(&self) -> u32 {
+        let reported = self.load.map_or(0, |load| load.in_flight + load.queued);
+        reported + self.since_report
+    }
+}
+
+fn way_us(candidate: &Candidate) -> f64 {
+    if candidate.own {
+        0.0
+    } else if candidate.same_hall {
+        HOP_US
+    } else {
+        CROSSING_US
+    }
+}
+
+/// Picks one of `candidates`, or none when there is none left.
+pub(crate) fn choose(
+    rule: Rule,
+    now: Moment,
+    candidates: &[&Candidate],
+    views: &HashMap<Name, View>,
+    rng: &mut SmallRng,
+) -> Option<Name> {
+    let usable: Vec<&Candidate> = sample(usable(now, candidates, views), rng);
+    let picked = match rule {
+        Rule::Random => usable.first(),
+        Rule::TwoChoices => usable
+            .iter()
+            .take(2)
+            .min_by_key(|candidate| view(views, candidate).reported_load()),
+        Rule::Expected => least_expected(now, &usable, views, rng),
+    };
+    picked.map(|candidate| candidate.vm.clone())
+}
+
+/// Leaves out upstreams that leave; suspect ones count only when there is no other.
+fn usable<'a>(
+    now: Moment,
+    candidates: &[&'a Candidate],
+    views: &HashMap<Name, View>,
+) -> Vec<&'a Candidate> {
+    let staying: Vec<&Candidate> = candidates
+        .iter()
+        .copied()
+        .filter(|candidate| !view(views, candidate).is_leaving())
+        .collect();
+    let trusted: Vec<&Candidate> = staying
+        .iter()
+        .copied()
+        .filter(|candidate| !view(views, candidate).is_suspect(now))
+        .collect();
+    if trusted.is_empty() {
+        staying
+    } else {
+        trusted
+    }
+}
+
+/// Shuffles and keeps at most [`MOST_WEIGHED`].
+fn sample<'a>(mut usable: Vec<&'a Candidate>, rng: &mut SmallRng) -> Vec<&'a Candidate> {
+    let kept = usable.len().min(MOST_WEIGHED);
+    for i in 0..kept {
+        let j = rng.random_range(i..usable.len());
+        usable.swap(i, j);
+    }
+    usable.truncate(kept);
+    usable
+}
+
+fn least_expected<'a, 'b>(
+    now: Moment,
+    usable: &'b [&'a Candidate],
+    views: &HashMap<Name, View>,
+    rng: &mut SmallRng,
+) -> Option<&'b &'a Candidate> {
+    let mut best: Option<(&&Candidate, f64)> = None;
+    for candidate in usable {
+        let spread = 1.0 + SPREAD * rng.random::<f64>();
+        let cost = view(views, candidate).expected_us(now, candidate) * spread;
+        if best.is_none_or(|(_, least)| cost < least) {
+            best = Some((candidate, cost));
+        }
+    }
+    best.map(|(candidate, _)| candidate)
+}
+
+fn view(views: &HashMap<Name, View>, candidate: &Candidate) -> View {
+    views.get(&candidate.vm).cloned().unwrap_or_default()
+}
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,15 @@
+//! Entry duty: takes a caller's request through attempts to one outcome.
+//!
+//! [`Call`] is the life of one request, [`Entry`] what all calls of a node share: what is known of
+//! the upstreams, the retry budgets and the counter of attempts. Both are pure: time is passed in
+//! and each step returns the actions for the daemon to carry out.
+
+mod call;
+mod choice;
+mod retry;
+mod shared;
+
+pub use call::{Action, Call, Event, Outcome, Treatment};
+pub use choice::{Candidate, Rule, View};
+pub use retry::RetryBudget;
+pub use shared::Entry;
--- /dev/null
+++ b/components/entry/src/shared.rs
@@ -0,0 +1,116 @@
+//! What all calls of one node share.
+
+use crate::choice::{choose, Candidate, Rule, View};
+use crate::retry::RetryBudget;
+use home::Load;
+use names::{AttemptId, BootId, Moment, Name, SECOND};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::collections::HashMap;
+
+/// How long an upstream whose node did not answer is avoided, in microseconds.
+const SUSPECT_US: u64 = SECOND;
+
+/// State shared by the calls of one entry duty.
+#[derive(Debug)]
+pub struct Entry {
+    boot: BootId,
+    next_seq: u64,
+    rule: Rule,
+    views: HashMap<Name, View>,
+    budgets: HashMap<Name, RetryBudget>,
+    rng: SmallRng,
+}
+
+impl Entry {
+    /// A new entry duty of the given boot, choosing by `rule` with a generator seeded by `seed`.
+    pub fn new(boot: BootId, rule: Rule, seed: u64) -> Entry {
+        Entry {
+            boot,
+            next_seq: 0,
+            rule,
+            views: HashMap::new(),
+            budgets: HashMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// The rule in use.
+    pub fn rule(&self) -> Rule {
+        self.rule
+    }
+
+    /// Takes in a report of a home duty.
+    pub fn reported(&mut self, now: Moment, vm: &Name, load: Load) {
+        let view = self.view_mut(vm);
+        view.load = Some(load);
+        view.reported = now;
+        view.since_report = 0;
+    }
+
+    /// Marks an upstream as leaving, whoever said so.
+    pub fn leaving(&mut self, vm: &Name, leaving: bool) {
+        let view = self.view_mut(vm);
+        let mut load = view.load.unwrap_or_default();
+        load.leaving = leaving;
+        view.load = Some(load);
+    }
+
+    /// Avoids an upstream whose node does not answer.
+    pub fn suspect(&mut self, now: Moment, vm: &Name) {
+        self.view_mut(vm).suspect_until = now + SUSPECT_US;
+    }
+
+    /// Ends the suspicion against an upstream whose node answered.
+    pub fn trust(&mut self, vm: &Name) {
+        if let Some(view) = self.views.get_mut(vm) {
+            view.suspect_until = Moment(0);
+        }
+    }
+
+    /// Drops all knowledge of a VM, for example when another boot took its place.
+    pub fn forget(&mut self, vm: &Name) {
+        if let Some(view) = self.views.get_mut(vm) {
+            view.load = None;
+            view.since_report = 0;
+            view.suspect_until = Moment(0);
+        }
+    }
+
+    /// What is known of a VM.
+    pub fn view(&self, vm: &Name) -> View {
+        self.views.get(vm).cloned().unwrap_or_default()
+    }
+
+    pub(crate) fn next_attempt(&mut self) -> AttemptId {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        AttemptId {
+            boot: self.boot,
+            seq,
+        }
+    }
+
+    pub(crate) fn choose(&mut self, now: Moment, candidates: &[&Candidate]) -> Option<Name> {
+        choose(self.rule, now, candidates, &self.views, &mut self.rng)
+    }
+
+    pub(crate) fn offered(&mut self, vm: &Name) {
+        let view = self.view_mut(vm);
+        view.outstanding += 1;
+        view.since_report += 1;
+    }
+
+    pub(crate) fn ended(&mut self, vm: &Name) {
+        let view = self.view_mut(vm);
+        view.outstanding = view.outstanding.saturating_sub(1);
+    }
+
+    pub(crate) fn budget(&mut self, service: &Name) -> &mut RetryBudget {
+        self.budgets.entry(service.clone()).or_default()
+    }
+
+    fn view_mut(&mut self, vm: &Name) -> &mut View {
+        self.views.entry(vm.clone()).or_default()
+    }
+}
--- /dev/null
+++ b/components/home/src/attempt.rs
@@ -0,0 +1,92 @@
+//! The life of an attempt as typestate: only a queued or offered attempt can start, and one that
+//! was refused or revoked no longer exists as a value that could.
+
+use crate::Offer;
+use names::{AttemptId, Moment};
+
+/// State of an attempt that has just arrived.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Offered;
+
+/// State of an attempt that waits for a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Queued {
+    /// When it entered the queue.
+    pub at: Moment,
+}
+
+/// State of an attempt that occupies a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Started {
+    /// When it took the slot.
+    pub at: Moment,
+}
+
+/// One attempt in state `S`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Attempt<S> {
+    id: AttemptId,
+    deadline: Moment,
+    priority: u8,
+    state: S,
+}
+
+impl<S> Attempt<S> {
+    /// Identity of the attempt.
+    pub fn id(&self) -> AttemptId {
+        self.id
+    }
+
+    /// The caller's deadline on this process's clock.
+    pub fn deadline(&self) -> Moment {
+        self.deadline
+    }
+
+    /// Priority from the policy.
+    pub fn priority(&self) -> u8 {
+        self.priority
+    }
+
+    /// The state's own data.
+    pub fn state(&self) -> &S {
+        &self.state
+    }
+
+    fn with<T>(self, state: T) -> Attempt<T> {
+        Attempt {
+            id: self.id,
+            deadline: self.deadline,
+            priority: self.priority,
+            state,
+        }
+    }
+}
+
+impl Attempt<Offered> {
+    /// Takes in an offer that arrived at `now`.
+    pub fn arrive(now: Moment, offer: &Offer) -> Attempt<Offered> {
+        Attempt {
+            id: offer.id,
+            deadline: now + offer.remaining_us,
+            priority: offer.priority,
+            state: Offered,
+        }
+    }
+
+    /// Takes a slot.
+    pub fn start(self, now: Moment) -> Attempt<Started> {
+        self.with(Started { at: now })
+    }
+
+    /// Waits for a slot.
+    pub fn queue(self, now: Moment) -> Attempt<Queued> {
+        self.with(Queued { at: now })
+    }
+}
+
+impl Attempt<Queued> {
+    /// Takes a slot.
+    pub fn start(self, now: Moment) -> Attempt<Started> {
+        self.with(Started { at: now })
+    }
+}
--- /dev/null
+++ b/components/home/src/duty.rs
@@ -0,0 +1,451 @@
+//! The home duty's state machine.
+
+use crate::attempt::{Attempt, Queued, Started};
+use crate::limit::{Limit, Verdict};
+use crate::message::{AskReply, Load, Offer, Reason, Refusal};
+use crate::record::{Known, Record, Records};
+use names::{AttemptId, Moment, MILLISECOND, SECOND};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+
+/// The queue holds at most this many attempts for each slot.
+const QUEUE_PER_SLOT: usize = 8;
+/// Shortest time after which a refused caller may come back, in milliseconds.
+const LEAST_RETRY_AFTER_MS: u64 = 50;
+/// While the upstream is down, one offer in this interval is let through to try it.
+const DOWN_TRIAL_US: u64 = SECOND / 4;
+
+/// Fixed limits of a home duty.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Requests the upstream serves at once.
+    pub slots: u32,
+    /// Ends of attempts kept.
+    pub max_records: usize,
+    /// Whole answers kept for replay.
+    pub max_answers: usize,
+    /// How long an end is kept, in microseconds.
+    pub keep_us: u64,
+    /// Seed of the generator that spreads returning callers.
+    pub seed: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            slots: 6,
+            max_records: 65_536,
+            max_answers: 64,
+            keep_us: 60 * SECOND,
+            seed: 1,
+        }
+    }
+}
+
+/// Something the daemon has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send the request to the upstream now.
+    Start(AttemptId),
+    /// Tell the entry duty that the attempt was not run and never will be.
+    Refuse(AttemptId, Refusal),
+    /// Hand a queued attempt back, not run, to be moved elsewhere.
+    Revoke(AttemptId),
+}
+
+/// Events counted for the operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counters {
+    /// Offers taken in.
+    pub offers: u64,
+    /// Attempts started.
+    pub started: u64,
+    /// Attempts that waited in the queue.
+    pub queued: u64,
+    /// Attempts refused.
+    pub refused: u64,
+    /// Queued attempts handed back.
+    pub revoked: u64,
+    /// Attempts fenced by a question before they were offered.
+    pub fenced: u64,
+    /// Offers dropped because the attempt was known already.
+    pub late_offers: u64,
+    /// Completions dropped because the attempt was not running.
+    pub late_completions: u64,
+}
+
+type QueueKey = (Reverse<u8>, Moment, AttemptId);
+
+/// The home duty of one upstream. `A` is the type of a whole answer.
+#[derive(Debug)]
+pub struct Home<A> {
+    cfg: Config,
+    limit: Limit,
+    running: HashMap<AttemptId, Attempt<Started>>,
+    queue: BTreeMap<QueueKey, Attempt<Queued>>,
+    queue_keys: HashMap<AttemptId, QueueKey>,
+    records: Records<A>,
+    leaving: bool,
+    down_since: Option<Moment>,
+    counters: Counters,
+    rng: SmallRng,
+}
+
+impl<A: Clone> Home<A> {
+    /// A home duty with nothing running.
+    pub fn new(cfg: Config) -> Home<A> {
+        assert!(cfg.slots > 0, "an upstream has at least one slot");
+        Home {
+            limit: Limit::new(cfg.slots),
+            records: Records::new(cfg.max_records, cfg.max_answers, cfg.keep_us),
+            rng: SmallRng::seed_from_u64(cfg.seed),
+            running: HashMap::new(),
+            queue: BTreeMap::new(),
+            queue_keys: HashMap::new(),
+            leaving: false,
+            down_since: None,
+            counters: Counters::default(),
+            cfg,
+        }
+    }
+
+    /// Takes in an offer.
+    pub fn offer(&mut self, now: Moment, offer: &Offer) -> Vec<Action> {
+        self.counters.offers += 1;
+        if self.is_active(offer.id) {
+            self.counters.late_offers += 1;
+            return Vec::new();
+        }
+        match self.records.look_up(offer.id) {
+            Known::Ended(_) => {
+                self.counters.late_offers += 1;
+                Vec::new()
+            }
+            Known::Forgotten => {
+                self.counters.late_offers += 1;
+                vec![Action::Refuse(offer.id, refusal(Reason::Stale, 0))]
+            }
+            Known::New => self.decide(now, offer),
+        }
+    }
+
+    /// Answers a question about an attempt. Asking is fencing: an attempt that has not started is
+    /// recorded as not run and can't start afterwards.
+    pub fn ask(&mut self, now: Moment, id: AttemptId) -> AskReply<A> {
+        if self.running.contains_key(&id) {
+            return AskReply::Started;
+        }
+        if self.take_queued(id).is_some() {
+            self.counters.revoked += 1;
+            self.records.end(now, id, Record::NotRun);
+            return AskReply::Revoked;
+        }
+        match self.records.look_up(id) {
+            Known::Ended(Record::Answered(Some(answer))) => AskReply::Answered(answer),
+            Known::Ended(Record::Answered(None)) => AskReply::Ran,
+            Known::Ended(Record::Broken) => AskReply::Ran,
+            Known::Ended(Record::NotRun) => AskReply::Revoked,
+            Known::Forgotten => AskReply::Forgotten,
+            Known::New => {
+                self.counters.fenced += 1;
+                self.records.end(now, id, Record::NotRun);
+                AskReply::Revoked
+            }
+        }
+    }
+
+    /// Cancels an attempt. Returns whether it is running; one that is queued is dropped.
+    pub fn cancel(&mut self, now: Moment, id: AttemptId) -> bool {
+        if self.take_queued(id).is_some() {
+            self.counters.revoked += 1;
+            self.records.end(now, id, Record::NotRun);
+            return false;
+        }
+        self.running.contains_key(&id)
+    }
+
+    /// Takes in the end of a running attempt. `answer` is the whole answer, if there was one.
+    pub fn completed(
+        &mut self,
+        now: Moment,
+        id: AttemptId,
+        verdict: Verdict,
+        answer: Option<A>,
+    ) -> Vec<Action> {
+        let Some(attempt) = self.running.remove(&id) else {
+            self.counters.late_completions += 1;
+            return Vec::new();
+        };
+        let service_us = now.since(attempt.state().at);
+        self.limit.completed(service_us, verdict);
+        let mut actions = Vec::new();
+        match verdict {
+            Verdict::Good | Verdict::Error => {
+                self.down_since = None;
+                self.records.end(now, id, Record::Answered(answer));
+            }
+            Verdict::Broken | Verdict::Cancelled => self.records.end(now, id, Record::Broken),
+            Verdict::Shed => {
+                self.refuse_ended(now, id, Reason::Shed, &mut actions);
+            }
+            Verdict::NotSent => {
+                self.down_since = Some(now);
+                self.refuse_ended(now, id, Reason::Down, &mut actions);
+            }
+        }
+        self.fill(now, &mut actions);
+        actions
+    }
+
+    /// Lets time pass: drops what is past its deadline and hands back what waits at a slow upstream.
+    pub fn tick(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.records.tick(now);
+        self.expire(now, &mut actions);
+        self.hand_back_slow(now, &mut actions);
+        self.fill(now, &mut actions);
+        actions
+    }
+
+    /// Stops taking new work and hands back what is queued. What runs goes on.
+    pub fn leave(&mut self, now: Moment) -> Vec<Action> {
+        self.leaving = true;
+        let mut actions = Vec::new();
+        self.hand_back_all(now, &mut actions);
+        actions
+    }
+
+    /// Takes new work again after [`Home::leave`].
+    pub fn stay(&mut self) {
+        self.leaving = false;
+    }
+
+    /// Whether nothing runs and nothing waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.is_empty()
+    }
+
+    /// Whether the queue holds anything, so that [`Home::tick`] is worth calling soon.
+    pub fn has_queue(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// The state of the upstream as carried on answers and refusals.
+    pub fn load(&self, now: Moment) -> Load {
+        let ages = self.ages(now);
+        Load {
+            in_flight: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            limit: self.current_limit(&ages),
+            service_us: self.limit.service_us(&ages) as u64,
+            errors_permille: self.limit.errors_permille(),
+            leaving: self.leaving,
+        }
+    }
+
+    /// Counted events.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Number of ended attempts on record.
+    pub fn records(&self) -> usize {
+        self.records.len()
+    }
+
+    fn decide(&mut self, now: Moment, offer: &Offer) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(reason) = self.closed(now, offer) {
+            self.refuse_ended(now, offer.id, reason, &mut actions);
+            return actions;
+        }
+        let attempt = Attempt::arrive(now, offer);
+        let ages = self.ages(now);
+        let limit = self.current_limit(&ages);
+        if self.running.len() < limit as usize && self.queue.is_empty() {
+            self.start(attempt.start(now), &mut actions);
+            return actions;
+        }
+        if !offer.may_queue || !self.fits(offer, &ages, limit) {
+            self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
+            return actions;
+        }
+        self.make_room(now, offer, &mut actions);
+        self.counters.queued += 1;
+        self.put_queued(attempt.queue(now));
+        actions
+    }
+
+    /// The reason why no offer is taken at all now, if there is one.
+    fn closed(&self, now: Moment, offer: &Offer) -> Option<Reason> {
+        if self.leaving {
+            return Some(Reason::Leaving);
+        }
+        if offer.remaining_us == 0 {
+            return Some(Reason::Deadline);
+        }
+        let down = self.down_since?;
+        let trial = now.since(down) >= DOWN_TRIAL_US && self.running.is_empty();
+        (!trial).then_some(Reason::Down)
+    }
+
+    /// Whether a new attempt would be served before its deadline and finds room.
+    fn fits(&self, offer: &Offer, ages: &[u64], limit: u32) -> bool {
+        let service = self.limit.service_us(ages);
+        let ahead = self.ahead_of(offer.priority);
+        let wait = (ahead + 1) as f64 * service / limit as f64;
+        let in_time = wait + service <= offer.remaining_us as f64;
+        let room =
+            self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT || ahead < self.queue.len();
+        in_time && room
+    }
+
+    fn ahead_of(&self, priority: u8) -> usize {
+        self.queue
+            .keys()
+            .take_while(|(Reverse(other), _, _)| *other >= priority)
+            .count()
+    }
+
+    /// When the queue is full, refuses the last of a lower priority.
+    fn make_room(&mut self, now: Moment, offer: &Offer, actions: &mut Vec<Action>) {
+        if self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT {
+            return;
+        }
+        let Some((key, _)) = self.queue.last_key_value() else {
+            return;
+        };
+        if key.0 .0 >= offer.priority {
+            return;
+        }
+        let id = key.2;
+        self.take_queued(id);
+        self.refuse_ended(now, id, Reason::Busy, actions);
+    }
+
+    fn start(&mut self, attempt: Attempt<Started>, actions: &mut Vec<Action>) {
+        self.counters.started += 1;
+        let id = attempt.id();
+        actions.push(Action::Start(id));
+        let before = self.running.insert(id, attempt);
+        assert!(before.is_none(), "attempt {id} started a second time");
+        assert!(
+            self.running.len() <= self.cfg.slots as usize,
+            "more attempts run than there are slots"
+        );
+    }
+
+    /// Starts queued attempts while slots are free.
+    fn fill(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        self.expire(now, actions);
+        while !self.queue.is_empty() && !self.leaving && self.down_since.is_none() {
+            let ages = self.ages(now);
+            if self.running.len() >= self.current_limit(&ages) as usize {
+                return;
+            }
+            let Some((_, attempt)) = self.queue.pop_first() else {
+                return;
+            };
+            self.queue_keys.remove(&attempt.id());
+            self.start(attempt.start(now), actions);
+        }
+        if self.down_since.is_some() {
+            self.hand_back_all(now, actions);
+        }
+    }
+
+    fn expire(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let late: Vec<AttemptId> = self
+            .queue
+            .values()
+            .filter(|attempt| attempt.deadline() <= now)
+            .map(|attempt| attempt.id())
+            .collect();
+        for id in late {
+            self.take_queued(id);
+            self.refuse_ended(now, id, Reason::Deadline, actions);
+        }
+    }
+
+    fn hand_back_slow(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let ages = self.ages(now);
+        if self.limit.is_slow(&ages) && self.current_limit(&ages) * 2 <= self.cfg.slots {
+            self.hand_back_all(now, actions);
+        }
+    }
+
+    fn hand_back_all(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let ids: Vec<AttemptId> = self.queue.values().map(|attempt| attempt.id()).collect();
+        for id in ids {
+            self.take_queued(id);
+            self.counters.revoked += 1;
+            self.records.end(now, id, Record::NotRun);
+            actions.push(Action::Revoke(id));
+        }
+    }
+
+    /// Records that an attempt was not run, then says so: in this order.
+    fn refuse_ended(
+        &mut self,
+        now: Moment,
+        id: AttemptId,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
+        self.counters.refused += 1;
+        self.records.end(now, id, Record::NotRun);
+        let retry_after_ms = self.retry_after_ms(now);
+        actions.push(Action::Refuse(id, refusal(reason, retry_after_ms)));
+    }
+
+    /// The time to drain what is queued, spread over its double so that callers don't return at once.
+    fn retry_after_ms(&mut self, now: Moment) -> u64 {
+        let ages = self.ages(now);
+        let service = self.limit.service_us(&ages);
+        let wait_us = (self.queue.len() + 1) as f64 * service / self.current_limit(&ages) as f64;
+        let wait_ms = (wait_us as u64 / MILLISECOND).max(LEAST_RETRY_AFTER_MS);
+        self.rng.random_range(wait_ms..=2 * wait_ms)
+    }
+
+    fn current_limit(&self, ages: &[u64]) -> u32 {
+        self.limit.current(ages)
+    }
+
+    fn ages(&self, now: Moment) -> Vec<u64> {
+        self.running
+            .values()
+            .map(|attempt| now.since(attempt.state().at))
+            .collect()
+    }
+
+    fn is_active(&self, id: AttemptId) -> bool {
+        self.running.contains_key(&id) || self.queue_keys.contains_key(&id)
+    }
+
+    fn put_queued(&mut self, attempt: Attempt<Queued>) {
+        let key = (
+            Reverse(attempt.priority()),
+            attempt.deadline(),
+            attempt.id(),
+        );
+        self.queue_keys.insert(attempt.id(), key);
+        self.queue.insert(key, attempt);
+    }
+
+    fn take_queued(&mut self, id: AttemptId) -> Option<Attempt<Queued>> {
+        let key = self.queue_keys.remove(&id)?;
+        self.queue.remove(&key)
+    }
+}
+
+fn refusal(reason: Reason, retry_after_ms: u64) -> Refusal {
+    Refusal {
+        reason,
+        retry_after_ms,
+    }
+}
--- /dev/null
+++ b/components/home/src/lib.rs
@@ -0,0 +1,19 @@
+//! Home duty: the only way to the upstream beside this node.
+//!
+//! The home duty hands out the upstream's slots, keeps a short queue, and records what became of
+//! each attempt. All decisions are pure: time is passed in and every call returns the actions for
+//! the daemon to carry out. Invariants are asserted in release builds too.
+
+mod attempt;
+mod delay;
+mod duty;
+mod limit;
+mod message;
+mod record;
+
+pub use attempt::{Attempt, Offered, Queued, Started};
+pub use delay::Delay;
+pub use duty::{Action, Config, Counters, Home};
+pub use limit::{Limit, Verdict};
+pub use message::{AskReply, Load, Offer, Reason, Refusal};
+pub use record::{Known, Record, Records};
--- /dev/null
+++ b/components/home/src/message.rs
@@ -0,0 +1,120 @@
+//! Messages between an entry duty and a home duty about one attempt.
+
+use names::{AttemptId, Name};
+use serde::{Deserialize, Serialize};
+
+/// Asks a home duty to run one attempt. The request itself travels beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Identity of the attempt, never reused.
+    pub id: AttemptId,
+    /// Service the request is for.
+    pub service: Name,
+    /// Time left until the caller's deadline, in microseconds, when the offer was sent.
+    pub remaining_us: u64,
+    /// Priority from the policy; a higher number is served first.
+    pub priority: u8,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Whether the home duty may queue the attempt when no slot is free.
+    pub may_queue: bool,
+}
+
+/// What a home duty knows of its upstream; carried on every answer and refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// Attempts running.
+    pub in_flight: u32,
+    /// Attempts queued.
+    pub queued: u32,
+    /// Attempts that may run at once now; at most the number of slots.
+    pub limit: u32,
+    /// Recent service time in microseconds.
+    pub service_us: u64,
+    /// Share of recent answers that were errors, in thousandths.
+    pub errors_permille: u32,
+    /// Whether the upstream or its node is leaving.
+    pub leaving: bool,
+}
+
+/// Why a request was refused. Part of the callers' interface.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reason {
+    /// No slot and no room in the queue.
+    Busy,
+    /// The remaining time is shorter than the predicted wait, or has passed.
+    Deadline,
+    /// The upstream or its node is leaving.
+    Leaving,
+    /// The upstream cannot be reached.
+    Down,
+    /// The upstream said that it did not start the request.
+    Shed,
+    /// The attempt is older than the home duty's memory.
+    Stale,
+    /// No upstream of the service is known.
+    NoUpstream,
+    /// No service is declared under this name.
+    NoService,
+    /// The node has no configuration yet.
+    NoConfiguration,
+    /// The policy refused the request.
+    Policy,
+    /// The connection to the home duty's node could not be opened.
+    Unreachable,
+    /// The outcome of an earlier try cannot be known.
+    Lost,
+    /// The same idempotency key was used before, or may have been, and there is no answer to give.
+    KeyUsed,
+    /// The node that was taken for the key's owner is not.
+    NotOwner,
+    /// The request itself is at fault: malformed, too large or too slow.
+    BadRequest,
+}
+
+impl Reason {
+    /// The value of the reason header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::Busy => "busy",
+            Reason::Deadline => "deadline",
+            Reason::Leaving => "leaving",
+            Reason::Down => "down",
+            Reason::Shed => "shed",
+            Reason::Stale => "stale",
+            Reason::NoUpstream => "no-upstream",
+            Reason::NoService => "no-service",
+            Reason::NoConfiguration => "no-configuration",
+            Reason::Policy => "policy",
+            Reason::Unreachable => "unreachable",
+            Reason::Lost => "lost",
+            Reason::KeyUsed => "key-used",
+            Reason::NotOwner => "not-owner",
+            Reason::BadRequest => "bad-request",
+        }
+    }
+}
+
+/// A refusal: the attempt was not run and never will be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When a caller may come back, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// What a home duty answers when asked about an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AskReply<A> {
+    /// Running; the answer will follow on this connection.
+    Started,
+    /// Ran to its end; the whole answer again.
+    Answered(A),
+    /// Ran, but there is no whole answer to give.
+    Ran,
+    /// Not run, and never will be.
+    Revoked,
+    /// Older than the home duty's memory: nothing is known.
+    Forgotten,
+}
--- /dev/null
+++ b/components/keys/src/table.rs
@@ -0,0 +1,188 @@
+//! The owner's records of keys.
+
+use names::{Moment, Name, SECOND};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::collections::{HashMap, VecDeque};
+
+/// How long a key is remembered after its use, in microseconds. A caller that repeats a request
+/// later than this uses the key against the callers' contract.
+pub const KEY_WINDOW_US: u64 = 120 * SECOND;
+
+/// A key within its service, hashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KeyHash(pub [u8; 16]);
+
+impl KeyHash {
+    /// Hashes `key` within `service`.
+    pub fn new(service: &Name, key: &str) -> KeyHash {
+        let mut hasher = Sha256::new();
+        hasher.update((service.as_str().len() as u64).to_le_bytes());
+        hasher.update(service.as_str().as_bytes());
+        hasher.update(key.as_bytes());
+        let digest = hasher.finalize();
+        let mut hash = [0; 16];
+        hash.copy_from_slice(&digest[..16]);
+        KeyHash(hash)
+    }
+}
+
+/// What the owner has to do with a request that carries a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begin<A> {
+    /// First use: run it, then call [`Table::end`].
+    Run,
+    /// The same key is running: wait for its end.
+    Join,
+    /// It ran: give the whole answer again.
+    Replay(A),
+    /// It ran, or may have run, and there is no answer to give.
+    Unknown,
+    /// No room for another record: refuse, not run.
+    Full,
+}
+
+/// How a request with a key ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End<A> {
+    /// It ran and has a whole answer.
+    Answered(A),
+    /// It was not run: the key is free again.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+#[derive(Debug, Clone)]
+enum State<A> {
+    Running,
+    Answered(Option<A>),
+    Unknown,
+}
+
+/// Records of the keys that one node owns.
+#[derive(Debug)]
+pub struct Table<A> {
+    states: HashMap<KeyHash, State<A>>,
+    ended: VecDeque<(Moment, KeyHash)>,
+    answers: VecDeque<KeyHash>,
+    max_keys: usize,
+    max_answers: usize,
+    uncertain_until: Moment,
+}
+
+impl<A: Clone> Table<A> {
+    /// A table of at most `max_keys` records, with whole answers for the last `max_answers`.
+    pub fn new(max_keys: usize, max_answers: usize) -> Table<A> {
+        Table {
+            states: HashMap::new(),
+            ended: VecDeque::new(),
+            answers: VecDeque::new(),
+            max_keys,
+            max_answers,
+            uncertain_until: Moment(0),
+        }
+    }
+
+    /// Until `moment`, a key without a record may have been used: its request isn't run.
+    pub fn uncertain_until(&mut self, moment: Moment) {
+        self.uncertain_until = self.uncertain_until.max(moment);
+    }
+
+    /// Ends the uncertainty: the predecessor's records were handed over whole.
+    pub fn certain(&mut self) {
+        self.uncertain_until = Moment(0);
+    }
+
+    /// Whether a key without a record may have been used.
+    pub fn is_uncertain(&self, now: Moment) -> bool {
+        now < self.uncertain_until
+    }
+
+    /// Takes in a request that carries a key. `moved` says that the key had another owner within
+    /// the key window.
+    pub fn begin(&mut self, now: Moment, key: KeyHash, moved: bool) -> Begin<A> {
+        self.forget(now);
+        match self.states.get(&key) {
+            Some(State::Running) => return Begin::Join,
+            Some(State::Answered(Some(answer))) => return Begin::Replay(answer.clone()),
+            Some(State::Answered(None)) | Some(State::Unknown) => return Begin::Unknown,
+            None => {}
+        }
+        if moved || self.is_uncertain(now) {
+            return Begin::Unknown;
+        }
+        if self.states.len() >= self.max_keys {
+            return Begin::Full;
+        }
+        self.states.insert(key, State::Running);
+        Begin::Run
+    }
+
+    /// Takes in the end of a request for which [`Table::begin`] said run.
+    pub fn end(&mut self, now: Moment, key: KeyHash, end: End<A>) {
+        let running = matches!(self.states.get(&key), Some(State::Running));
+        assert!(running, "a key ended that was not running");
+        match end {
+            End::NotRun => {
+                self.states.remove(&key);
+            }
+            End::Answered(answer) => {
+                self.states.insert(key, State::Answered(Some(answer)));
+                self.answers.push_back(key);
+                self.ended.push_back((now, key));
+                self.drop_answers();
+            }
+            End::Unknown => {
+                self.states.insert(key, State::Unknown);
+                self.ended.push_back((now, key));
+            }
+        }
+    }
+
+    /// The keys in use or used, for the successor of this node.
+    pub fn hand_over(&self) -> Vec<KeyHash> {
+        self.states.keys().copied().collect()
+    }
+
+    /// Takes in the keys that a predecessor handed over: they ran, or may have run.
+    pub fn take_over(&mut self, now: Moment, keys: impl IntoIterator<Item = KeyHash>) {
+        for key in keys {
+            if let std::collections::hash_map::Entry::Vacant(slot) = self.states.entry(key) {
+                slot.insert(State::Unknown);
+                self.ended.push_back((now, key));
+            }
+        }
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.states.len()
+    }
+
+    /// Whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.states.is_empty()
+    }
+
+    fn drop_answers(&mut self) {
+        while self.answers.len() > self.max_answers {
+            let Some(key) = self.answers.pop_front() else {
+                return;
+            };
+            if let Some(state) = self.states.get_mut(&key) {
+                *state = State::Answered(None);
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Moment) {
+        while let Some((at, key)) = self.ended.front().copied() {
+            if now.since(at) <= KEY_WINDOW_US {
+                return;
+            }
+            self.ended.pop_front();
+            self.states.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,11 @@
+//! Membership: which VMs may exist, where they are, and which are leaving.
+//!
+//! The platform's list lags and may be wrong, so it is a hint. A list replaces an older one by its
+//! version only. Facts that a node learned itself (a VM said that it is leaving) stand beside the
+//! list and outlive it.
+
+mod view;
+mod watchers;
+
+pub use view::{View, Vm, VmList};
+pub use watchers::{rendezvous, watchers, WATCHERS_PER_HALL};
--- /dev/null
+++ b/components/operator/src/lib.rs
@@ -0,0 +1,9 @@
+//! What operators do: read what is in force, bring a change in, look at nodes.
+
+mod change;
+mod nodes;
+mod read;
+
+pub use change::apply;
+pub use nodes::{drain, push, status, NodeStatus};
+pub use read::{configuration, head, history, vms};
--- /dev/null
+++ b/components/rollout/src/lib.rs
@@ -0,0 +1,15 @@
+//! Rollout: bringing an accepted set of declarations into force on every node, and never going
+//! back to an earlier one.
+//!
+//! [`Head`] is the small object that names the revision in force; its chain is the audit trail.
+//! [`Rollout`] is a node's side, [`Apply`] an operator's. Both are pure state machines.
+
+mod apply;
+mod diff;
+mod head;
+mod node;
+
+pub use apply::{Apply, ApplyAction, ApplyEvent, ApplyOutcome, Plan};
+pub use diff::diff;
+pub use head::{content_key, digest, split, Change, Digest, FileRef, Head, HEAD_KEY, PART_BYTES};
+pub use node::{Configuration, InForce, Offered, Rollout, RolloutCounters, Summary};
--- /dev/null
+++ b/components/rollout/src/node.rs
@@ -0,0 +1,144 @@
+//! A node's side: taking in revisions.
+
+use crate::head::{join, Digest, Head};
+use declarations::{check, Bundle, Declarations};
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// What a node tells its peers of its knowledge.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Summary {
+    /// Revision in force; 0 for none.
+    pub revision: u64,
+    /// Version of the platform's list; 0 for none.
+    pub list_version: u64,
+}
+
+/// A revision with all its content, as nodes pass it on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// The head.
+    pub head: Head,
+    /// The content objects that it names.
+    pub objects: BTreeMap<Digest, ByteBuf>,
+}
+
+impl Configuration {
+    /// The files of the revision.
+    pub fn bundle(&self) -> Result<Bundle, String> {
+        join(&self.head, &self.objects)
+    }
+}
+
+/// The revision by which requests are served; one request sees one value of this.
+#[derive(Debug)]
+pub struct InForce {
+    /// The revision with its content.
+    pub configuration: Configuration,
+    /// The checked declarations.
+    pub declarations: Declarations,
+}
+
+/// What became of an offered revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offered {
+    /// Taken: it is in force now.
+    Taken,
+    /// In force already.
+    Same,
+    /// Lower than the one in force: not taken.
+    Older,
+    /// The same number with other content: not taken; the store went back or was forged.
+    Differs,
+    /// It does not pass the check: not taken.
+    Bad(String),
+}
+
+/// Events counted for the operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RolloutCounters {
+    /// Revisions taken.
+    pub taken: u64,
+    /// Offers of a lower revision.
+    pub older: u64,
+    /// Offers of the same number with other content.
+    pub differs: u64,
+    /// Offers that did not pass the check.
+    pub bad: u64,
+}
+
+/// The revision a node has in force.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    in_force: Option<Arc<InForce>>,
+    counters: RolloutCounters,
+}
+
+impl Rollout {
+    /// Revision in force; 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.in_force
+            .as_ref()
+            .map_or(0, |in_force| in_force.configuration.head.revision)
+    }
+
+    /// The revision in force.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.clone()
+    }
+
+    /// Counted events.
+    pub fn counters(&self) -> RolloutCounters {
+        self.counters
+    }
+
+    /// Whether a head is worth fetching content for. Counts heads that are not.
+    pub fn wants(&mut self, head: &Head) -> Result<(), Offered> {
+        let Some(in_force) = &self.in_force else {
+            return Ok(());
+        };
+        let mine = &in_force.configuration.head;
+        if head.revision > mine.revision {
+            return Ok(());
+        }
+        if head.revision < mine.revision {
+            self.counters.older += 1;
+            return Err(Offered::Older);
+        }
+        if head == mine {
+            return Err(Offered::Same);
+        }
+        self.counters.differs += 1;
+        Err(Offered::Differs)
+    }
+
+    /// Takes in a revision, from the platform, a peer or an operator's tool alike.
+    pub fn offer(&mut self, configuration: Configuration) -> Offered {
+        if let Err(offered) = self.wants(&configuration.head) {
+            return offered;
+        }
+        let declarations = match compile(&configuration) {
+            Ok(declarations) => declarations,
+            Err(error) => {
+                self.counters.bad += 1;
+                return Offered::Bad(error);
+            }
+        };
+        let before = self.revision();
+        let after = configuration.head.revision;
+        assert!(after > before, "revision {after} follows {before}");
+        self.in_force = Some(Arc::new(InForce {
+            configuration,
+            declarations,
+        }));
+        self.counters.taken += 1;
+        Offered::Taken
+    }
+}
+
+fn compile(configuration: &Configuration) -> Result<Declarations, String> {
+    let bundle = configuration.bundle()?;
+    check(&bundle).map_err(|problems| problems.to_string())
+}
--- /dev/null
+++ b/components/sections/src/reader.rs
@@ -0,0 +1,232 @@
+//! The reader of one file.
+
+use errors::{Problem, Problems};
+use ini::Ini;
+use std::collections::HashSet;
+use std::str::FromStr;
+
+/// Reads one INI file and collects its problems.
+#[derive(Debug)]
+pub struct Reader {
+    file: String,
+    text: String,
+    ini: Ini,
+    used: HashSet<(String, String)>,
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    /// Parses `text`, which came from `file`. A syntax error is the file's only problem.
+    pub fn new(file: &str, text: &str) -> Result<Reader, Problems> {
+        let ini = Ini::load_from_str(text).map_err(|error| {
+            Problems(vec![Problem {
+                file: file.to_string(),
+                line: error.line + 1,
+                section: String::new(),
+                key: String::new(),
+                value: String::new(),
+                allowed: format!("not an INI file: {}", error.msg),
+            }])
+        })?;
+        let mut reader = Reader {
+            file: file.to_string(),
+            text: text.to_string(),
+            ini,
+            used: HashSet::new(),
+            problems: Vec::new(),
+        };
+        reader.find_doubled_keys();
+        Ok(reader)
+    }
+
+    /// Names of the sections, in the file's order.
+    pub fn sections(&self) -> Vec<String> {
+        self.ini
+            .sections()
+            .flatten()
+            .map(|name| name.to_string())
+            .collect()
+    }
+
+    /// Names after `prefix` and a space in section names such as `[group east]`.
+    pub fn named(&self, prefix: &str) -> Vec<(String, String)> {
+        self.sections()
+            .into_iter()
+            .filter_map(|section| {
+                let (kind, name) = section.split_once(' ')?;
+                (kind == prefix).then(|| (section.clone(), name.trim().to_string()))
+            })
+            .collect()
+    }
+
+    /// The value of a key, if it is there.
+    pub fn text(&mut self, section: &str, key: &str) -> Option<String> {
+        self.used.insert((section.to_string(), key.to_string()));
+        self.ini
+            .get_from(Some(section), key)
+            .map(|value| value.trim().to_string())
+    }
+
+    /// The value of a key that must be there and not be empty.
+    pub fn required(&mut self, section: &str, key: &str, allowed: &str) -> Option<String> {
+        match self.text(section, key) {
+            Some(value) if !value.is_empty() => Some(value),
+            _ => {
+                self.problem(section, key, "", &format!("missing; must be {allowed}"));
+                None
+            }
+        }
+    }
+
+    /// A key parsed as `T`, which must be there.
+    pub fn required_as<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        allowed: &str,
+    ) -> Option<T> {
+        let value = self.required(section, key, allowed)?;
+        self.parse(section, key, &value, allowed)
+    }
+
+    /// A key parsed as `T`, or `default` when it isn't there.
+    pub fn value_or<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        allowed: &str,
+        default: T,
+    ) -> T {
+        match self.text(section, key) {
+            Some(value) => self.parse(section, key, &value, allowed).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    /// A key parsed as a number within `range`, or `default` when it isn't there.
+    pub fn number_or(
+        &mut self,
+        section: &str,
+        key: &str,
+        range: std::ops::RangeInclusive<u64>,
+        default: u64,
+    ) -> u64 {
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let number = self.value_or(section, key, &allowed, default);
+        if !range.contains(&number) {
+            self.problem(section, key, &number.to_string(), &allowed);
+            return default;
+        }
+        number
+    }
+
+    /// Notes a problem with a key.
+    pub fn problem(&mut self, section: &str, key: &str, value: &str, allowed: &str) {
+        self.problems.push(Problem {
+            file: self.file.clone(),
+            line: self.line_of(section, key),
+            section: section.to_string(),
+            key: key.to_string(),
+            value: value.to_string(),
+            allowed: allowed.to_string(),
+        });
+    }
+
+    /// Ends the reading: reports unknown sections and keys, and all other problems.
+    pub fn finish(mut self, known_sections: &[&str]) -> Result<(), Problems> {
+        self.find_unknown(known_sections);
+        if self.problems.is_empty() {
+            Ok(())
+        } else {
+            self.problems.sort_by_key(|problem| problem.line);
+            Err(Problems(self.problems))
+        }
+    }
+
+    fn parse<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        value: &str,
+        allowed: &str,
+    ) -> Option<T> {
+        match value.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(_) => {
+                self.problem(section, key, value, &format!("must be {allowed}"));
+                None
+            }
+        }
+    }
+
+    fn find_unknown(&mut self, known_sections: &[&str]) {
+        let mut unknown = Vec::new();
+        for (section, properties) in self.ini.iter() {
+            let name = section.unwrap_or("");
+            let kind = name.split(' ').next().unwrap_or("");
+            let empty = name.is_empty() && properties.is_empty();
+            if !empty && !known_sections.contains(&kind) {
+                unknown.push((name.to_string(), String::new(), String::new()));
+                continue;
+            }
+            for (key, value) in properties.iter() {
+                if !self.used.contains(&(name.to_string(), key.to_string())) {
+                    unknown.push((name.to_string(), key.to_string(), value.to_string()));
+                }
+            }
+        }
+        for (section, key, value) in unknown {
+            let allowed = if key.is_empty() {
+                format!("unknown section; known are {}", known_sections.join(", "))
+            } else {
+                "unknown key".to_string()
+            };
+            self.problem(&section, &key, &value, &allowed);
+        }
+    }
+
+    fn find_doubled_keys(&mut self) {
+        let mut seen = HashSet::new();
+        let mut doubled = Vec::new();
+        for (section, properties) in self.ini.iter() {
+            let name = section.unwrap_or("").to_string();
+            for (key, value) in properties.iter() {
+                if !seen.insert((name.clone(), key.to_string())) {
+                    doubled.push((name.clone(), key.to_string(), value.to_string()));
+                }
+            }
+        }
+        for (section, key, value) in doubled {
+            self.problem(&section, &key, &value, "given twice");
+        }
+    }
+
+    /// The line of a key, of its section when the key is missing, or 0.
+    fn line_of(&self, section: &str, key: &str) -> usize {
+        let mut current = String::new();
+        let mut section_line = 0;
+        let mut key_line = 0;
+        for (i, line) in self.text.lines().enumerate() {
+            let line = line.trim();
+            if let Some(name) = line
+                .strip_prefix('[')
+                .and_then(|rest| rest.split(']').next())
+            {
+                current = name.to_string();
+                if current == section {
+                    section_line = i + 1;
+                }
+                continue;
+            }
+            let found = line.split(['=', ':']).next().unwrap_or("").trim();
+            if current == section && !key.is_empty() && found == key {
+                key_line = i + 1;
+            }
+        }
+        if key_line > 0 {
+            key_line
+        } else {
+            section_line
+        }
+    }
+}
--- /dev/null
+++ b/components/settings/src/node.rs
@@ -0,0 +1,221 @@
+//! The settings and their check.
+
+use errors::{Problem, Problems};
+use names::Name;
+use sections::Reader;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Most slots an upstream may have.
+const MOST_SLOTS: u64 = 10_000;
+/// Largest body that may be allowed, in bytes.
+const MOST_BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// Body limit when none is set, in bytes.
+const DEFAULT_BODY_BYTES: u64 = 1024 * 1024;
+/// Shortest fleet key, in characters.
+const LEAST_KEY_LENGTH: usize = 16;
+
+/// The form of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One line of text an event.
+    Text,
+    /// One JSON object an event.
+    Json,
+}
+
+impl std::str::FromStr for LogFormat {
+    type Err = ();
+    fn from_str(text: &str) -> Result<LogFormat, ()> {
+        match text {
+            "text" => Ok(LogFormat::Text),
+            "json" => Ok(LogFormat::Json),
+            _ => Err(()),
+        }
+    }
+}
+
+/// Everything a node is told at start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the VM, as in the platform's list.
+    pub vm: Name,
+    /// Data hall of the VM.
+    pub hall: Name,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// The upstream beside this node; none on a node with entry duty only.
+    pub upstream: Option<SocketAddr>,
+    /// Requests the upstream serves at once.
+    pub slots: u32,
+    /// Connections to the upstream kept open.
+    pub warm_connections: usize,
+    /// Connections to the upstream at most.
+    pub max_connections: usize,
+    /// Addresses of the platform's object API.
+    pub platform: Vec<SocketAddr>,
+    /// Peers' addresses to learn from while the platform is down.
+    pub seeds: Vec<SocketAddr>,
+    /// Key that all nodes of the fleet share.
+    pub fleet_key: String,
+    /// Largest body of a request or an answer, in bytes.
+    pub max_body_bytes: usize,
+    /// Connections of callers at most.
+    pub max_callers: usize,
+    /// How long a planned stop waits for requests in flight, in milliseconds.
+    pub stop_wait_ms: u64,
+    /// Form of the log.
+    pub log_format: LogFormat,
+    /// Least severe level logged: error, warn, info, debug or trace.
+    pub log_level: String,
+    /// Rule of choice: expected, two-choices or random; the last two are baselines of the benchmark.
+    pub rule: String,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`; reports all problems at once.
+    pub fn load(path: &Path) -> Result<Settings, Problems> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            Problems(vec![Problem {
+                file: file.clone(),
+                line: 0,
+                section: String::new(),
+                key: String::new(),
+                value: String::new(),
+                allowed: format!("cannot be read: {error}"),
+            }])
+        })?;
+        Settings::parse(&file, &text)
+    }
+
+    /// Checks `text`, which came from `file`.
+    pub fn parse(file: &str, text: &str) -> Result<Settings, Problems> {
+        let mut reader = Reader::new(file, text)?;
+        let settings = read(&mut reader);
+        reader.finish(&[
+            "node", "listen", "upstream", "platform", "peers", "limits", "log", "choice",
+        ])?;
+        settings.ok_or_else(Problems::default)
+    }
+}
+
+fn read(reader: &mut Reader) -> Option<Settings> {
+    let vm = reader.required("node", "vm", "the VM's name in the platform's list");
+    let hall = reader.required("node", "hall", "the name of the data hall");
+    let callers = address(reader, "listen", "callers");
+    let peers = address(reader, "listen", "peers");
+    let operators = address(reader, "listen", "operators");
+    let upstream = optional_address(reader, "upstream", "address");
+    let slots = reader.number_or("upstream", "slots", 1..=MOST_SLOTS, 1) as u32;
+    let max_connections = reader.number_or("upstream", "connections", 1..=100_000, 200) as usize;
+    let warm_connections = reader.number_or("upstream", "warm", 0..=100_000, slots as u64) as usize;
+    let platform = addresses(reader, "platform", "addresses");
+    let seeds = addresses(reader, "peers", "seeds");
+    let fleet_key = fleet_key(reader);
+    let max_body_bytes = reader.number_or(
+        "limits",
+        "body_bytes",
+        1..=MOST_BODY_BYTES,
+        DEFAULT_BODY_BYTES,
+    ) as usize;
+    let max_callers = reader.number_or("limits", "callers", 1..=100_000, 1_000) as usize;
+    let stop_wait_ms = reader.number_or("limits", "stop_wait_ms", 0..=600_000, 10_000);
+    let log_format = reader.value_or("log", "format", "text or json", LogFormat::Text);
+    let log_level = one_of(
+        reader,
+        "log",
+        "level",
+        &["error", "warn", "info", "debug", "trace"],
+        "info",
+    );
+    let rule = one_of(
+        reader,
+        "choice",
+        "rule",
+        &["expected", "two-choices", "random"],
+        "expected",
+    );
+    Some(Settings {
+        vm: Name::from(vm?),
+        hall: Name::from(hall?),
+        callers: callers?,
+        peers: peers?,
+        operators: operators?,
+        upstream,
+        slots,
+        warm_connections,
+        max_connections,
+        platform,
+        seeds,
+        fleet_key: fleet_key?,
+        max_body_bytes,
+        max_callers,
+        stop_wait_ms,
+        log_format,
+        log_level,
+        rule,
+    })
+}
+
+const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:8080";
+
+fn address(reader: &mut Reader, section: &str, key: &str) -> Option<SocketAddr> {
+    reader.required_as(section, key, ADDRESS)
+}
+
+fn optional_address(reader: &mut Reader, section: &str, key: &str) -> Option<SocketAddr> {
+    reader.text(section, key)?;
+    reader.required_as(section, key, ADDRESS)
+}
+
+fn addresses(reader: &mut Reader, section: &str, key: &str) -> Vec<SocketAddr> {
+    let Some(text) = reader.text(section, key) else {
+        return Vec::new();
+    };
+    let mut found = Vec::new();
+    for word in text.split_whitespace() {
+        match word.parse() {
+            Ok(address) => found.push(address),
+            Err(_) => reader.problem(
+                section,
+                key,
+                word,
+                &format!("each must be {ADDRESS}, separated by spaces"),
+            ),
+        }
+    }
+    found
+}
+
+fn fleet_key(reader: &mut Reader) -> Option<String> {
+    let allowed = format!("the fleet's shared key, {LEAST_KEY_LENGTH} characters or more");
+    let key = reader.required("peers", "key", &allowed)?;
+    if key.len() < LEAST_KEY_LENGTH {
+        reader.problem("peers", "key", "(hidden)", &format!("must be {allowed}"));
+        return None;
+    }
+    Some(key)
+}
+
+fn one_of(
+    reader: &mut Reader,
+    section: &str,
+    key: &str,
+    allowed: &[&str],
+    default: &str,
+) -> String {
+    let Some(value) = reader.text(section, key) else {
+        return default.to_string();
+    };
+    if !allowed.contains(&value.as_str()) {
+        let list = format!("must be one of {}", allowed.join(", "));
+        reader.problem(section, key, &value, &list);
+        return default.to_string();
+    }
+    value
+}
--- /dev/null
+++ b/components/wire/src/frame.rs
@@ -0,0 +1,141 @@
+//! The frames.
+
+use crate::http::{Answer, Request};
+use errors::{Error, Result, Step};
+use home::{AskReply, Load, Offer, Reason, Refusal};
+use membership::VmList;
+use names::{AttemptId, BootId};
+use rollout::{Configuration, Summary};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Bytes that a frame may have beyond the body it carries.
+pub const MAX_FRAME_OVERHEAD: usize = 64 * 1024;
+
+/// The outcome of a relayed request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayOutcome {
+    /// The whole answer.
+    Answered(Arc<Answer>),
+    /// Not run anywhere, and never will be.
+    NotRun(Refusal),
+    /// It may have run.
+    Unknown(Reason),
+}
+
+/// A message between two nodes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Entry to home: run this.
+    Offer {
+        /// Send time on the sender's monotonic clock, in microseconds.
+        sent_us: u64,
+        /// The offer.
+        offer: Offer,
+        /// The request.
+        req: Arc<Request>,
+    },
+    /// Home to entry: not run, and never will be.
+    Refused {
+        /// The attempt.
+        id: AttemptId,
+        /// Why, and when to come back.
+        refusal: Refusal,
+        /// State of the upstream.
+        load: Load,
+    },
+    /// Home to entry: handed back from the queue, not run.
+    Revoked {
+        /// The attempt.
+        id: AttemptId,
+        /// State of the upstream.
+        load: Load,
+    },
+    /// Home to entry: the whole answer.
+    Answered {
+        /// The attempt.
+        id: AttemptId,
+        /// The answer.
+        answer: Arc<Answer>,
+        /// State of the upstream.
+        load: Load,
+    },
+    /// Home to entry: it ran, and there is no whole answer.
+    Broken {
+        /// The attempt.
+        id: AttemptId,
+        /// State of the upstream.
+        load: Load,
+    },
+    /// Entry to home: what became of this attempt? If it has not started, it never will.
+    Ask {
+        /// The attempt.
+        id: AttemptId,
+        /// Boot of the home node to which it was offered; another boot knows nothing of it.
+        boot: BootId,
+    },
+    /// Home to entry: the answer to [`Frame::Ask`].
+    Told {
+        /// The attempt.
+        id: AttemptId,
+        /// What is known.
+        reply: AskReply<Arc<Answer>>,
+    },
+    /// Entry to home: nobody waits for this attempt.
+    Cancel {
+        /// The attempt.
+        id: AttemptId,
+    },
+    /// Are you there? Passes the measuring budget.
+    Heartbeat,
+    /// Yes.
+    Alive {
+        /// State of the upstream.
+        load: Load,
+    },
+    /// The sender's upstream is leaving, or stays after all.
+    Leaving {
+        /// Whether it leaves.
+        leaving: bool,
+    },
+    /// Entry to the owner of an idempotency key: carry this request through.
+    Relay {
+        /// Identity of the relay.
+        id: AttemptId,
+        /// Time left until the caller's deadline, in microseconds.
+        remaining_us: u64,
+        /// The idempotency key.
+        key: String,
+        /// Priority from the policy.
+        priority: u8,
+        /// Revision by which the sender chose the owner.
+        revision: u64,
+        /// The request.
+        req: Arc<Request>,
+    },
+    /// Owner to entry: the outcome.
+    Relayed {
+        /// Identity of the relay.
+        id: AttemptId,
+        /// The outcome.
+        outcome: RelayOutcome,
+    },
+    /// What the sender knows; the receiver answers with what is newer.
+    Summary(Summary),
+    /// A revision with its content.
+    Configuration(Arc<Configuration>),
+    /// The platform's list.
+    Vms(Arc<VmList>),
+}
+
+/// Encodes a frame.
+pub fn encode(frame: &Frame) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(512);
+    ciborium::into_writer(frame, &mut buf).expect("a frame always encodes");
+    buf
+}
+
+/// Decodes a frame that came from `peer`.
+pub fn decode(peer: &str, bytes: &[u8]) -> Result<Frame> {
+    ciborium::from_reader(bytes).map_err(|error| Error::new(Step::Frame, peer, error))
+}
--- /dev/null
+++ b/components/wire/src/http.rs
@@ -0,0 +1,43 @@
+//! Whole requests and answers, as nodes pass them on.
+
+use names::Name;
+use serde::{Deserialize, Serialize};
+
+/// A whole request of a caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// Service it is for.
+    pub service: Name,
+    /// HTTP method in capitals.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// End-to-end headers.
+    pub headers: Vec<(String, String)>,
+    /// The whole body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+    /// How many services the call has passed, 0 for an outside caller.
+    pub level: u32,
+}
+
+/// A whole answer of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Vec<(String, String)>,
+    /// The whole body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+    /// Length that a `HEAD` answer declares for the body it leaves out.
+    pub head_length: Option<u64>,
+}
+
+impl Answer {
+    /// Whether the upstream reports an error of its own.
+    pub fn is_error(&self) -> bool {
+        self.status >= 500
+    }
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! Frames between nodes, their encoding, and the proof that a peer belongs to the fleet.
+
+mod frame;
+mod handshake;
+mod http;
+
+pub use frame::{decode, encode, Frame, RelayOutcome, MAX_FRAME_OVERHEAD};
+pub use handshake::{
+    decode_message, encode_message, Handshake, Hello, Proof, Welcome, PROTOCOL_VERSION,
+};
+pub use http::{Answer, Request};
--- /dev/null
+++ b/examples/windhoek/prices.rhai
@@ -0,0 +1,6 @@
+// Look-ups only: everything may be repeated.
+if method == "GET" || method == "HEAD" || method == "POST" && path.starts_with("/search") {
+    #{ repeatable: true, deadline_ms: 2000, priority: 4, attempts: 2 }
+} else {
+    #{ repeatable: false, deadline_ms: 2000, priority: 4 }
+}
