--- /dev/null
+++ b/standins/src/bin/standin-relay.rs
@@ -0,0 +1,39 @@
+//! A bare relay of bytes: the floor against which the path's added time is measured.
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use bpaf::Bpaf;
+use std::net::SocketAddr;
+
+/// Relays every connection to another address, byte for byte
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Args {
+    /// Address to listen on
+    listen: SocketAddr,
+    /// Address to relay to
+    to: SocketAddr,
+}
+
+fn main() -> std::io::Result<()> {
+    let args = args().run();
+    std::env::set_var("ASYNC_STD_THREAD_COUNT", "1");
+    task::block_on(async move {
+        let listener = TcpListener::bind(args.listen).await?;
+        loop {
+            let (near, _) = listener.accept().await?;
+            let Ok(far) = TcpStream::connect(args.to).await else {
+                continue;
+            };
+            near.set_nodelay(true)?;
+            far.set_nodelay(true)?;
+            task::spawn_local(copy(near.clone(), far.clone()));
+            task::spawn_local(copy(far, near));
+        }
+    })
+}
+
+async fn copy(from: TcpStream, to: TcpStream) {
+    async_std::io::copy(&from, &to).await.ok();
+    to.shutdown(std::net::Shutdown::Both).ok();
+}
