Idempotency keys survive the failure of one VM

Ruled out: copying the record to a second node before each run (a replicated store), and a conditional write to the platform for each key (hundreds of writes/s against 66,000 calls/s). Change: the coordinator of a key never runs it on its own upstream, and the node beside the upstream that runs it remembers it too. While the first in the ranking can't be reached, the next acts once every other upstream's node has granted it the key. Without contact to a node that remembers, the outcome is unknown, never not-run. A paused node asks the platform whether another boot took over before it trusts its own records.

--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -2,7 +2,7 @@
 
 use super::request::CallerRequest;
 use super::response;
-use crate::entry_driver::run_call;
+use crate::entry_driver::{run_call, Plan};
 use crate::node::Node;
 use crate::relay::{self, Relay};
 use crate::stats;
@@ -35,7 +35,7 @@
     hung_up: impl Future<Output = ()>,
 ) -> RelayOutcome {
     let Some(in_force) = node.in_force() else {
-        return refused(Reason::NoConfiguration, NO_CONFIGURATION_RETRY_MS);
+        return blank(&call);
     };
     let Some(service) = in_force.declarations.route(&call.host, &call.path) else {
         return refused(Reason::NoService, 0);
@@ -56,10 +56,25 @@
     };
     let key = call.key.clone().filter(|_| !ruled.repeatable);
     let req = Arc::new(request(service, call));
-    match key {
-        Some(key) => owned(node, &in_force, key, treatment, req, deadline).await,
-        None => direct(node, &in_force, service, treatment, req, deadline, hung_up).await,
+    if let Some(key) = key {
+        return owned(node, &in_force, key, treatment.priority, req, deadline).await;
     }
+    let plan = Plan {
+        candidates: node.candidates(&in_force, service),
+        treatment,
+        req,
+        key: None,
+        deadline,
+    };
+    direct(node, plan, hung_up).await
+}
+
+/// A node without configuration can't tell whether an earlier try with the same key ran.
+fn blank(call: &CallerRequest) -> RelayOutcome {
+    if call.key.is_some() {
+        return RelayOutcome::Unknown(Reason::NoConfiguration);
+    }
+    refused(Reason::NoConfiguration, NO_CONFIGURATION_RETRY_MS)
 }
 
 /// Only the outermost level repeats a request; twelve levels don't multiply it.
@@ -113,30 +128,22 @@
     node: &Rc<Node>,
     in_force: &InForce,
     key: String,
-    treatment: Treatment,
+    priority: u8,
     req: Arc<Request>,
     deadline: Moment,
 ) -> RelayOutcome {
     let relay = Relay {
         remaining_us: deadline.since(node.now()),
         key,
-        priority: treatment.priority,
+        priority,
         revision: in_force.configuration.head.revision,
         req,
     };
     relay::run(node, in_force, relay, deadline).await
 }
 
-async fn direct(
-    node: &Rc<Node>,
-    in_force: &InForce,
-    service: &Service,
-    treatment: Treatment,
-    req: Arc<Request>,
-    deadline: Moment,
-    hung_up: impl Future<Output = ()>,
-) -> RelayOutcome {
-    match run_call(node, in_force, service, treatment, req, deadline, hung_up).await {
+async fn direct(node: &Rc<Node>, plan: Plan, hung_up: impl Future<Output = ()>) -> RelayOutcome {
+    match run_call(node, plan, hung_up).await.outcome {
         Some(Outcome::Answered(answer)) => RelayOutcome::Answered(answer),
         Some(Outcome::NotRun(refusal)) => RelayOutcome::NotRun(refusal),
         Some(Outcome::Unknown(reason)) => RelayOutcome::Unknown(reason),
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -2,7 +2,7 @@
 
 use crate::links::{self, Reply};
 use crate::node::Node;
-use crate::{home_driver, relay};
+use crate::{coordinator, home_driver};
 use async_std::task;
 use membership::VmList;
 use names::Name;
@@ -30,7 +30,7 @@
         Offered::Taken => {
             tracing::info!(revision, "a revision is in force");
             if let Some(after) = node.in_force() {
-                relay::groups_changed(node, before.as_deref(), &after);
+                coordinator::groups_changed(node, before.as_deref(), &after);
             }
             node.refresh_budget();
             tell_some(node);
--- /dev/null
+++ b/components/daemon/src/coordinator.rs
@@ -0,0 +1,289 @@
+//! The coordinator of an idempotency key: makes the attempts, and claims the key first when
+//! another node may have acted for it.
+
+use crate::entry_driver::{run_call, Finished, Plan};
+use crate::links::{self, Reply};
+use crate::node::{Node, Whole};
+use crate::platform_watch;
+use crate::relay::Relay;
+use async_channel::Sender;
+use async_std::future::timeout;
+use entry::{Candidate, Outcome, Treatment};
+use futures_util::future::join_all;
+use home::Reason;
+use keys::{ranked, Begin, ClaimReply, End, KeyHash, KEY_WINDOW_US};
+use names::{AttemptId, BootId, Name};
+use rollout::InForce;
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{Frame, RelayOutcome};
+
+/// Longest wait for another node to grant a key.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Carries one request through.
+pub async fn carry_through(node: &Rc<Node>, relay: Relay) -> RelayOutcome {
+    let Some(in_force) = node.in_force() else {
+        return RelayOutcome::Unknown(Reason::NoConfiguration);
+    };
+    if in_force.configuration.head.revision < relay.revision {
+        return RelayOutcome::Unknown(Reason::NotCoordinator);
+    }
+    let Some(ranking) = ranking(&in_force, &relay.req.service, &relay.key) else {
+        return RelayOutcome::Unknown(Reason::NotCoordinator);
+    };
+    if node.was_paused() {
+        platform_watch::paused(node);
+    }
+    let work = Work {
+        node,
+        in_force: &in_force,
+        key: KeyHash::new(&relay.req.service, &relay.key),
+        members: node.members_within_window(&relay.req.service, &ranking),
+        ranking,
+        relay,
+    };
+    work.run().await
+}
+
+/// Notes which services' groups differ between two revisions: their keys may have moved.
+pub fn groups_changed(node: &Rc<Node>, before: Option<&InForce>, after: &InForce) {
+    let Some(before) = before else {
+        return;
+    };
+    let now = node.now();
+    let mut moved = node.moved.borrow_mut();
+    for service in before.declarations.services.values() {
+        let old = before.declarations.upstreams(service);
+        let new = after
+            .declarations
+            .services
+            .get(&service.name)
+            .map_or(&[][..], |service| after.declarations.upstreams(service));
+        if old != new {
+            let groups = moved.entry(service.name.clone()).or_default();
+            groups.retain(|(at, _)| now.since(*at) <= KEY_WINDOW_US);
+            groups.push((now, old.to_vec()));
+        }
+    }
+}
+
+/// Another coordinator asks this node for a key.
+pub fn claim(node: &Rc<Node>, id: AttemptId, key: KeyHash, reply: &Reply) {
+    let granted = grant(node, key, id.boot);
+    reply.send(node, Frame::Claimed { id, reply: granted });
+}
+
+/// Takes in another node's answer to a claim.
+pub fn claimed(node: &Rc<Node>, id: AttemptId, reply: ClaimReply<Whole>) {
+    if let Some((tx, _)) = node.claim_waiters.borrow().get(&id) {
+        tx.try_send(reply).ok();
+    }
+}
+
+fn grant(node: &Rc<Node>, key: KeyHash, by: BootId) -> ClaimReply<Whole> {
+    let now = node.now();
+    if node.was_paused() {
+        platform_watch::paused(node);
+    }
+    let (reply, ran) = node.claims.borrow_mut().claim(now, key, by);
+    match reply {
+        ClaimReply::Granted => ClaimReply::Granted,
+        ClaimReply::Held => ClaimReply::Held,
+        ClaimReply::Uncertain => ClaimReply::Uncertain,
+        ClaimReply::Ran | ClaimReply::Answered(()) => {
+            let home = node.home.borrow();
+            let answer = home
+                .as_ref()
+                .zip(ran)
+                .and_then(|(home, id)| home.answer(id));
+            answer.map_or(ClaimReply::Ran, ClaimReply::Answered)
+        }
+    }
+}
+
+fn ranking(in_force: &InForce, service: &Name, key: &str) -> Option<Vec<Name>> {
+    let declared = in_force.declarations.services.get(service)?;
+    Some(ranked(
+        service,
+        key,
+        in_force.declarations.upstreams(declared),
+    ))
+}
+
+/// One request with its key.
+struct Work<'a> {
+    node: &'a Rc<Node>,
+    in_force: &'a InForce,
+    key: KeyHash,
+    ranking: Vec<Name>,
+    /// Every upstream that was in the service's group within the key window.
+    members: Vec<Name>,
+    relay: Relay,
+}
+
+impl Work<'_> {
+    async fn run(self) -> RelayOutcome {
+        let node = self.node;
+        let now = node.now();
+        let claim = self.must_claim();
+        let begin = node.keys.borrow_mut().begin(now, self.key, claim);
+        match begin {
+            Begin::Run => self.run_first(false).await,
+            Begin::Claim => match self.claim_all().await {
+                ClaimReply::Granted => self.run_first(true).await,
+                ClaimReply::Answered(answer) => self.end(RelayOutcome::Answered(answer)),
+                _ => self.end(RelayOutcome::Unknown(Reason::KeyUsed)),
+            },
+            Begin::Join => self.join().await,
+            Begin::Replay(answer) => RelayOutcome::Answered(answer),
+            Begin::Unknown => RelayOutcome::Unknown(Reason::KeyUsed),
+            Begin::Full => RelayOutcome::Unknown(Reason::Busy),
+        }
+    }
+
+    /// The first in the ranking may run a key it has no record of, if it has been first all along.
+    fn must_claim(&self) -> bool {
+        let first = self.ranking.first() == Some(&self.node.cfg.vm);
+        let now = self.node.now();
+        !first || self.has_moved() || self.node.claims.borrow().is_uncertain(now)
+    }
+
+    fn has_moved(&self) -> bool {
+        self.members.len() != self.ranking.len()
+    }
+
+    /// The first in the ranking never runs the key on its own upstream, so it need not be asked.
+    fn spared(&self) -> Option<&Name> {
+        (self.ranking.len() > 1 && !self.has_moved()).then(|| &self.ranking[0])
+    }
+
+    /// Asks every node that may have run the key; the key is ours when all grant it.
+    async fn claim_all(&self) -> ClaimReply<Whole> {
+        let asked = self
+            .members
+            .iter()
+            .filter(|vm| Some(*vm) != self.spared())
+            .map(|vm| self.claim_one(vm));
+        let replies = join_all(asked).await;
+        let mut whole = ClaimReply::Granted;
+        for reply in replies {
+            match reply {
+                ClaimReply::Granted => {}
+                ClaimReply::Answered(answer) => return ClaimReply::Answered(answer),
+                other => whole = other,
+            }
+        }
+        if whole != ClaimReply::Granted {
+            self.release();
+        }
+        whole
+    }
+
+    async fn claim_one(&self, vm: &Name) -> ClaimReply<Whole> {
+        let node = self.node;
+        if *vm == node.cfg.vm {
+            return grant(node, self.key, node.boot);
+        }
+        let (tx, rx) = async_channel::bounded(1);
+        let id = node.next_question();
+        node.claim_waiters.borrow_mut().insert(id, (tx, vm.clone()));
+        links::send(node, vm, &Frame::Claim { id, key: self.key });
+        let reply = timeout(CLAIM_TIMEOUT, rx.recv()).await;
+        node.claim_waiters.borrow_mut().remove(&id);
+        match reply {
+            Ok(Ok(reply)) => reply,
+            _ => ClaimReply::Uncertain,
+        }
+    }
+
+    /// Gives the key back where it was granted.
+    fn release(&self) {
+        let node = self.node;
+        let by = node.boot;
+        for vm in &self.members {
+            if *vm == node.cfg.vm {
+                node.claims.borrow_mut().released(self.key, by);
+            } else {
+                links::send(node, vm, &Frame::Release { by, key: self.key });
+            }
+        }
+    }
+
+    async fn run_first(self, claimed: bool) -> RelayOutcome {
+        let node = self.node;
+        let treatment = Treatment {
+            repeatable: false,
+            priority: self.relay.priority,
+            attempts: 1,
+        };
+        let plan = Plan {
+            candidates: self.candidates(),
+            treatment,
+            req: self.relay.req.clone(),
+            key: Some(self.key),
+            deadline: node.now() + self.relay.remaining_us,
+        };
+        let finished = run_call(node, plan, pending()).await;
+        let outcome = outcome(finished);
+        if claimed && matches!(outcome, RelayOutcome::NotRun(_)) {
+            self.release();
+        }
+        self.end(outcome)
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let service = &self.in_force.declarations.services[&self.relay.req.service];
+        let spared = (self.ranking.len() > 1).then(|| &self.ranking[0]);
+        self.node
+            .candidates(self.in_force, service)
+            .into_iter()
+            .filter(|candidate| Some(&candidate.vm) != spared)
+            .collect()
+    }
+
+    /// Records the end of the key's run and tells whoever waits for it.
+    fn end(&self, outcome: RelayOutcome) -> RelayOutcome {
+        let node = self.node;
+        let end = match &outcome {
+            RelayOutcome::Answered(answer) => End::Answered(answer.clone()),
+            RelayOutcome::NotRun(_) => End::NotRun,
+            RelayOutcome::Unknown(_) => End::Unknown,
+        };
+        let now = node.now();
+        node.keys.borrow_mut().end(now, self.key, end);
+        let waiters = node.key_waiters.borrow_mut().remove(&self.key);
+        for tx in waiters.unwrap_or_default() {
+            tx.try_send(outcome.clone()).ok();
+        }
+        outcome
+    }
+
+    /// Waits for the run of the same key that is in progress.
+    async fn join(&self) -> RelayOutcome {
+        let (tx, rx): (Sender<RelayOutcome>, _) = async_channel::bounded(1);
+        self.node
+            .key_waiters
+            .borrow_mut()
+            .entry(self.key)
+            .or_default()
+            .push(tx);
+        let left = Duration::from_micros(self.relay.remaining_us);
+        match timeout(left, rx.recv()).await {
+            Ok(Ok(outcome)) => outcome,
+            _ => RelayOutcome::Unknown(Reason::Deadline),
+        }
+    }
+}
+
+/// "Not run" holds for a key only if a node that remembers the key's runs has said so.
+fn outcome(finished: Finished) -> RelayOutcome {
+    match finished.outcome {
+        Some(Outcome::Answered(answer)) => RelayOutcome::Answered(answer),
+        Some(Outcome::NotRun(refusal)) if finished.contacted => RelayOutcome::NotRun(refusal),
+        Some(Outcome::NotRun(refusal)) => RelayOutcome::Unknown(refusal.reason),
+        Some(Outcome::Unknown(reason)) => RelayOutcome::Unknown(reason),
+        None => RelayOutcome::Unknown(Reason::Lost),
+    }
+}
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -6,12 +6,11 @@
 use crate::stats;
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
-use declarations::Service;
-use entry::{Action, Call, Event, Outcome, Treatment};
+use entry::{Action, Call, Candidate, Event, Outcome, Treatment};
 use futures_util::future::{select, Either};
 use home::{Load, Offer};
+use keys::KeyHash;
 use names::{AttemptId, Moment, Name};
-use rollout::InForce;
 use std::future::Future;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -26,39 +25,58 @@
     node: &'a Rc<Node>,
     req: Arc<Request>,
     treatment: Treatment,
+    key: Option<KeyHash>,
     call: Call<Whole>,
     tx: Sender<Event<Whole>>,
     attempts: Vec<AttemptId>,
 }
 
-/// Takes a request to its outcome; none when the caller hung up.
-pub async fn run_call(
-    node: &Rc<Node>,
-    in_force: &InForce,
-    service: &Service,
-    treatment: Treatment,
-    req: Arc<Request>,
-    deadline: Moment,
-    hung_up: impl Future<Output = ()>,
-) -> Option<Outcome<Whole>> {
-    let candidates = node.candidates(in_force, service);
+/// How a call ended.
+pub struct Finished {
+    /// The outcome; none when the caller hung up.
+    pub outcome: Option<Outcome<Whole>>,
+    /// Whether a home duty that knows the call's idempotency key refused an offer.
+    pub contacted: bool,
+}
+
+/// What a call needs to know.
+pub struct Plan {
+    /// Upstreams that may serve it.
+    pub candidates: Vec<Candidate>,
+    /// What the policy says.
+    pub treatment: Treatment,
+    /// The request.
+    pub req: Arc<Request>,
+    /// Its idempotency key, hashed.
+    pub key: Option<KeyHash>,
+    /// The caller's deadline.
+    pub deadline: Moment,
+}
+
+/// Takes a request to its outcome.
+pub async fn run_call(node: &Rc<Node>, plan: Plan, hung_up: impl Future<Output = ()>) -> Finished {
     let (tx, rx) = async_channel::bounded(EVENTS);
+    let call = Call::new(
+        plan.req.service.clone(),
+        plan.treatment.clone(),
+        plan.deadline,
+        plan.candidates,
+    );
     let mut running = Running {
         node,
-        req,
-        call: Call::new(
-            service.name.clone(),
-            treatment.clone(),
-            deadline,
-            candidates,
-        ),
-        treatment,
+        req: plan.req,
+        treatment: plan.treatment,
+        key: plan.key,
+        call,
         tx,
         attempts: Vec::new(),
     };
-    let outcome = running.run(rx, deadline, pin!(hung_up)).await;
+    let outcome = running.run(rx, plan.deadline, pin!(hung_up)).await;
     running.forget();
-    outcome
+    Finished {
+        outcome,
+        contacted: running.call.was_contacted(),
+    }
 }
 
 impl Running<'_> {
@@ -141,9 +159,9 @@
         };
         node.waiters.borrow_mut().insert(id, waiter);
         if local {
-            home_driver::offer(node, offer, self.req.clone(), Reply::Own);
+            home_driver::offer(node, offer, self.key, self.req.clone(), Reply::Own);
         } else {
-            links::offer(node, &to, offer, self.req.clone());
+            links::offer(node, &to, offer, self.key, self.req.clone());
         }
     }
 
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use futures_util::future::{select, Either};
 use home::{Action, AskReply, Home, Offer, Reason, Refusal, Verdict};
+use keys::{ClaimReply, KeyHash};
 use names::{AttemptId, BootId, MILLISECOND};
 use std::pin::pin;
 use std::rc::Rc;
@@ -18,41 +19,64 @@
 
 /// An upstream that has not answered so long after the caller's deadline is given up.
 const OVERRUN: Duration = Duration::from_secs(30);
+/// Told to callers whose attempt is refused before the home duty sees it, in milliseconds.
+const DOOR_RETRY_AFTER_MS: u64 = 1_000;
 /// Time between two looks at a queue that holds something.
 const QUEUE_TICK: Duration = Duration::from_millis(5);
 /// Time between two looks at an empty queue.
 const IDLE_TICK: Duration = Duration::from_millis(20);
 
 /// Takes in an offer and does what the home duty decides.
-pub fn offer(node: &Rc<Node>, offer: Offer, req: Arc<Request>, reply: Reply) {
+pub fn offer(node: &Rc<Node>, offer: Offer, key: Option<KeyHash>, req: Arc<Request>, reply: Reply) {
     let now = node.now();
+    if let Some(reason) = barred(node, &offer, key) {
+        refuse_at_door(node, offer.id, reason, &reply);
+        return;
+    }
     let job = Job {
         req,
         reply: reply.clone(),
         deadline: now + offer.remaining_us,
+        key,
         repeatable: offer.repeatable,
         cancel: None,
     };
-    if node.home.borrow().is_none() {
-        let refusal = Refusal {
-            reason: Reason::NoUpstream,
-            retry_after_ms: 1_000,
-        };
-        let load = node.load();
-        reply.send(
-            node,
-            Frame::Refused {
-                id: offer.id,
-                refusal,
-                load,
-            },
-        );
-        return;
-    }
     node.jobs.borrow_mut().entry(offer.id).or_insert(job);
     with_home(node, |home| home.offer(now, &offer));
 }
 
+/// Why an attempt is refused before the home duty sees it.
+fn barred(node: &Rc<Node>, offer: &Offer, key: Option<KeyHash>) -> Option<Reason> {
+    if node.home.borrow().is_none() {
+        return Some(Reason::NoUpstream);
+    }
+    let key = key.filter(|_| !node.jobs.borrow().contains_key(&offer.id))?;
+    if node.was_paused() {
+        platform_watch::paused(node);
+    }
+    let now = node.now();
+    match node.claims.borrow_mut().claim(now, key, offer.id.boot).0 {
+        ClaimReply::Granted => None,
+        ClaimReply::Uncertain => Some(Reason::Uncertain),
+        _ => Some(Reason::KeyUsed),
+    }
+}
+
+/// The attempt has no record here: a question about it must find it refused.
+fn refuse_at_door(node: &Rc<Node>, id: AttemptId, reason: Reason, reply: &Reply) {
+    stats::attempt_refused(reason.as_str());
+    let now = node.now();
+    if let Some(home) = node.home.borrow_mut().as_mut() {
+        home.ask(now, id);
+    }
+    let refusal = Refusal {
+        reason,
+        retry_after_ms: DOOR_RETRY_AFTER_MS,
+    };
+    let load = node.load();
+    reply.send(node, Frame::Refused { id, refusal, load });
+}
+
 /// Answers a question about an attempt. An attempt of another boot of this node is unknown here.
 pub fn ask(node: &Rc<Node>, id: AttemptId, boot: BootId, route: Reply) {
     let now = node.now();
@@ -177,6 +201,9 @@
         job.cancel = Some(tx);
         job.clone()
     };
+    if let Some(key) = job.key {
+        node.claims.borrow_mut().started(key, id);
+    }
     let node = node.clone();
     task::spawn_local(async move {
         let work = pin!(exchange(&node, id, &job));
@@ -258,6 +285,12 @@
 /// Records the end of a running attempt, then tells it.
 fn finish(node: &Rc<Node>, id: AttemptId, verdict: Verdict, answer: Option<Answer>) {
     let now = node.now();
+    if matches!(verdict, Verdict::Shed | Verdict::NotSent) {
+        let jobs = node.jobs.borrow();
+        if let Some(key) = jobs.get(&id).and_then(|job| job.key) {
+            node.claims.borrow_mut().not_run(key, id);
+        }
+    }
     let answer = answer.map(Arc::new);
     let kept = answer.clone();
     with_home(node, |home| home.completed(now, id, verdict, kept));
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod clock;
 mod configuration;
+mod coordinator;
 mod entry_driver;
 mod guard;
 mod home_driver;
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -1,9 +1,9 @@
 //! What a node does with each frame.
 
-use super::{offered, Reply};
+use super::Reply;
 use crate::entry_driver::{deliver, reported};
 use crate::node::Node;
-use crate::{configuration, home_driver, relay};
+use crate::{configuration, coordinator, home_driver, relay};
 use entry::Event;
 use home::AskReply;
 use names::Name;
@@ -13,7 +13,12 @@
 /// Takes in a frame that came from `from`; answers go to `reply`.
 pub fn take_in(node: &Rc<Node>, from: &Name, frame: Frame, reply: &Reply) {
     match frame {
-        Frame::Offer { offer, req, .. } => offered(node, offer, req, reply),
+        Frame::Offer {
+            offer, key, req, ..
+        } => home_driver::offer(node, offer, key, req, reply.clone()),
+        Frame::Claim { id, key } => coordinator::claim(node, id, key, reply),
+        Frame::Claimed { id, reply } => coordinator::claimed(node, id, reply),
+        Frame::Release { by, key } => node.claims.borrow_mut().released(key, by),
         Frame::Ask { id, boot } => home_driver::ask(node, id, boot, reply.clone()),
         Frame::Cancel { id } => home_driver::cancel(node, id),
         Frame::Heartbeat => reply.send(node, Frame::Alive { load: node.load() }),
@@ -57,7 +62,9 @@
             };
             relay::take_in(node, id, relay, reply.clone());
         }
-        Frame::Relayed { id, outcome } => relay::relayed(node, id, outcome),
+        Frame::Relayed { id, outcome } => {
+            relay::relayed(node, id, relay::Relayed::Outcome(outcome));
+        }
         Frame::Summary(summary) => configuration::compare(node, &summary, reply),
         Frame::Configuration(configuration) => {
             configuration::take_in(node, (*configuration).clone());
--- a/components/daemon/src/links/heartbeat.rs
+++ b/components/daemon/src/links/heartbeat.rs
@@ -3,14 +3,14 @@
 //! A heartbeat is a measuring act and passes the budget. Nothing is sent to a node at which
 //! nothing waits, or from which anything was heard lately.
 
-use super::{push, Link, UpLink};
+use super::{push, questions_lost, Link, UpLink};
 use crate::entry_driver;
 use crate::node::Node;
 use async_std::task;
 use budget::Act;
 use entry::Event;
 use names::{AttemptId, Moment, Name, MILLISECOND};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use wire::Frame;
@@ -29,6 +29,7 @@
     loop {
         task::sleep(LOOK).await;
         let waiting = waiting_by_vm(&node);
+        let questions = vms_with_questions(&node);
         let links: Vec<(Name, Rc<UpLink>)> = node
             .links
             .borrow()
@@ -40,14 +41,14 @@
             .collect();
         for (vm, up) in links {
             let attempts = waiting.get(&vm).map_or(&[][..], |ids| ids.as_slice());
-            look(&node, &up, attempts);
+            look(&node, &vm, &up, attempts, questions.contains(&vm));
         }
     }
 }
 
-fn look(node: &Rc<Node>, up: &UpLink, attempts: &[AttemptId]) {
+fn look(node: &Rc<Node>, vm: &Name, up: &UpLink, attempts: &[AttemptId], questions: bool) {
     let now = node.now();
-    if attempts.is_empty() {
+    if attempts.is_empty() && !questions {
         up.asked.set(None);
         if now.since(up.used.get()) > IDLE_US {
             up.tx.close();
@@ -59,6 +60,8 @@
             for id in attempts {
                 entry_driver::deliver(node, *id, Event::Silent(*id));
             }
+            node.entry.borrow_mut().suspect(now, vm);
+            questions_lost(node, vm);
             up.asked.set(None);
         }
         Some(_) => {}
@@ -85,3 +88,13 @@
     }
     waiting
 }
+
+/// The nodes from which the outcome of a relay or a claim is awaited.
+fn vms_with_questions(node: &Rc<Node>) -> HashSet<Name> {
+    let relays = node.relays.borrow();
+    let claims = node.claim_waiters.borrow();
+    let relayed = relays.values().map(|(_, vm)| vm.clone());
+    relayed
+        .chain(claims.values().map(|(_, vm)| vm.clone()))
+        .collect()
+}
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -10,19 +10,22 @@
 pub use dial::ask_seeds;
 pub use heartbeat::run_heartbeats;
 
+use crate::coordinator;
 use crate::entry_driver;
-use crate::home_driver;
 use crate::node::Node;
+use crate::relay::{self, Relayed};
 use crate::stats;
 use async_channel::Sender;
 use declarations::MAX_BUNDLE_BYTES;
 use entry::Event;
-use home::{Offer, Reason};
+use home::Offer;
+use keys::{ClaimReply, KeyHash};
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use wire::{Frame, RelayOutcome, Request, MAX_FRAME_OVERHEAD};
+use wire::{Frame, Request, MAX_FRAME_OVERHEAD};
 
 /// Frames that may wait for one connection. When it is full the connection counts as broken.
 const MAX_WAITING_FRAMES: usize = 1_024;
@@ -80,11 +83,12 @@
 }
 
 /// Offers an attempt to another node.
-pub fn offer(node: &Rc<Node>, to: &Name, offer: Offer, req: Arc<Request>) {
+pub fn offer(node: &Rc<Node>, to: &Name, offer: Offer, key: Option<KeyHash>, req: Arc<Request>) {
     let sent_us = node.now().0;
     let frame = Frame::Offer {
         sent_us,
         offer,
+        key,
         req,
     };
     transmit(node, to, frame);
@@ -194,13 +198,8 @@
             entry_driver::deliver(node, offer.id, Event::NotSent(offer.id));
         }
         Frame::Ask { id, .. } => entry_driver::deliver(node, *id, Event::Gone(*id)),
-        Frame::Relay { id, .. } => {
-            let outcome = RelayOutcome::NotRun(home::Refusal {
-                reason: Reason::Unreachable,
-                retry_after_ms: 1_000,
-            });
-            crate::relay::relayed(node, *id, outcome);
-        }
+        Frame::Relay { id, .. } => relay::relayed(node, *id, Relayed::NotSent),
+        Frame::Claim { id, .. } => coordinator::claimed(node, *id, ClaimReply::Uncertain),
         _ => {}
     }
 }
@@ -217,24 +216,28 @@
     for id in lost {
         entry_driver::deliver(node, id, Event::Lost(id));
     }
-    let relays: Vec<AttemptId> = node
-        .relays
-        .borrow()
+    questions_lost(node, vm);
+}
+
+/// Ends the relays and claims that wait for an answer of `vm`.
+fn questions_lost(node: &Rc<Node>, vm: &Name) {
+    for id in waiting_at(&node.relays.borrow(), vm) {
+        relay::relayed(node, id, Relayed::Lost);
+    }
+    for id in waiting_at(&node.claim_waiters.borrow(), vm) {
+        coordinator::claimed(node, id, ClaimReply::Uncertain);
+    }
+}
+
+fn waiting_at<T>(waiting: &HashMap<AttemptId, (T, Name)>, vm: &Name) -> Vec<AttemptId> {
+    waiting
         .iter()
-        .filter(|(_, (_, owner))| owner == vm)
+        .filter(|(_, (_, at))| at == vm)
         .map(|(id, _)| *id)
-        .collect();
-    for id in relays {
-        crate::relay::relayed(node, id, RelayOutcome::Unknown(Reason::Lost));
-    }
+        .collect()
 }
 
 /// Largest message between nodes, in bytes: a whole body or a whole set of declarations.
 fn max_bytes(node: &Node) -> usize {
     node.cfg.max_body_bytes.max(MAX_BUNDLE_BYTES) + MAX_FRAME_OVERHEAD
 }
-
-/// Forwards an offer that arrived from a peer to the home duty.
-fn offered(node: &Rc<Node>, offer: Offer, req: Arc<Request>, reply: &Reply) {
-    home_driver::offer(node, offer, req, reply.clone());
-}
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -3,13 +3,14 @@
 use crate::clock::Clock;
 use crate::links::{Link, Reply};
 use crate::platform_watch::PlatformState;
+use crate::relay::Relayed;
 use crate::upstream::Pool;
 use async_channel::Sender;
 use budget::{Gate, HallBudget};
 use declarations::Service;
 use entry::{Candidate, Entry, Event, Rule};
 use home::{Home, Load};
-use keys::{KeyHash, Table};
+use keys::{ClaimReply, Claims, KeyHash, Table, KEY_WINDOW_US};
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::Client;
@@ -41,6 +42,8 @@
     pub reply: Reply,
     /// The caller's deadline on this node's clock.
     pub deadline: Moment,
+    /// Idempotency key, hashed.
+    pub key: Option<KeyHash>,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// Tells the running exchange that nobody waits for it.
@@ -77,24 +80,28 @@
     pub entry: RefCell<Entry>,
     /// Attempts that have not ended.
     pub waiters: RefCell<HashMap<AttemptId, Waiter>>,
-    /// Relays that have not ended.
-    pub relays: RefCell<HashMap<AttemptId, (Sender<RelayOutcome>, Name)>>,
-    /// Counter of relays.
-    pub next_relay: Cell<u64>,
+    /// Relays that have not ended, with the node they went to.
+    pub relays: RefCell<HashMap<AttemptId, (Sender<Relayed>, Name)>>,
+    /// Claims that have not been answered.
+    pub claim_waiters: RefCell<HashMap<AttemptId, (Sender<ClaimReply<Whole>>, Name)>>,
+    /// Counter of relays and claims.
+    next_question: Cell<u64>,
     /// Connections to other nodes.
     pub links: RefCell<HashMap<Name, Link>>,
     /// Connections from other nodes.
     pub incoming: RefCell<HashMap<u64, Reply>>,
-    /// Idempotency keys this node owns.
+    /// Idempotency keys this node coordinates.
     pub keys: RefCell<Table<Whole>>,
+    /// Idempotency keys granted or run at the upstream beside this node.
+    pub claims: RefCell<Claims>,
     /// Relays that wait for the same key.
     pub key_waiters: RefCell<HashMap<KeyHash, Vec<Sender<RelayOutcome>>>>,
     /// Measuring budget.
     pub gate: RefCell<Gate>,
     /// Declarations in force.
     pub rollout: RefCell<Rollout>,
-    /// When each service's group last changed, with the upstreams before.
-    pub moved: RefCell<HashMap<Name, (Moment, Vec<Name>)>>,
+    /// Groups that services had within the key window, with the time of their end.
+    pub moved: RefCell<HashMap<Name, Vec<(Moment, Vec<Name>)>>>,
     /// Fleet as this node sees it.
     pub view: RefCell<View>,
     /// Platform's object API.
@@ -109,6 +116,10 @@
     pub upstream_leaving: Cell<bool>,
     /// When the node's regular work last ran; long ago means that the process was paused.
     pub last_tick: Cell<Moment>,
+    /// Until when this boot may not know keys that its predecessor used.
+    pub unclean_until: Cell<Moment>,
+    /// Whether the platform is being asked if another boot took over during a pause.
+    pub checking_pause: Cell<bool>,
     /// Requests of callers and relays in progress.
     pub open_calls: Cell<usize>,
     /// Connections of callers.
@@ -139,10 +150,12 @@
             entry: RefCell::new(Entry::new(boot, rule(&cfg.rule), boot.0)),
             waiters: RefCell::default(),
             relays: RefCell::default(),
-            next_relay: Cell::new(0),
+            claim_waiters: RefCell::default(),
+            next_question: Cell::new(0),
             links: RefCell::default(),
             incoming: RefCell::default(),
             keys: RefCell::new(Table::new(MAX_KEYS, MAX_KEY_ANSWERS)),
+            claims: RefCell::new(Claims::new(MAX_KEYS)),
             key_waiters: RefCell::default(),
             gate: RefCell::new(Gate::new(clock.now())),
             rollout: RefCell::default(),
@@ -154,6 +167,8 @@
             drained: Cell::new(false),
             upstream_leaving: Cell::new(false),
             last_tick: Cell::new(clock.now()),
+            unclean_until: Cell::new(Moment(0)),
+            checking_pause: Cell::new(false),
             open_calls: Cell::new(0),
             open_callers: Cell::new(0),
             strangers: Cell::new(0),
@@ -223,6 +238,34 @@
             .collect()
     }
 
+    /// A fresh identity for a relay or a claim.
+    pub fn next_question(&self) -> AttemptId {
+        let seq = self.next_question.get();
+        self.next_question.set(seq + 1);
+        AttemptId {
+            boot: self.boot,
+            seq,
+        }
+    }
+
+    /// `current` and every other upstream that was in the service's group within the key window.
+    pub fn members_within_window(&self, service: &Name, current: &[Name]) -> Vec<Name> {
+        let now = self.now();
+        let mut members = current.to_vec();
+        let moved = self.moved.borrow();
+        for (at, before) in moved.get(service).into_iter().flatten() {
+            if now.since(*at) > KEY_WINDOW_US {
+                continue;
+            }
+            for vm in before {
+                if !members.contains(vm) {
+                    members.push(vm.clone());
+                }
+            }
+        }
+        members
+    }
+
     /// Sets the measuring budget from the declarations and the fleet.
     pub fn refresh_budget(&self) {
         let measuring = self
--- a/components/daemon/src/platform_watch.rs
+++ b/components/daemon/src/platform_watch.rs
@@ -7,13 +7,13 @@
 use errors::{Error, Result, Step};
 use keys::{KeyHash, KEY_WINDOW_US};
 use membership::{watchers, VmList};
-use names::Name;
+use names::{Moment, Name};
 use platform::{Object, Write};
 use rand::Rng;
 use rollout::{content_key, Configuration, Digest, Head, HEAD_KEY};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -71,17 +71,14 @@
 pub async fn run_boot_record(node: Rc<Node>) {
     let started = node.now();
     let mut pause = LEAST_PAUSE_MS;
-    node.keys
-        .borrow_mut()
-        .uncertain_until(names::Moment(u64::MAX));
+    node.claims.borrow_mut().uncertain_until(Moment(u64::MAX));
     loop {
         match claim(&node).await {
             Ok(true) => return,
             Ok(false) => {
                 tracing::warn!("the predecessor was not stopped as planned; its keys are unknown");
-                let mut keys = node.keys.borrow_mut();
-                keys.certain();
-                keys.uncertain_until(started + KEY_WINDOW_US);
+                node.unclean_until.set(started + KEY_WINDOW_US);
+                certain(&node);
                 return;
             }
             Err(error) => tracing::debug!(%error, "the record of boots was not written"),
@@ -95,7 +92,7 @@
     let key = boot_key(&node.cfg.vm);
     let current = node.platform.read(&key).await?;
     let version = current.map(|object| object.version);
-    let uncertain = node.keys.borrow().is_uncertain(node.now());
+    let uncertain = node.claims.borrow().is_uncertain(node.now());
     if uncertain {
         let cause = "this boot itself does not know its predecessor's keys";
         return Err(Error::new(Step::Platform, &key, cause));
@@ -104,7 +101,7 @@
         boot: node.boot.0,
         stopped: true,
         known: true,
-        keys: node.keys.borrow().hand_over(),
+        keys: used_keys(node),
     };
     match node.platform.write(&key, version, to_json(&record)).await? {
         Write::Written => Ok(()),
@@ -112,6 +109,14 @@
     }
 }
 
+/// Every key that this boot coordinated, granted or ran within the key window.
+fn used_keys(node: &Rc<Node>) -> Vec<KeyHash> {
+    let keys = node.keys.borrow();
+    let claims = node.claims.borrow();
+    let used: HashSet<KeyHash> = keys.hand_over().chain(claims.hand_over()).collect();
+    used.into_iter().collect()
+}
+
 /// Writes this boot's record. Returns whether the predecessor's keys are known.
 async fn claim(node: &Rc<Node>) -> Result<bool> {
     let key = boot_key(&node.cfg.vm);
@@ -155,26 +160,31 @@
 /// Takes in what the record of this boot says of its predecessor.
 fn settle(node: &Rc<Node>, record: BootRecord) -> bool {
     let now = node.now();
-    let mut keys = node.keys.borrow_mut();
-    keys.take_over(now, record.keys);
+    node.keys.borrow_mut().take_over(now, &record.keys);
+    node.claims.borrow_mut().take_over(now, &record.keys);
     if record.known {
-        keys.certain();
+        certain(node);
     }
     record.known
 }
 
 /// Takes in that the process was paused.
 pub fn paused(node: &Rc<Node>) {
-    let now = node.now();
-    let mut keys = node.keys.borrow_mut();
-    if keys.is_uncertain(now) {
+    if node.checking_pause.replace(true) {
         return;
     }
     tracing::warn!("the process was paused");
-    keys.uncertain_until(names::Moment(u64::MAX));
+    node.claims.borrow_mut().uncertain_until(Moment(u64::MAX));
     task::spawn_local(run_after_pause(node.clone()));
 }
 
+/// This boot is the latest; it knows every key used since it can.
+fn certain(node: &Rc<Node>) {
+    let mut claims = node.claims.borrow_mut();
+    claims.certain();
+    claims.uncertain_until(node.unclean_until.get());
+}
+
 /// After a pause this boot may have been replaced: until the platform says that it was not, a key
 /// without a record may have been used.
 pub async fn run_after_pause(node: Rc<Node>) {
@@ -185,7 +195,8 @@
             Ok(Some(object)) => {
                 let record = serde_json::from_slice::<BootRecord>(&object.value);
                 if record.is_ok_and(|record| record.boot == node.boot.0) {
-                    node.keys.borrow_mut().certain();
+                    certain(&node);
+                    node.checking_pause.set(false);
                     tracing::info!("still the latest boot after a pause");
                 } else {
                     tracing::warn!("replaced by another boot during a pause");
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -123,6 +123,7 @@
     maybe_ran: bool,
     fallback: Option<A>,
     last_refusal: Option<Refusal>,
+    contacted: bool,
     late: u64,
 }
 
@@ -147,6 +148,7 @@
             maybe_ran: false,
             fallback: None,
             last_refusal: None,
+            contacted: false,
             late: 0,
         }
     }
@@ -161,6 +163,11 @@
         self.offers
     }
 
+    /// Whether any home duty that knows the call's idempotency key refused an offer.
+    pub fn was_contacted(&self) -> bool {
+        self.contacted
+    }
+
     /// Events dropped because their attempt was no longer the call's.
     pub fn late(&self) -> u64 {
         self.late
@@ -239,9 +246,11 @@
             return Vec::new();
         };
         self.last_refusal = Some(refusal);
+        self.contacted |= refusal.reason != Reason::Uncertain;
         let queued = self.queue_next_was_tried(&vm);
         match refusal.reason {
             Reason::Deadline => return self.give_up(Reason::Deadline, entry),
+            Reason::KeyUsed => return self.finish(Outcome::Unknown(Reason::KeyUsed)),
             Reason::Busy if !queued => self.refused_by.push(vm),
             Reason::Leaving => {
                 entry.leaving(&vm, true);
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -245,6 +245,14 @@
         }
     }
 
+    /// The whole answer of an attempt, while it is kept.
+    pub fn answer(&self, id: AttemptId) -> Option<A> {
+        match self.records.look_up(id) {
+            Known::Ended(Record::Answered(answer)) => answer,
+            _ => None,
+        }
+    }
+
     /// Counted events.
     pub fn counters(&self) -> Counters {
         self.counters
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -66,8 +66,10 @@
     Lost,
     /// The same idempotency key was used before, or may have been, and there is no answer to give.
     KeyUsed,
-    /// The node that was taken for the key's owner is not.
-    NotOwner,
+    /// The node that was taken for the key's coordinator is not.
+    NotCoordinator,
+    /// The node beside the upstream does not know whether the key was used there.
+    Uncertain,
     /// The request itself is at fault: malformed, too large or too slow.
     BadRequest,
 }
@@ -89,7 +91,8 @@
             Reason::Unreachable => "unreachable",
             Reason::Lost => "lost",
             Reason::KeyUsed => "key-used",
-            Reason::NotOwner => "not-owner",
+            Reason::NotCoordinator => "not-coordinator",
+            Reason::Uncertain => "uncertain",
             Reason::BadRequest => "bad-request",
         }
     }
--- a/components/keys/src/lib.rs
+++ b/components/keys/src/lib.rs
@@ -1,12 +1,16 @@
 //! Idempotency keys: a request that may not be repeated runs at most once for each key.
 //!
-//! Each key of a service has one owner among the service's declared upstreams, found by rendezvous
-//! hashing. The owner's node keeps the key's record and makes the attempts. An owner that can't
-//! know whether a key was used, because its predecessor died, answers "unknown" for the key window
-//! and never runs the request.
+//! Each key of a service has a coordinator, the first in a ranking of the service's declared
+//! upstreams by rendezvous hashing: its node makes the attempts and remembers the key
+//! ([`Table`]). A coordinator never runs its own keys on its own upstream, and the node beside the
+//! upstream that does run one remembers it too ([`Claims`]), so the failure of one VM loses no key.
+//! While the first in the ranking can't be reached, the next may act, once every other upstream's
+//! node has granted it the key. See `docs/DESIGN.md`.
 
-mod owner;
+mod claims;
+mod rank;
 mod table;
 
-pub use owner::owner;
+pub use claims::{ClaimReply, Claims};
+pub use rank::ranked;
 pub use table::{Begin, End, KeyHash, Table, KEY_WINDOW_US};
--- a/components/keys/src/table.rs
+++ b/components/keys/src/table.rs
@@ -1,8 +1,9 @@
-//! The owner's records of keys.
+//! The coordinator's records of keys.
 
 use names::{Moment, Name, SECOND};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, VecDeque};
 
 /// How long a key is remembered after its use, in microseconds. A caller that repeats a request
@@ -27,11 +28,13 @@
     }
 }
 
-/// What the owner has to do with a request that carries a key.
+/// What the coordinator has to do with a request that carries a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Begin<A> {
     /// First use: run it, then call [`Table::end`].
     Run,
+    /// First use here: have every other node grant the key, run it, then call [`Table::end`].
+    Claim,
     /// The same key is running: wait for its end.
     Join,
     /// It ran: give the whole answer again.
@@ -60,7 +63,7 @@
     Unknown,
 }
 
-/// Records of the keys that one node owns.
+/// Records of the keys that one node coordinates.
 #[derive(Debug)]
 pub struct Table<A> {
     states: HashMap<KeyHash, State<A>>,
@@ -68,7 +71,6 @@
     answers: VecDeque<KeyHash>,
     max_keys: usize,
     max_answers: usize,
-    uncertain_until: Moment,
 }
 
 impl<A: Clone> Table<A> {
@@ -80,28 +82,12 @@
             answers: VecDeque::new(),
             max_keys,
             max_answers,
-            uncertain_until: Moment(0),
         }
     }
 
-    /// Until `moment`, a key without a record may have been used: its request isn't run.
-    pub fn uncertain_until(&mut self, moment: Moment) {
-        self.uncertain_until = self.uncertain_until.max(moment);
-    }
-
-    /// Ends the uncertainty: the predecessor's records were handed over whole.
-    pub fn certain(&mut self) {
-        self.uncertain_until = Moment(0);
-    }
-
-    /// Whether a key without a record may have been used.
-    pub fn is_uncertain(&self, now: Moment) -> bool {
-        now < self.uncertain_until
-    }
-
-    /// Takes in a request that carries a key. `moved` says that the key had another owner within
-    /// the key window.
-    pub fn begin(&mut self, now: Moment, key: KeyHash, moved: bool) -> Begin<A> {
+    /// Takes in a request that carries a key. `claim` says that this node is not the first in the
+    /// key's ranking, or doesn't know all that it was when it was first.
+    pub fn begin(&mut self, now: Moment, key: KeyHash, claim: bool) -> Begin<A> {
         self.forget(now);
         match self.states.get(&key) {
             Some(State::Running) => return Begin::Join,
@@ -109,14 +95,15 @@
             Some(State::Answered(None)) | Some(State::Unknown) => return Begin::Unknown,
             None => {}
         }
-        if moved || self.is_uncertain(now) {
-            return Begin::Unknown;
-        }
         if self.states.len() >= self.max_keys {
             return Begin::Full;
         }
         self.states.insert(key, State::Running);
-        Begin::Run
+        if claim {
+            Begin::Claim
+        } else {
+            Begin::Run
+        }
     }
 
     /// Takes in the end of a request for which [`Table::begin`] said run.
@@ -141,16 +128,16 @@
     }
 
     /// The keys in use or used, for the successor of this node.
-    pub fn hand_over(&self) -> Vec<KeyHash> {
-        self.states.keys().copied().collect()
+    pub fn hand_over(&self) -> impl Iterator<Item = KeyHash> + '_ {
+        self.states.keys().copied()
     }
 
     /// Takes in the keys that a predecessor handed over: they ran, or may have run.
-    pub fn take_over(&mut self, now: Moment, keys: impl IntoIterator<Item = KeyHash>) {
+    pub fn take_over(&mut self, now: Moment, keys: &[KeyHash]) {
         for key in keys {
-            if let std::collections::hash_map::Entry::Vacant(slot) = self.states.entry(key) {
+            if let Entry::Vacant(slot) = self.states.entry(*key) {
                 slot.insert(State::Unknown);
-                self.ended.push_back((now, key));
+                self.ended.push_back((now, *key));
             }
         }
     }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -3,6 +3,7 @@
 use crate::http::{Answer, Request};
 use errors::{Error, Result, Step};
 use home::{AskReply, Load, Offer, Reason, Refusal};
+use keys::{ClaimReply, KeyHash};
 use membership::VmList;
 use names::{AttemptId, BootId};
 use rollout::{Configuration, Summary};
@@ -32,6 +33,8 @@
         sent_us: u64,
         /// The offer.
         offer: Offer,
+        /// Idempotency key of the request, hashed.
+        key: Option<KeyHash>,
         /// The request.
         req: Arc<Request>,
     },
@@ -98,7 +101,28 @@
         /// Whether it leaves.
         leaving: bool,
     },
-    /// Entry to the owner of an idempotency key: carry this request through.
+    /// Coordinator to home: nobody but me may run this key there.
+    Claim {
+        /// Identity of the question.
+        id: AttemptId,
+        /// The key.
+        key: KeyHash,
+    },
+    /// Home to coordinator: the answer to [`Frame::Claim`].
+    Claimed {
+        /// Identity of the question.
+        id: AttemptId,
+        /// The answer.
+        reply: ClaimReply<Arc<Answer>>,
+    },
+    /// Coordinator to home: the key was not run and is free again.
+    Release {
+        /// Boot of the coordinator.
+        by: BootId,
+        /// The key.
+        key: KeyHash,
+    },
+    /// Entry to the coordinator of an idempotency key: carry this request through.
     Relay {
         /// Identity of the relay.
         id: AttemptId,
@@ -108,12 +132,12 @@
         key: String,
         /// Priority from the policy.
         priority: u8,
-        /// Revision by which the sender chose the owner.
+        /// Revision by which the sender chose the coordinator.
         revision: u64,
         /// The request.
         req: Arc<Request>,
     },
-    /// Owner to entry: the outcome.
+    /// Coordinator to entry: the outcome.
     Relayed {
         /// Identity of the relay.
         id: AttemptId,
