--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -9,6 +9,7 @@
 use declarations::Service;
 use entry::{Outcome, Treatment};
 use home::{Reason, Refusal};
+use keys::KEY_DEADLINE_US;
 use names::{Moment, MILLISECOND};
 use policy::Input;
 use rollout::InForce;
@@ -132,6 +133,7 @@
     req: Arc<Request>,
     deadline: Moment,
 ) -> RelayOutcome {
+    let deadline = deadline.min(node.now() + KEY_DEADLINE_US);
     let relay = Relay {
         remaining_us: deadline.since(node.now()),
         key,
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -11,7 +11,7 @@
 use entry::{Candidate, Outcome, Treatment};
 use futures_util::future::join_all;
 use home::Reason;
-use keys::{ranked, Begin, ClaimReply, End, KeyHash, KEY_WINDOW_US};
+use keys::{combine, ranked, Begin, ClaimReply, End, KeyHash, Standing, KEY_KEPT_US};
 use names::{AttemptId, BootId, Name};
 use rollout::InForce;
 use std::future::pending;
@@ -36,12 +36,17 @@
     if node.was_paused() {
         platform_watch::paused(node);
     }
+    let standing = Standing {
+        me: node.cfg.vm.clone(),
+        members: node.members_within_window(&relay.req.service, &ranking),
+        ranking,
+        uncertain: node.claims.borrow().is_uncertain(node.now()),
+    };
     let work = Work {
         node,
         in_force: &in_force,
         key: KeyHash::new(&relay.req.service, &relay.key),
-        members: node.members_within_window(&relay.req.service, &ranking),
-        ranking,
+        standing,
         relay,
     };
     work.run().await
@@ -63,7 +68,7 @@
             .map_or(&[][..], |service| after.declarations.upstreams(service));
         if old != new {
             let groups = moved.entry(service.name.clone()).or_default();
-            groups.retain(|(at, _)| now.since(*at) <= KEY_WINDOW_US);
+            groups.retain(|(at, _)| now.since(*at) <= KEY_KEPT_US);
             groups.push((now, old.to_vec()));
         }
     }
@@ -117,9 +122,7 @@
     node: &'a Rc<Node>,
     in_force: &'a InForce,
     key: KeyHash,
-    ranking: Vec<Name>,
-    /// Every upstream that was in the service's group within the key window.
-    members: Vec<Name>,
+    standing: Standing,
     relay: Relay,
 }
 
@@ -127,7 +130,7 @@
     async fn run(self) -> RelayOutcome {
         let node = self.node;
         let now = node.now();
-        let claim = self.must_claim();
+        let claim = self.standing.must_claim();
         let begin = node.keys.borrow_mut().begin(now, self.key, claim);
         match begin {
             Begin::Run => self.run_first(false).await,
@@ -143,42 +146,14 @@
         }
     }
 
-    /// The first in the ranking may run a key it has no record of, if it has been first all along.
-    fn must_claim(&self) -> bool {
-        let first = self.ranking.first() == Some(&self.node.cfg.vm);
-        let now = self.node.now();
-        !first || self.has_moved() || self.node.claims.borrow().is_uncertain(now)
-    }
-
-    fn has_moved(&self) -> bool {
-        self.members.len() != self.ranking.len()
-    }
-
-    /// The first in the ranking never runs the key on its own upstream, so it need not be asked.
-    fn spared(&self) -> Option<&Name> {
-        (self.ranking.len() > 1 && !self.has_moved()).then(|| &self.ranking[0])
-    }
-
     /// Asks every node that may have run the key; the key is ours when all grant it.
     async fn claim_all(&self) -> ClaimReply<Whole> {
-        let asked = self
-            .members
-            .iter()
-            .filter(|vm| Some(*vm) != self.spared())
-            .map(|vm| self.claim_one(vm));
-        let replies = join_all(asked).await;
-        let mut whole = ClaimReply::Granted;
-        for reply in replies {
-            match reply {
-                ClaimReply::Granted => {}
-                ClaimReply::Answered(answer) => return ClaimReply::Answered(answer),
-                other => whole = other,
-            }
-        }
-        if whole != ClaimReply::Granted {
+        let asked = self.standing.asked().map(|vm| self.claim_one(vm));
+        let reply = combine(join_all(asked).await);
+        if reply != ClaimReply::Granted {
             self.release();
         }
-        whole
+        reply
     }
 
     async fn claim_one(&self, vm: &Name) -> ClaimReply<Whole> {
@@ -202,7 +177,7 @@
     fn release(&self) {
         let node = self.node;
         let by = node.boot;
-        for vm in &self.members {
+        for vm in &self.standing.members {
             if *vm == node.cfg.vm {
                 node.claims.borrow_mut().released(self.key, by);
             } else {
@@ -235,11 +210,10 @@
 
     fn candidates(&self) -> Vec<Candidate> {
         let service = &self.in_force.declarations.services[&self.relay.req.service];
-        let spared = (self.ranking.len() > 1).then(|| &self.ranking[0]);
         self.node
             .candidates(self.in_force, service)
             .into_iter()
-            .filter(|candidate| Some(&candidate.vm) != spared)
+            .filter(|candidate| self.standing.may_run_at(&candidate.vm))
             .collect()
     }
 
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -67,7 +67,7 @@
     stats::attempt_refused(reason.as_str());
     let now = node.now();
     if let Some(home) = node.home.borrow_mut().as_mut() {
-        home.ask(now, id);
+        home.ask(now, id, node.boot);
     }
     let refusal = Refusal {
         reason,
@@ -77,16 +77,14 @@
     reply.send(node, Frame::Refused { id, refusal, load });
 }
 
-/// Answers a question about an attempt. An attempt of another boot of this node is unknown here.
+/// Answers a question about an attempt that was offered to `boot`.
 pub fn ask(node: &Rc<Node>, id: AttemptId, boot: BootId, route: Reply) {
     let now = node.now();
-    let reply = if boot != node.boot {
-        AskReply::Forgotten
-    } else {
-        let mut home = node.home.borrow_mut();
-        home.as_mut()
-            .map_or(AskReply::Forgotten, |home| home.ask(now, id))
-    };
+    let reply = node
+        .home
+        .borrow_mut()
+        .as_mut()
+        .map_or(AskReply::Forgotten, |home| home.ask(now, id, boot));
     if reply == AskReply::Started {
         if let Some(job) = node.jobs.borrow_mut().get_mut(&id) {
             job.reply = route.clone();
--- a/components/daemon/src/links/accept.rs
+++ b/components/daemon/src/links/accept.rs
@@ -1,6 +1,6 @@
 //! The peers' door: connections that other nodes open to this one.
 
-use super::{frames, max_bytes, socket, Reply, MAX_WAITING_FRAMES};
+use super::{age, frames, max_bytes, socket, Reply, MAX_WAITING_FRAMES};
 use crate::node::Node;
 use crate::stats;
 use async_std::future::timeout;
@@ -13,7 +13,7 @@
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
-use wire::{Frame, Handshake, Hello, Proof};
+use wire::{Handshake, Hello, Proof};
 
 /// Longest time a stranger may take to prove itself.
 const PROOF_TIMEOUT: Duration = Duration::from_secs(2);
@@ -99,17 +99,15 @@
             Ok(bytes) => bytes,
             Err(error) => return error,
         };
-        let mut frame = match wire::decode(vm.as_str(), &bytes) {
-            Ok(frame) => frame,
+        let mut envelope = match wire::decode(vm.as_str(), &bytes) {
+            Ok(envelope) => envelope,
             Err(error) => {
                 stats::bad_input("peer");
                 return error;
             }
         };
-        if let Frame::Offer { sent_us, offer, .. } = &mut frame {
-            let late = delay.observe(*sent_us, node.now());
-            offer.remaining_us = offer.remaining_us.saturating_sub(late);
-        }
-        frames::take_in(node, vm, frame, reply);
+        let late_us = delay.observe(envelope.sent_us, node.now());
+        age(&mut envelope.frame, late_us);
+        frames::take_in(node, vm, envelope.frame, reply);
     }
 }
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -97,14 +97,14 @@
         .map_err(|error| Error::new(Step::Connect, peer, error))?;
     let mut socket = socket::open(stream, peer, max_bytes(node)).await?;
     let welcome = prove(node, &mut socket, peer).await?;
-    let summary = wire::encode(&Frame::Summary(node.summary()));
+    let summary = wire::encode(node.now().0, &Frame::Summary(node.summary()));
     socket::send_now(&mut socket, peer, summary).await?;
     let (tx, mut stream) = socket::split(socket, MAX_WAITING_FRAMES);
     let reply = Reply::Peer(tx);
     loop {
         let bytes = socket::receive(&mut stream, peer).await?;
-        let frame = wire::decode(peer, &bytes)?;
-        frames::take_in(node, &welcome.hello.vm, frame, &reply);
+        let envelope = wire::decode(peer, &bytes)?;
+        frames::take_in(node, &welcome.hello.vm, envelope.frame, &reply);
     }
 }
 
@@ -150,7 +150,7 @@
         up.heard.set(node.now());
         up.asked.set(None);
         let frame = match wire::decode(vm.as_str(), &bytes) {
-            Ok(frame) => frame,
+            Ok(envelope) => envelope.frame,
             Err(error) => {
                 stats::bad_input("peer");
                 return error;
--- a/components/daemon/src/links/heartbeat.rs
+++ b/components/daemon/src/links/heartbeat.rs
@@ -74,7 +74,7 @@
     if !quiet || !node.gate.borrow_mut().spend(now, Act::HEARTBEAT) {
         return;
     }
-    if push(&up.tx, &Frame::Heartbeat) {
+    if push(node, &up.tx, &Frame::Heartbeat) {
         up.asked.set(Some(now));
     }
 }
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::coordinator;
 use crate::entry_driver;
-use crate::node::Node;
+use crate::node::{Node, Questions};
 use crate::relay::{self, Relayed};
 use crate::stats;
 use async_channel::Sender;
@@ -22,7 +22,6 @@
 use keys::{ClaimReply, KeyHash};
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use std::cell::Cell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use wire::{Frame, Request, MAX_FRAME_OVERHEAD};
@@ -74,7 +73,7 @@
         match self {
             Reply::Own => frames::take_in(node, &node.cfg.vm, frame, &Reply::Own),
             Reply::Peer(tx) => {
-                if !push(tx, &frame) {
+                if !push(node, tx, &frame) {
                     tx.close();
                 }
             }
@@ -84,14 +83,7 @@
 
 /// Offers an attempt to another node.
 pub fn offer(node: &Rc<Node>, to: &Name, offer: Offer, key: Option<KeyHash>, req: Arc<Request>) {
-    let sent_us = node.now().0;
-    let frame = Frame::Offer {
-        sent_us,
-        offer,
-        key,
-        req,
-    };
-    transmit(node, to, frame);
+    transmit(node, to, Frame::Offer { offer, key, req });
 }
 
 /// Asks another node about an attempt that was sent to it.
@@ -164,7 +156,7 @@
             return;
         }
     }
-    if !push(&up.tx, &frame) {
+    if !push(node, &up.tx, &frame) {
         not_sent(node, &frame);
         return;
     }
@@ -176,8 +168,8 @@
     }
 }
 
-fn push(tx: &Sender<Vec<u8>>, frame: &Frame) -> bool {
-    let bytes = wire::encode(frame);
+fn push(node: &Node, tx: &Sender<Vec<u8>>, frame: &Frame) -> bool {
+    let bytes = wire::encode(node.now().0, frame);
     if is_control(frame) {
         stats::control_bytes(bytes.len());
     }
@@ -229,7 +221,7 @@
     }
 }
 
-fn waiting_at<T>(waiting: &HashMap<AttemptId, (T, Name)>, vm: &Name) -> Vec<AttemptId> {
+fn waiting_at<T>(waiting: &Questions<T>, vm: &Name) -> Vec<AttemptId> {
     waiting
         .iter()
         .filter(|(_, (_, at))| at == vm)
@@ -237,6 +229,16 @@
         .collect()
 }
 
+/// Takes the time that a frame spent waiting on the way off the time that is left.
+fn age(frame: &mut Frame, late_us: u64) {
+    let remaining_us = match frame {
+        Frame::Offer { offer, .. } => &mut offer.remaining_us,
+        Frame::Relay { remaining_us, .. } => remaining_us,
+        _ => return,
+    };
+    *remaining_us = remaining_us.saturating_sub(late_us);
+}
+
 /// Largest message between nodes, in bytes: a whole body or a whole set of declarations.
 fn max_bytes(node: &Node) -> usize {
     node.cfg.max_body_bytes.max(MAX_BUNDLE_BYTES) + MAX_FRAME_OVERHEAD
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -10,7 +10,7 @@
 use declarations::Service;
 use entry::{Candidate, Entry, Event, Rule};
 use home::{Home, Load};
-use keys::{ClaimReply, Claims, KeyHash, Table, KEY_WINDOW_US};
+use keys::{ClaimReply, Claims, KeyHash, Table, KEY_KEPT_US};
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::Client;
@@ -33,6 +33,12 @@
 /// The type of a whole answer in all state machines.
 pub type Whole = Arc<Answer>;
 
+/// Questions to other nodes that wait for an answer: where it goes, and who was asked.
+pub type Questions<T> = HashMap<AttemptId, (Sender<T>, Name)>;
+
+/// When a group ended, and its upstreams.
+pub type FormerGroup = (Moment, Vec<Name>);
+
 /// A request that a home duty has taken in.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -81,9 +87,9 @@
     /// Attempts that have not ended.
     pub waiters: RefCell<HashMap<AttemptId, Waiter>>,
     /// Relays that have not ended, with the node they went to.
-    pub relays: RefCell<HashMap<AttemptId, (Sender<Relayed>, Name)>>,
+    pub relays: RefCell<Questions<Relayed>>,
     /// Claims that have not been answered.
-    pub claim_waiters: RefCell<HashMap<AttemptId, (Sender<ClaimReply<Whole>>, Name)>>,
+    pub claim_waiters: RefCell<Questions<ClaimReply<Whole>>>,
     /// Counter of relays and claims.
     next_question: Cell<u64>,
     /// Connections to other nodes.
@@ -101,7 +107,7 @@
     /// Declarations in force.
     pub rollout: RefCell<Rollout>,
     /// Groups that services had within the key window, with the time of their end.
-    pub moved: RefCell<HashMap<Name, Vec<(Moment, Vec<Name>)>>>,
+    pub moved: RefCell<HashMap<Name, Vec<FormerGroup>>>,
     /// Fleet as this node sees it.
     pub view: RefCell<View>,
     /// Platform's object API.
@@ -134,11 +140,12 @@
         let clock = Clock::start();
         let boot = BootId::draw();
         let home = cfg.upstream.map(|_| {
-            Home::new(home::Config {
+            let limits = home::Config {
                 slots: cfg.slots,
                 seed: boot.0,
                 ..home::Config::default()
-            })
+            };
+            Home::new(boot, limits)
         });
         let pool = cfg
             .upstream
@@ -254,7 +261,7 @@
         let mut members = current.to_vec();
         let moved = self.moved.borrow();
         for (at, before) in moved.get(service).into_iter().flatten() {
-            if now.since(*at) > KEY_WINDOW_US {
+            if now.since(*at) > KEY_KEPT_US {
                 continue;
             }
             for vm in before {
--- a/components/daemon/src/platform_watch.rs
+++ b/components/daemon/src/platform_watch.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use async_std::task;
 use errors::{Error, Result, Step};
-use keys::{KeyHash, KEY_WINDOW_US};
+use keys::{KeyHash, KEY_KEPT_US};
 use membership::{watchers, VmList};
 use names::{Moment, Name};
 use platform::{Object, Write};
@@ -77,7 +77,7 @@
             Ok(true) => return,
             Ok(false) => {
                 tracing::warn!("the predecessor was not stopped as planned; its keys are unknown");
-                node.unclean_until.set(started + KEY_WINDOW_US);
+                node.unclean_until.set(started + KEY_KEPT_US);
                 certain(&node);
                 return;
             }
--- /dev/null
+++ b/components/entry/tests/attempts/fuzz.rs
@@ -0,0 +1,166 @@
+//! Stateful fuzzing of entry and home duties against the oracle in `world`.
+//!
+//! The seed is fixed. For long runs with other seeds see `docs/PROOFS.md`: `FUZZ_SEED` and
+//! `FUZZ_CASES` replace the seed and the number of cases.
+
+use crate::world::World;
+use home::Verdict;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
+
+const SEED: u64 = 20_261_202;
+const CASES: u32 = 1_500;
+
+/// One step of the world; numbers pick by remainder.
+#[derive(Debug, Clone)]
+enum Step {
+    Call {
+        entry: usize,
+        once: bool,
+    },
+    Deliver(usize),
+    Duplicate(usize),
+    Cut {
+        entry: usize,
+        home: usize,
+    },
+    Silent {
+        entry: usize,
+        home: usize,
+    },
+    Finish {
+        home: usize,
+        pick: usize,
+        verdict: Verdict,
+    },
+    Advance(u64),
+    Kill(usize),
+    Pause {
+        home: usize,
+        paused: bool,
+    },
+    Leave(usize),
+    Stay(usize),
+    HangUp {
+        entry: usize,
+        pick: usize,
+    },
+}
+
+/// Size of a world; the steps need no other reference state.
+#[derive(Debug, Clone)]
+struct Size {
+    entries: usize,
+    homes: usize,
+}
+
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = Size;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Size> {
+        (1..=3usize, 2..=3usize)
+            .prop_map(|(entries, homes)| Size { entries, homes })
+            .boxed()
+    }
+
+    fn transitions(_: &Size) -> BoxedStrategy<Step> {
+        let verdict = prop_oneof![
+            6 => Just(Verdict::Good),
+            1 => Just(Verdict::Error),
+            1 => Just(Verdict::Broken),
+            1 => Just(Verdict::Shed),
+            1 => Just(Verdict::NotSent),
+        ];
+        prop_oneof![
+            6 => (0..3usize, any::<bool>()).prop_map(|(entry, once)| Step::Call { entry, once }),
+            14 => (0..64usize).prop_map(Step::Deliver),
+            2 => (0..64usize).prop_map(Step::Duplicate),
+            2 => (0..3usize, 0..3usize).prop_map(|(entry, home)| Step::Cut { entry, home }),
+            1 => (0..3usize, 0..3usize).prop_map(|(entry, home)| Step::Silent { entry, home }),
+            6 => (0..3usize, 0..4usize, verdict)
+                .prop_map(|(home, pick, verdict)| Step::Finish { home, pick, verdict }),
+            3 => (1..1500u64).prop_map(Step::Advance),
+            1 => (0..3usize).prop_map(Step::Kill),
+            2 => (0..3usize, any::<bool>())
+                .prop_map(|(home, paused)| Step::Pause { home, paused }),
+            1 => (0..6usize).prop_map(Step::Leave),
+            2 => (0..6usize).prop_map(Step::Stay),
+            1 => (0..3usize, 0..8usize).prop_map(|(entry, pick)| Step::HangUp { entry, pick }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Size, _: &Step) -> Size {
+        state
+    }
+}
+
+struct Attempts;
+
+impl StateMachineTest for Attempts {
+    type SystemUnderTest = World;
+    type Reference = Reference;
+
+    fn init_test(size: &Size) -> World {
+        World::new(size.entries, size.homes)
+    }
+
+    fn apply(mut world: World, _: &Size, step: Step) -> World {
+        match step {
+            Step::Call { entry, once } => world.call(entry, once),
+            Step::Deliver(pick) => world.deliver(pick),
+            Step::Duplicate(pick) => world.duplicate(pick),
+            Step::Cut { entry, home } => world.cut(entry, home),
+            Step::Silent { entry, home } => world.silent(entry, home),
+            Step::Finish {
+                home,
+                pick,
+                verdict,
+            } => world.finish(home, pick, verdict),
+            Step::Advance(ms) => world.advance(ms),
+            Step::Kill(home) => world.kill(home),
+            Step::Pause { home, paused } => world.pause(home, paused),
+            Step::Leave(home) => world.leave(home),
+            Step::Stay(home) => world.stay(home),
+            Step::HangUp { entry, pick } => world.hang_up(entry, pick),
+        }
+        world
+    }
+
+    fn check_invariants(world: &World, _: &Size) {
+        world.check();
+    }
+
+    fn teardown(mut world: World, _: Size) {
+        world.settle();
+        world.check();
+        world.check_settled();
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn config() -> Config {
+    Config {
+        cases: number("FUZZ_CASES", CASES.into()) as u32,
+        rng_seed: RngSeed::Fixed(number("FUZZ_SEED", SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_caller_hears_the_truth_whatever_happens_to_messages_and_nodes(sequential 1..150 => Attempts);
+}
--- /dev/null
+++ b/components/entry/tests/attempts/main.rs
@@ -0,0 +1,5 @@
+//! Entry and home duties under lost, late, doubled and reordered messages.
+
+mod fuzz;
+mod regressions;
+mod world;
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -4,7 +4,7 @@
 use crate::limit::{Limit, Verdict};
 use crate::message::{AskReply, Load, Offer, Reason, Refusal};
 use crate::record::{Known, Record, Records};
-use names::{AttemptId, Moment, MILLISECOND, SECOND};
+use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -81,6 +81,7 @@
 /// The home duty of one upstream. `A` is the type of a whole answer.
 #[derive(Debug)]
 pub struct Home<A> {
+    boot: BootId,
     cfg: Config,
     limit: Limit,
     running: HashMap<AttemptId, Attempt<Started>>,
@@ -94,10 +95,11 @@
 }
 
 impl<A: Clone> Home<A> {
-    /// A home duty with nothing running.
-    pub fn new(cfg: Config) -> Home<A> {
+    /// A home duty of the given boot with nothing running.
+    pub fn new(boot: BootId, cfg: Config) -> Home<A> {
         assert!(cfg.slots > 0, "an upstream has at least one slot");
         Home {
+            boot,
             limit: Limit::new(cfg.slots),
             records: Records::new(cfg.max_records, cfg.max_answers, cfg.keep_us),
             rng: SmallRng::seed_from_u64(cfg.seed),
@@ -132,8 +134,12 @@
     }
 
     /// Answers a question about an attempt. Asking is fencing: an attempt that has not started is
-    /// recorded as not run and can't start afterwards.
-    pub fn ask(&mut self, now: Moment, id: AttemptId) -> AskReply<A> {
+    /// recorded as not run and can't start afterwards. `boot` is the boot to which the attempt was
+    /// offered; another boot knows nothing of it.
+    pub fn ask(&mut self, now: Moment, id: AttemptId, boot: BootId) -> AskReply<A> {
+        if boot != self.boot {
+            return AskReply::Forgotten;
+        }
         if self.running.contains_key(&id) {
             return AskReply::Started;
         }
--- a/components/keys/src/claims.rs
+++ b/components/keys/src/claims.rs
@@ -1,6 +1,6 @@
 //! The record of keys at the node beside an upstream: who may run a key here, and whether it ran.
 
-use crate::table::{KeyHash, KEY_WINDOW_US};
+use crate::table::{KeyHash, KEY_KEPT_US};
 use names::{AttemptId, BootId, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
@@ -145,7 +145,7 @@
 
     fn forget(&mut self, now: Moment) {
         while let Some((at, key)) = self.order.front().copied() {
-            if now.since(at) <= KEY_WINDOW_US {
+            if now.since(at) <= KEY_KEPT_US {
                 return;
             }
             self.order.pop_front();
--- a/components/keys/src/lib.rs
+++ b/components/keys/src/lib.rs
@@ -9,8 +9,10 @@
 
 mod claims;
 mod rank;
+mod standing;
 mod table;
 
 pub use claims::{ClaimReply, Claims};
 pub use rank::ranked;
-pub use table::{Begin, End, KeyHash, Table, KEY_WINDOW_US};
+pub use standing::{combine, Standing};
+pub use table::{Begin, End, KeyHash, Table, KEY_DEADLINE_US, KEY_KEPT_US, KEY_WINDOW_US};
--- a/components/keys/src/table.rs
+++ b/components/keys/src/table.rs
@@ -9,6 +9,11 @@
 /// How long a key is remembered after its use, in microseconds. A caller that repeats a request
 /// later than this uses the key against the callers' contract.
 pub const KEY_WINDOW_US: u64 = 120 * SECOND;
+/// Longest deadline of a request that carries a key, in microseconds: a repeat at the end of the
+/// window may be at work for so long.
+pub const KEY_DEADLINE_US: u64 = 30 * SECOND;
+/// How long records of a key are kept, in microseconds.
+pub const KEY_KEPT_US: u64 = KEY_WINDOW_US + KEY_DEADLINE_US;
 
 /// A key within its service, hashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -165,7 +170,7 @@
 
     fn forget(&mut self, now: Moment) {
         while let Some((at, key)) = self.ended.front().copied() {
-            if now.since(at) <= KEY_WINDOW_US {
+            if now.since(at) <= KEY_KEPT_US {
                 return;
             }
             self.ended.pop_front();
--- /dev/null
+++ b/components/keys/tests/keys/fuzz.rs
@@ -0,0 +1,127 @@
+//! Stateful fuzzing of idempotency keys against the oracle in `world`. `FUZZ_SEED` and
+//! `FUZZ_CASES` replace the fixed seed and the number of cases.
+
+use crate::world::World;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
+
+const SEED: u64 = 20_261_202;
+const CASES: u32 = 1_500;
+
+/// One step of the world; numbers pick by remainder.
+#[derive(Debug, Clone)]
+enum Step {
+    Request {
+        fresh: bool,
+        pick: usize,
+        rank: usize,
+    },
+    Deliver {
+        pick: usize,
+        busy: bool,
+    },
+    GiveUpOn(usize),
+    Kill(usize),
+    ReplaceFrozen(usize),
+    Restart(usize),
+    Pause(usize),
+    Thaw(usize),
+    Confirm(usize),
+    Advance(u64),
+}
+
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = usize;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<usize> {
+        (2..=4usize).boxed()
+    }
+
+    fn transitions(_: &usize) -> BoxedStrategy<Step> {
+        let request = (
+            any::<bool>(),
+            0..8usize,
+            prop_oneof![3 => Just(0usize), 2 => 1..3usize],
+        );
+        prop_oneof![
+            6 => request.prop_map(|(fresh, pick, rank)| Step::Request {
+                fresh: fresh && pick % 2 == 0,
+                pick,
+                rank,
+            }),
+            24 => (0..64usize, prop::bool::weighted(0.2))
+                .prop_map(|(pick, busy)| Step::Deliver { pick, busy }),
+            2 => (0..64usize).prop_map(Step::GiveUpOn),
+            2 => (0..4usize).prop_map(Step::Kill),
+            1 => (0..4usize).prop_map(Step::ReplaceFrozen),
+            2 => (0..4usize).prop_map(Step::Restart),
+            2 => (0..4usize).prop_map(Step::Pause),
+            2 => (0..4usize).prop_map(Step::Thaw),
+            2 => (0..4usize).prop_map(Step::Confirm),
+            2 => (1..80u64).prop_map(Step::Advance),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: usize, _: &Step) -> usize {
+        state
+    }
+}
+
+struct Keys;
+
+impl StateMachineTest for Keys {
+    type SystemUnderTest = World;
+    type Reference = Reference;
+
+    fn init_test(vms: &usize) -> World {
+        World::new(*vms)
+    }
+
+    fn apply(mut world: World, _: &usize, step: Step) -> World {
+        match step {
+            Step::Request { fresh, pick, rank } => world.request(fresh, pick, rank),
+            Step::Deliver { pick, busy } => world.deliver(pick, busy),
+            Step::GiveUpOn(pick) => world.give_up_on(pick),
+            Step::Kill(vm) => world.kill(vm),
+            Step::ReplaceFrozen(vm) => world.replace_frozen(vm),
+            Step::Restart(vm) => world.restart(vm),
+            Step::Pause(vm) => world.pause(vm),
+            Step::Thaw(pick) => world.thaw(pick),
+            Step::Confirm(vm) => world.confirm(vm),
+            Step::Advance(seconds) => world.advance(seconds),
+        }
+        world
+    }
+
+    fn check_invariants(world: &World, _: &usize) {
+        world.check();
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn config() -> Config {
+    Config {
+        cases: number("FUZZ_CASES", CASES.into()) as u32,
+        rng_seed: RngSeed::Fixed(number("FUZZ_SEED", SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_key_runs_at_most_once_whatever_happens_to_messages_and_nodes(sequential 1..200 => Keys);
+}
--- /dev/null
+++ b/components/keys/tests/keys/world.rs
@@ -0,0 +1,630 @@
+//! Nodes of one service that coordinate idempotency keys over messages that may be delayed, lost
+//! and reordered, and an oracle that counts runs.
+
+use keys::{
+    combine, ranked, Begin, ClaimReply, Claims, End, KeyHash, Standing, Table, KEY_KEPT_US,
+    KEY_WINDOW_US,
+};
+use names::{AttemptId, BootId, Moment, Name, SECOND};
+use std::collections::{BTreeMap, HashMap};
+
+/// A key's number; also its answer.
+pub type Key = u64;
+type Told = Option<Outcome>;
+
+/// A request or an offer that was longer on the way is past its caller's deadline: the receiver
+/// sees that from the times of sending.
+const DEADLINE_US: u64 = 5 * SECOND;
+
+/// What a request was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Answered,
+    NotRun,
+    Unknown,
+}
+
+#[derive(Debug, Clone)]
+enum Body {
+    Relay {
+        request: usize,
+    },
+    Claim {
+        key: Key,
+    },
+    Claimed {
+        key: Key,
+        from: usize,
+        reply: ClaimReply<Key>,
+    },
+    Offer {
+        key: Key,
+        id: AttemptId,
+    },
+    Offered {
+        key: Key,
+        from: usize,
+        reply: OfferReply,
+    },
+    Release {
+        key: Key,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OfferReply {
+    Ran,
+    Busy,
+    KeyUsed,
+    Uncertain,
+}
+
+/// From one boot to another: a message for a boot that is gone is lost.
+#[derive(Debug, Clone)]
+struct Message {
+    from: BootId,
+    to: BootId,
+    sent: Moment,
+    body: Body,
+}
+
+struct Work {
+    began: Moment,
+    claimed: bool,
+    waiting: Vec<usize>,
+    replies: Vec<ClaimReply<Key>>,
+    candidates: Vec<usize>,
+    contacted: bool,
+    requests: Vec<usize>,
+}
+
+struct Node {
+    vm: usize,
+    boot: BootId,
+    table: Table<Key>,
+    claims: Claims,
+    works: BTreeMap<Key, Work>,
+    ran: HashMap<AttemptId, Key>,
+    paused: bool,
+    /// Not the latest boot of its VM any more.
+    replaced: bool,
+    unclean_until: Moment,
+    next_seq: u64,
+}
+
+struct Request {
+    key: Key,
+    told: Told,
+}
+
+/// The world.
+pub struct World {
+    now: Moment,
+    vms: usize,
+    nodes: Vec<Node>,
+    pool: Vec<Message>,
+    requests: Vec<Request>,
+    first_use: BTreeMap<Key, Moment>,
+    runs: HashMap<Key, u32>,
+    next_key: Key,
+    next_boot: u64,
+}
+
+impl World {
+    /// A service with `vms` upstreams.
+    pub fn new(vms: usize) -> World {
+        let mut world = World {
+            now: Moment(1),
+            vms,
+            nodes: Vec::new(),
+            pool: Vec::new(),
+            requests: Vec::new(),
+            first_use: BTreeMap::new(),
+            runs: HashMap::new(),
+            next_key: 1,
+            next_boot: 1,
+        };
+        for vm in 0..vms {
+            let node = world.node(vm);
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    /// A caller uses a key, new or used within its window, through the `rank`th of its ranking.
+    pub fn request(&mut self, fresh: bool, pick: usize, rank: usize) {
+        let usable: Vec<Key> = self
+            .first_use
+            .iter()
+            .filter(|(_, at)| self.now.since(**at) < KEY_WINDOW_US)
+            .map(|(key, _)| *key)
+            .collect();
+        let key = match usable.get(pick % usable.len().max(1)) {
+            Some(key) if !fresh => *key,
+            _ => {
+                self.next_key += 1;
+                self.next_key
+            }
+        };
+        self.first_use.entry(key).or_insert(self.now);
+        let request = self.requests.len();
+        self.requests.push(Request { key, told: None });
+        let vm = self.ranking(key)[rank % self.vms.min(3)];
+        let to = self.latest(vm).boot;
+        self.send(BootId(0), to, Body::Relay { request });
+    }
+
+    /// A message arrives; a busy upstream refuses an offer.
+    pub fn deliver(&mut self, pick: usize, busy: bool) {
+        if self.pool.is_empty() {
+            return;
+        }
+        let message = self.pool.remove(pick % self.pool.len());
+        let Some(index) = self.nodes.iter().position(|node| node.boot == message.to) else {
+            self.bounce(message);
+            return;
+        };
+        if self.nodes[index].paused {
+            self.pool.push(message);
+            return;
+        }
+        self.arrive(index, message, busy);
+    }
+
+    /// A message is taken for lost by its sender, and may arrive all the same.
+    pub fn give_up_on(&mut self, pick: usize) {
+        if self.pool.is_empty() {
+            return;
+        }
+        let message = self.pool[pick % self.pool.len()].clone();
+        self.bounce(message);
+    }
+
+    /// A VM fails and is replaced; nothing is handed over.
+    pub fn kill(&mut self, vm: usize) {
+        let vm = vm % self.vms;
+        self.nodes.retain(|node| node.vm != vm || node.replaced);
+        self.replace(vm);
+    }
+
+    /// A frozen VM is taken for dead and replaced; it may thaw later.
+    pub fn replace_frozen(&mut self, vm: usize) {
+        let vm = vm % self.vms;
+        let index = self.latest_index(vm);
+        if self.nodes[index].paused {
+            self.nodes[index].replaced = true;
+            self.replace(vm);
+        }
+    }
+
+    /// A planned stop: waits for its work, hands its keys over.
+    pub fn restart(&mut self, vm: usize) {
+        let vm = vm % self.vms;
+        let index = self.latest_index(vm);
+        let node = &self.nodes[index];
+        let known = !node.claims.is_uncertain(self.now);
+        if node.paused || !node.works.is_empty() || !known {
+            return;
+        }
+        let mut keys: Vec<KeyHash> = node.table.hand_over().collect();
+        keys.extend(node.claims.hand_over());
+        self.nodes.remove(index);
+        let mut successor = self.node(vm);
+        successor.table.take_over(self.now, &keys);
+        successor.claims.take_over(self.now, &keys);
+        self.nodes.push(successor);
+    }
+
+    /// A node is frozen.
+    pub fn pause(&mut self, vm: usize) {
+        let index = self.latest_index(vm % self.vms);
+        self.nodes[index].paused = true;
+    }
+
+    /// A frozen node thaws; it notices the pause before it acts.
+    pub fn thaw(&mut self, pick: usize) {
+        let frozen: Vec<usize> = (0..self.nodes.len())
+            .filter(|index| self.nodes[*index].paused)
+            .collect();
+        if let Some(index) = frozen.get(pick % frozen.len().max(1)) {
+            let node = &mut self.nodes[*index];
+            node.paused = false;
+            node.claims.uncertain_until(Moment(u64::MAX));
+        }
+    }
+
+    /// The platform tells a node that thawed whether it is the latest boot.
+    pub fn confirm(&mut self, vm: usize) {
+        let index = self.latest_index(vm % self.vms);
+        let node = &mut self.nodes[index];
+        if !node.paused {
+            node.claims.certain();
+            node.claims.uncertain_until(node.unclean_until);
+        }
+    }
+
+    /// Time passes.
+    pub fn advance(&mut self, seconds: u64) {
+        self.now = self.now + seconds * SECOND;
+        for index in 0..self.nodes.len() {
+            let late: Vec<Key> = self.nodes[index]
+                .works
+                .iter()
+                .filter(|(_, work)| self.now.since(work.began) > DEADLINE_US)
+                .map(|(key, _)| *key)
+                .collect();
+            for key in late {
+                self.end(index, key, Outcome::Unknown);
+            }
+        }
+    }
+
+    /// At most one run for each key.
+    pub fn check(&self) {
+        for (key, runs) in &self.runs {
+            assert!(*runs <= 1, "key {key} ran {runs} times");
+        }
+    }
+
+    fn node(&mut self, vm: usize) -> Node {
+        self.next_boot += 1;
+        Node {
+            vm,
+            boot: BootId(self.next_boot),
+            table: Table::new(100, 2),
+            claims: Claims::new(100),
+            works: BTreeMap::new(),
+            ran: HashMap::new(),
+            paused: false,
+            replaced: false,
+            unclean_until: Moment(0),
+            next_seq: 0,
+        }
+    }
+
+    fn replace(&mut self, vm: usize) {
+        let mut successor = self.node(vm);
+        successor.unclean_until = self.now + KEY_KEPT_US;
+        successor.claims.uncertain_until(successor.unclean_until);
+        self.nodes.push(successor);
+    }
+
+    fn latest_index(&self, vm: usize) -> usize {
+        self.nodes
+            .iter()
+            .position(|node| node.vm == vm && !node.replaced)
+            .expect("each VM has a latest boot")
+    }
+
+    fn latest(&self, vm: usize) -> &Node {
+        &self.nodes[self.latest_index(vm)]
+    }
+
+    fn names(&self) -> Vec<Name> {
+        (0..self.vms).map(name).collect()
+    }
+
+    fn ranking(&self, key: Key) -> Vec<usize> {
+        ranked(&"s".into(), &key.to_string(), &self.names())
+            .iter()
+            .map(index_of)
+            .collect()
+    }
+
+    fn standing(&self, index: usize, key: Key) -> Standing {
+        let node = &self.nodes[index];
+        Standing {
+            me: name(node.vm),
+            ranking: ranked(&"s".into(), &key.to_string(), &self.names()),
+            members: self.names(),
+            uncertain: node.claims.is_uncertain(self.now),
+        }
+    }
+
+    fn send(&mut self, from: BootId, to: BootId, body: Body) {
+        let sent = self.now;
+        self.pool.push(Message {
+            from,
+            to,
+            sent,
+            body,
+        });
+    }
+
+    fn arrive(&mut self, index: usize, message: Message, busy: bool) {
+        let Message {
+            from,
+            to,
+            sent,
+            body,
+        } = message;
+        let expired = self.now.since(sent) > DEADLINE_US;
+        match body {
+            Body::Relay { request } if expired => self.tell(request, Outcome::Unknown),
+            Body::Relay { request } => self.relayed(index, request),
+            Body::Claim { key } => {
+                let reply = self.grant(index, key, from);
+                let vm = self.nodes[index].vm;
+                self.send(
+                    to,
+                    from,
+                    Body::Claimed {
+                        key,
+                        from: vm,
+                        reply,
+                    },
+                );
+            }
+            Body::Claimed { key, from, reply } => self.claimed(index, key, from, reply),
+            Body::Offer { key, id } => {
+                let reply = self.offered(index, key, id, busy || expired);
+                let vm = self.nodes[index].vm;
+                self.send(
+                    to,
+                    from,
+                    Body::Offered {
+                        key,
+                        from: vm,
+                        reply,
+                    },
+                );
+            }
+            Body::Offered { key, from, reply } => self.offer_ended(index, key, from, reply),
+            Body::Release { key } => self.nodes[index].claims.released(hash(key), from),
+        }
+    }
+
+    /// What a sender makes of a message that was not answered.
+    fn bounce(&mut self, message: Message) {
+        let sender = self.nodes.iter().position(|node| node.boot == message.from);
+        match message.body {
+            Body::Relay { request } => self.tell(request, Outcome::Unknown),
+            Body::Claim { key } => {
+                if let (Some(sender), Some(vm)) = (sender, self.vm_of(message.to)) {
+                    self.claimed(sender, key, vm, ClaimReply::Uncertain);
+                }
+            }
+            Body::Offer { key, .. } => {
+                if let Some(sender) = sender {
+                    self.end(sender, key, Outcome::Unknown);
+                }
+            }
+            Body::Claimed { .. } | Body::Offered { .. } | Body::Release { .. } => {}
+        }
+    }
+
+    /// The VM of a boot that may be gone: any will do for an answer that says nothing.
+    fn vm_of(&self, boot: BootId) -> Option<usize> {
+        let node = self.nodes.iter().find(|node| node.boot == boot);
+        node.map(|node| node.vm)
+    }
+
+    fn relayed(&mut self, index: usize, request: usize) {
+        let key = self.requests[request].key;
+        let standing = self.standing(index, key);
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        match node.table.begin(now, hash(key), standing.must_claim()) {
+            Begin::Join => {
+                let work = node.works.get_mut(&key).expect("a running key has work");
+                work.requests.push(request);
+            }
+            Begin::Replay(answer) => {
+                assert_eq!(answer, key, "the answer of another key");
+                self.tell(request, Outcome::Answered);
+            }
+            Begin::Unknown | Begin::Full => self.tell(request, Outcome::Unknown),
+            Begin::Run => {
+                self.start_work(index, key, request, &standing, false);
+                self.offer_next(index, key);
+            }
+            Begin::Claim => {
+                self.start_work(index, key, request, &standing, true);
+                self.claim_all(index, key, &standing);
+            }
+        }
+    }
+
+    fn start_work(
+        &mut self,
+        index: usize,
+        key: Key,
+        request: usize,
+        standing: &Standing,
+        claimed: bool,
+    ) {
+        let candidates = standing
+            .members
+            .iter()
+            .filter(|vm| standing.may_run_at(vm))
+            .map(index_of)
+            .collect();
+        let work = Work {
+            began: self.now,
+            claimed,
+            waiting: Vec::new(),
+            replies: Vec::new(),
+            candidates,
+            contacted: false,
+            requests: vec![request],
+        };
+        self.nodes[index].works.insert(key, work);
+    }
+
+    fn claim_all(&mut self, index: usize, key: Key, standing: &Standing) {
+        let asked: Vec<usize> = standing.asked().map(index_of).collect();
+        let (me, boot) = (self.nodes[index].vm, self.nodes[index].boot);
+        let work = self.nodes[index].works.get_mut(&key).expect("just made");
+        work.waiting = asked.clone();
+        for vm in asked {
+            if vm == me {
+                let reply = self.grant(index, key, boot);
+                self.claimed(index, key, vm, reply);
+            } else {
+                let to = self.latest(vm).boot;
+                self.send(boot, to, Body::Claim { key });
+            }
+        }
+    }
+
+    fn grant(&mut self, index: usize, key: Key, by: BootId) -> ClaimReply<Key> {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let (reply, ran) = node.claims.claim(now, hash(key), by);
+        match reply {
+            ClaimReply::Granted => ClaimReply::Granted,
+            ClaimReply::Held => ClaimReply::Held,
+            ClaimReply::Uncertain => ClaimReply::Uncertain,
+            ClaimReply::Ran | ClaimReply::Answered(()) => ran
+                .and_then(|id| node.ran.get(&id).copied())
+                .map_or(ClaimReply::Ran, ClaimReply::Answered),
+        }
+    }
+
+    fn claimed(&mut self, index: usize, key: Key, from: usize, reply: ClaimReply<Key>) {
+        let Some(work) = self.nodes[index].works.get_mut(&key) else {
+            return;
+        };
+        let Some(position) = work.waiting.iter().position(|vm| *vm == from) else {
+            return;
+        };
+        work.waiting.remove(position);
+        work.replies.push(reply);
+        if !work.waiting.is_empty() {
+            return;
+        }
+        match combine(work.replies.drain(..)) {
+            ClaimReply::Granted => self.offer_next(index, key),
+            ClaimReply::Answered(answer) => {
+                assert_eq!(answer, key, "the answer of another key");
+                self.release(index, key);
+                self.end(index, key, Outcome::Answered);
+            }
+            _ => {
+                self.release(index, key);
+                self.end(index, key, Outcome::Unknown);
+            }
+        }
+    }
+
+    fn offer_next(&mut self, index: usize, key: Key) {
+        let node = &mut self.nodes[index];
+        let work = node.works.get_mut(&key).expect("it is being worked on");
+        let (claimed, contacted) = (work.claimed, work.contacted);
+        let Some(vm) = work.candidates.pop() else {
+            let outcome = if contacted {
+                Outcome::NotRun
+            } else {
+                Outcome::Unknown
+            };
+            if claimed && contacted {
+                self.release(index, key);
+            }
+            self.end(index, key, outcome);
+            return;
+        };
+        let id = AttemptId {
+            boot: node.boot,
+            seq: node.next_seq,
+        };
+        node.next_seq += 1;
+        let from = node.boot;
+        let to = self.latest(vm).boot;
+        self.send(from, to, Body::Offer { key, id });
+    }
+
+    fn offered(&mut self, index: usize, key: Key, id: AttemptId, busy: bool) -> OfferReply {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        match node.claims.claim(now, hash(key), id.boot).0 {
+            ClaimReply::Granted if busy => OfferReply::Busy,
+            ClaimReply::Granted => {
+                node.claims.started(hash(key), id);
+                node.ran.insert(id, key);
+                self.ran(key);
+                OfferReply::Ran
+            }
+            ClaimReply::Uncertain => OfferReply::Uncertain,
+            _ => OfferReply::KeyUsed,
+        }
+    }
+
+    /// A key may run only for a request that nobody was told was not run.
+    fn ran(&mut self, key: Key) {
+        *self.runs.entry(key).or_insert(0) += 1;
+        let wanted = self
+            .requests
+            .iter()
+            .any(|request| request.key == key && request.told != Some(Outcome::NotRun));
+        assert!(wanted, "key {key} ran after every request was told not-run");
+    }
+
+    fn offer_ended(&mut self, index: usize, key: Key, _from: usize, reply: OfferReply) {
+        let Some(work) = self.nodes[index].works.get_mut(&key) else {
+            return;
+        };
+        match reply {
+            OfferReply::Ran => self.end(index, key, Outcome::Answered),
+            OfferReply::KeyUsed => self.end(index, key, Outcome::Unknown),
+            OfferReply::Busy => {
+                work.contacted = true;
+                self.offer_next(index, key);
+            }
+            OfferReply::Uncertain => self.offer_next(index, key),
+        }
+    }
+
+    fn release(&mut self, index: usize, key: Key) {
+        let (me, boot) = (self.nodes[index].vm, self.nodes[index].boot);
+        for vm in 0..self.vms {
+            if vm == me {
+                self.nodes[index].claims.released(hash(key), boot);
+            } else {
+                let to = self.latest(vm).boot;
+                self.send(boot, to, Body::Release { key });
+            }
+        }
+    }
+
+    fn end(&mut self, index: usize, key: Key, outcome: Outcome) {
+        let now = self.now;
+        let Some(work) = self.nodes[index].works.remove(&key) else {
+            return;
+        };
+        let end = match outcome {
+            Outcome::Answered => End::Answered(key),
+            Outcome::NotRun => End::NotRun,
+            Outcome::Unknown => End::Unknown,
+        };
+        self.nodes[index].table.end(now, hash(key), end);
+        for request in work.requests {
+            self.tell(request, outcome);
+        }
+    }
+
+    fn tell(&mut self, request: usize, outcome: Outcome) {
+        let key = self.requests[request].key;
+        let runs = self.runs.get(&key).copied().unwrap_or(0);
+        match outcome {
+            Outcome::NotRun => assert_eq!(runs, 0, "key {key} ran and was told not-run"),
+            Outcome::Answered => assert_eq!(runs, 1, "key {key} was answered and did not run"),
+            Outcome::Unknown => {}
+        }
+        self.requests[request].told.get_or_insert(outcome);
+    }
+}
+
+fn hash(key: Key) -> KeyHash {
+    KeyHash::new(&"s".into(), &key.to_string())
+}
+
+fn name(vm: usize) -> Name {
+    Name::from(format!("vm-{vm}"))
+}
+
+fn index_of(vm: &Name) -> usize {
+    vm.as_str()
+        .trim_start_matches("vm-")
+        .parse()
+        .expect("a VM of this world")
+}
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -29,8 +29,6 @@
 pub enum Frame {
     /// Entry to home: run this.
     Offer {
-        /// Send time on the sender's monotonic clock, in microseconds.
-        sent_us: u64,
         /// The offer.
         offer: Offer,
         /// Idempotency key of the request, hashed.
@@ -152,14 +150,24 @@
     Vms(Arc<VmList>),
 }
 
-/// Encodes a frame.
-pub fn encode(frame: &Frame) -> Vec<u8> {
+/// A frame with its send time on the sender's monotonic clock, in microseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope<F> {
+    /// When it was sent.
+    pub sent_us: u64,
+    /// The frame.
+    pub frame: F,
+}
+
+/// Encodes a frame that is sent now.
+pub fn encode(sent_us: u64, frame: &Frame) -> Vec<u8> {
     let mut buf = Vec::with_capacity(512);
-    ciborium::into_writer(frame, &mut buf).expect("a frame always encodes");
+    let envelope = Envelope { sent_us, frame };
+    ciborium::into_writer(&envelope, &mut buf).expect("a frame always encodes");
     buf
 }
 
 /// Decodes a frame that came from `peer`.
-pub fn decode(peer: &str, bytes: &[u8]) -> Result<Frame> {
+pub fn decode(peer: &str, bytes: &[u8]) -> Result<Envelope<Frame>> {
     ciborium::from_reader(bytes).map_err(|error| Error::new(Step::Frame, peer, error))
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -4,7 +4,7 @@
 mod handshake;
 mod http;
 
-pub use frame::{decode, encode, Frame, RelayOutcome, MAX_FRAME_OVERHEAD};
+pub use frame::{decode, encode, Envelope, Frame, RelayOutcome, MAX_FRAME_OVERHEAD};
 pub use handshake::{
     decode_message, encode_message, Handshake, Hello, Proof, Welcome, PROTOCOL_VERSION,
 };
