A node that replaced a crashed one learns its predecessor's keys from the other nodes

Ruled out: a shorter window (the callers' contract), a copy in the platform (calls for each key). Change: every key that ran at the predecessor's upstream is known to its coordinator, and every key it coordinated is known where it ran; the new boot asks the other nodes of its groups, which from then on take nothing from the old boot. A coordinator never runs a key on its own upstream.

--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -16,20 +16,21 @@
 use rollout::InForce;
 use std::future::pending;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use wire::{Frame, RelayOutcome};
 
 /// Longest wait for another node to grant a key.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time between two looks for a revision that another node has already, and their number.
+const REVISION_LOOK: Duration = Duration::from_millis(20);
+const REVISION_LOOKS: u32 = 25;
 
 /// Carries one request through.
 pub async fn carry_through(node: &Rc<Node>, relay: Relay) -> RelayOutcome {
-    let Some(in_force) = node.in_force() else {
-        return RelayOutcome::Unknown(Reason::NoConfiguration);
-    };
-    if in_force.configuration.head.revision < relay.revision {
+    let Some(in_force) = revision(node, relay.revision).await else {
         return RelayOutcome::Unknown(Reason::NotCoordinator);
-    }
+    };
     let Some(ranking) = ranking(&in_force, &relay.req.service, &relay.key) else {
         return RelayOutcome::Unknown(Reason::NotCoordinator);
     };
@@ -52,6 +53,19 @@
     work.run().await
 }
 
+/// The revision in force, once it is at least `revision`: the sender may have it a little earlier.
+async fn revision(node: &Rc<Node>, revision: u64) -> Option<Arc<InForce>> {
+    for _ in 0..REVISION_LOOKS {
+        if let Some(in_force) = node.in_force() {
+            if in_force.configuration.head.revision >= revision {
+                return Some(in_force);
+            }
+        }
+        async_std::task::sleep(REVISION_LOOK).await;
+    }
+    None
+}
+
 /// Notes which services' groups differ between two revisions: their keys may have moved.
 pub fn groups_changed(node: &Rc<Node>, before: Option<&InForce>, after: &InForce) {
     let Some(before) = before else {
@@ -75,8 +89,8 @@
 }
 
 /// Another coordinator asks this node for a key.
-pub fn claim(node: &Rc<Node>, id: AttemptId, key: KeyHash, reply: &Reply) {
-    let granted = grant(node, key, id.boot);
+pub fn claim(node: &Rc<Node>, from: &Name, id: AttemptId, key: KeyHash, reply: &Reply) {
+    let granted = grant(node, key, from, id.boot);
     reply.send(node, Frame::Claimed { id, reply: granted });
 }
 
@@ -87,12 +101,12 @@
     }
 }
 
-fn grant(node: &Rc<Node>, key: KeyHash, by: BootId) -> ClaimReply<Whole> {
+fn grant(node: &Rc<Node>, key: KeyHash, vm: &Name, by: BootId) -> ClaimReply<Whole> {
     let now = node.now();
     if node.was_paused() {
         platform_watch::paused(node);
     }
-    let (reply, ran) = node.claims.borrow_mut().claim(now, key, by);
+    let (reply, ran) = node.claims.borrow_mut().claim(now, key, vm, by);
     match reply {
         ClaimReply::Granted => ClaimReply::Granted,
         ClaimReply::Held => ClaimReply::Held,
@@ -159,7 +173,7 @@
     async fn claim_one(&self, vm: &Name) -> ClaimReply<Whole> {
         let node = self.node;
         if *vm == node.cfg.vm {
-            return grant(node, self.key, node.boot);
+            return grant(node, self.key, vm, node.boot);
         }
         let (tx, rx) = async_channel::bounded(1);
         let id = node.next_question();
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -10,7 +10,7 @@
 use futures_util::future::{select, Either};
 use home::{Action, AskReply, Home, Offer, Reason, Refusal, Verdict};
 use keys::{ClaimReply, KeyHash};
-use names::{AttemptId, BootId, MILLISECOND};
+use names::{AttemptId, BootId, Name, MILLISECOND};
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,10 +26,17 @@
 /// Time between two looks at an empty queue.
 const IDLE_TICK: Duration = Duration::from_millis(20);
 
-/// Takes in an offer and does what the home duty decides.
-pub fn offer(node: &Rc<Node>, offer: Offer, key: Option<KeyHash>, req: Arc<Request>, reply: Reply) {
+/// Takes in an offer of the node at `from` and does what the home duty decides.
+pub fn offer(
+    node: &Rc<Node>,
+    from: &Name,
+    offer: Offer,
+    key: Option<KeyHash>,
+    req: Arc<Request>,
+    reply: Reply,
+) {
     let now = node.now();
-    if let Some(reason) = barred(node, &offer, key) {
+    if let Some(reason) = barred(node, from, &offer, key) {
         refuse_at_door(node, offer.id, reason, &reply);
         return;
     }
@@ -46,7 +53,7 @@
 }
 
 /// Why an attempt is refused before the home duty sees it.
-fn barred(node: &Rc<Node>, offer: &Offer, key: Option<KeyHash>) -> Option<Reason> {
+fn barred(node: &Rc<Node>, from: &Name, offer: &Offer, key: Option<KeyHash>) -> Option<Reason> {
     if node.home.borrow().is_none() {
         return Some(Reason::NoUpstream);
     }
@@ -55,7 +62,11 @@
         platform_watch::paused(node);
     }
     let now = node.now();
-    match node.claims.borrow_mut().claim(now, key, offer.id.boot).0 {
+    let claim = node
+        .claims
+        .borrow_mut()
+        .claim(now, key, from, offer.id.boot);
+    match claim.0 {
         ClaimReply::Granted => None,
         ClaimReply::Uncertain => Some(Reason::Uncertain),
         _ => Some(Reason::KeyUsed),
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod operators;
 mod platform_watch;
+mod recovery;
 mod relay;
 mod stats;
 mod stop;
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -3,7 +3,7 @@
 use super::Reply;
 use crate::entry_driver::{deliver, reported};
 use crate::node::Node;
-use crate::{configuration, coordinator, home_driver, relay};
+use crate::{configuration, coordinator, home_driver, recovery, relay};
 use entry::Event;
 use home::AskReply;
 use names::Name;
@@ -15,9 +15,11 @@
     match frame {
         Frame::Offer {
             offer, key, req, ..
-        } => home_driver::offer(node, offer, key, req, reply.clone()),
-        Frame::Claim { id, key } => coordinator::claim(node, id, key, reply),
+        } => home_driver::offer(node, from, offer, key, req, reply.clone()),
+        Frame::Claim { id, key } => coordinator::claim(node, from, id, key, reply),
         Frame::Claimed { id, reply } => coordinator::claimed(node, id, reply),
+        Frame::Recover { id } => recovery::asked(node, from, id, reply),
+        Frame::Recovered { id, keys } => recovery::answered(node, id, keys),
         Frame::Release { by, key } => node.claims.borrow_mut().released(key, by),
         Frame::Ask { id, boot } => home_driver::ask(node, id, boot, reply.clone()),
         Frame::Cancel { id } => home_driver::cancel(node, id),
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -13,6 +13,7 @@
 use crate::coordinator;
 use crate::entry_driver;
 use crate::node::{Node, Questions};
+use crate::recovery;
 use crate::relay::{self, Relayed};
 use crate::stats;
 use async_channel::Sender;
@@ -191,6 +192,7 @@
         }
         Frame::Ask { id, .. } => entry_driver::deliver(node, *id, Event::Gone(*id)),
         Frame::Relay { id, .. } => relay::relayed(node, *id, Relayed::NotSent),
+        Frame::Recover { id } => recovery::answered(node, *id, None),
         Frame::Claim { id, .. } => coordinator::claimed(node, *id, ClaimReply::Uncertain),
         _ => {}
     }
@@ -211,7 +213,7 @@
     questions_lost(node, vm);
 }
 
-/// Ends the relays and claims that wait for an answer of `vm`.
+/// Ends the questions that wait for an answer of `vm`.
 fn questions_lost(node: &Rc<Node>, vm: &Name) {
     for id in waiting_at(&node.relays.borrow(), vm) {
         relay::relayed(node, id, Relayed::Lost);
@@ -219,6 +221,9 @@
     for id in waiting_at(&node.claim_waiters.borrow(), vm) {
         coordinator::claimed(node, id, ClaimReply::Uncertain);
     }
+    for id in waiting_at(&node.recoveries.borrow(), vm) {
+        recovery::answered(node, id, None);
+    }
 }
 
 fn waiting_at<T>(waiting: &Questions<T>, vm: &Name) -> Vec<AttemptId> {
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -90,6 +90,8 @@
     pub relays: RefCell<Questions<Relayed>>,
     /// Claims that have not been answered.
     pub claim_waiters: RefCell<Questions<ClaimReply<Whole>>>,
+    /// Questions of a new boot that have not been answered.
+    pub recoveries: RefCell<Questions<Option<Vec<KeyHash>>>>,
     /// Counter of relays and claims.
     next_question: Cell<u64>,
     /// Connections to other nodes.
@@ -158,6 +160,7 @@
             waiters: RefCell::default(),
             relays: RefCell::default(),
             claim_waiters: RefCell::default(),
+            recoveries: RefCell::default(),
             next_question: Cell::new(0),
             links: RefCell::default(),
             incoming: RefCell::default(),
--- a/components/daemon/src/platform_watch.rs
+++ b/components/daemon/src/platform_watch.rs
@@ -3,6 +3,7 @@
 use crate::configuration;
 use crate::links;
 use crate::node::Node;
+use crate::recovery;
 use async_std::task;
 use errors::{Error, Result, Step};
 use keys::{KeyHash, KEY_KEPT_US};
@@ -79,6 +80,7 @@
                 tracing::warn!("the predecessor was not stopped as planned; its keys are unknown");
                 node.unclean_until.set(started + KEY_KEPT_US);
                 certain(&node);
+                recovery::run(node).await;
                 return;
             }
             Err(error) => tracing::debug!(%error, "the record of boots was not written"),
@@ -110,7 +112,7 @@
 }
 
 /// Every key that this boot coordinated, granted or ran within the key window.
-fn used_keys(node: &Rc<Node>) -> Vec<KeyHash> {
+pub fn used_keys(node: &Rc<Node>) -> Vec<KeyHash> {
     let keys = node.keys.borrow();
     let claims = node.claims.borrow();
     let used: HashSet<KeyHash> = keys.hand_over().chain(claims.hand_over()).collect();
@@ -179,7 +181,7 @@
 }
 
 /// This boot is the latest; it knows every key used since it can.
-fn certain(node: &Rc<Node>) {
+pub fn certain(node: &Rc<Node>) {
     let mut claims = node.claims.borrow_mut();
     claims.certain();
     claims.uncertain_until(node.unclean_until.get());
--- a/components/keys/src/claims.rs
+++ b/components/keys/src/claims.rs
@@ -1,9 +1,9 @@
 //! The record of keys at the node beside an upstream: who may run a key here, and whether it ran.
 
 use crate::table::{KeyHash, KEY_KEPT_US};
-use names::{AttemptId, BootId, Moment};
+use names::{AttemptId, BootId, Moment, Name};
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Answer to a coordinator that asks for a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +33,8 @@
     order: VecDeque<(Moment, KeyHash)>,
     max_keys: usize,
     uncertain_until: Moment,
+    latest: HashMap<Name, BootId>,
+    barred: HashSet<BootId>,
 }
 
 impl Claims {
@@ -43,9 +45,26 @@
             order: VecDeque::new(),
             max_keys,
             uncertain_until: Moment(0),
+            latest: HashMap::new(),
+            barred: HashSet::new(),
         }
     }
 
+    /// A new boot of `vm` asks what its predecessor did. From now on no other boot of the VM gets
+    /// a key here, so what is on its way from the predecessor can't run any more. Returns false
+    /// when this boot was itself replaced.
+    pub fn replaced(&mut self, vm: &Name, boot: BootId) -> bool {
+        if self.barred.contains(&boot) {
+            return false;
+        }
+        if let Some(before) = self.latest.insert(vm.clone(), boot) {
+            if before != boot {
+                self.barred.insert(before);
+            }
+        }
+        true
+    }
+
     /// Until `moment`, a key without a record may have run here or been granted to anyone.
     pub fn uncertain_until(&mut self, moment: Moment) {
         self.uncertain_until = self.uncertain_until.max(moment);
@@ -61,15 +80,19 @@
         now < self.uncertain_until
     }
 
-    /// A coordinator other than the first in the ranking asks for the key. The second result is
-    /// the attempt that ran, whose answer may be on record.
+    /// The coordinator at `vm` asks for the key, or offers an attempt that carries it. The second
+    /// result is the attempt that ran, whose answer may be on record.
     pub fn claim(
         &mut self,
         now: Moment,
         key: KeyHash,
+        vm: &Name,
         by: BootId,
     ) -> (ClaimReply<()>, Option<AttemptId>) {
         self.forget(now);
+        if self.latest.get(vm).is_some_and(|latest| *latest != by) {
+            return (ClaimReply::Held, None);
+        }
         match self.states.get(&key).copied() {
             Some(State::Granted(holder)) if holder == by => (ClaimReply::Granted, None),
             Some(State::Granted(_)) => (ClaimReply::Held, None),
@@ -81,12 +104,6 @@
         }
     }
 
-    /// An attempt that carries the key is offered by the coordinator `by`. Returns whether it may
-    /// run here.
-    pub fn offered(&mut self, now: Moment, key: KeyHash, by: BootId) -> bool {
-        self.claim(now, key, by).0 == ClaimReply::Granted
-    }
-
     /// The attempt starts.
     pub fn started(&mut self, key: KeyHash, id: AttemptId) {
         let before = self.states.insert(key, State::Ran(Some(id)));
@@ -119,8 +136,9 @@
     /// Takes in keys of a predecessor: they ran, or may have run.
     pub fn take_over(&mut self, now: Moment, keys: &[KeyHash]) {
         for key in keys {
-            self.states.insert(*key, State::Ran(None));
-            self.order.push_back((now, *key));
+            if self.states.insert(*key, State::Ran(None)).is_none() {
+                self.order.push_back((now, *key));
+            }
         }
     }
 
--- a/components/keys/src/standing.rs
+++ b/components/keys/src/standing.rs
@@ -31,9 +31,10 @@
         self.members.iter().filter(move |vm| Some(*vm) != spared)
     }
 
-    /// Whether the key may run at the upstream of `vm`.
+    /// Whether the key may run at the upstream of `vm`: not at the own, so that a run is always
+    /// known to two nodes. In a group of one there is no other.
     pub fn may_run_at(&self, vm: &Name) -> bool {
-        Some(vm) != self.spared()
+        *vm != self.me || self.ranking.len() == 1
     }
 
     fn has_moved(&self) -> bool {
--- a/components/keys/tests/keys/fuzz.rs
+++ b/components/keys/tests/keys/fuzz.rs
@@ -28,6 +28,7 @@
     Pause(usize),
     Thaw(usize),
     Confirm(usize),
+    Recover(usize),
     Advance(u64),
 }
 
@@ -62,6 +63,7 @@
             2 => (0..4usize).prop_map(Step::Pause),
             2 => (0..4usize).prop_map(Step::Thaw),
             2 => (0..4usize).prop_map(Step::Confirm),
+            3 => (0..4usize).prop_map(Step::Recover),
             2 => (1..80u64).prop_map(Step::Advance),
         ]
         .boxed()
@@ -93,6 +95,7 @@
             Step::Pause(vm) => world.pause(vm),
             Step::Thaw(pick) => world.thaw(pick),
             Step::Confirm(vm) => world.confirm(vm),
+            Step::Recover(vm) => world.recover(vm),
             Step::Advance(seconds) => world.advance(seconds),
         }
         world
--- a/components/keys/tests/keys/regressions.rs
+++ b/components/keys/tests/keys/regressions.rs
@@ -30,3 +30,26 @@
     world.advance(170);
     deliver(&mut world, 8);
 }
+
+#[test]
+fn an_offer_of_a_boot_that_was_replaced_is_not_run_after_its_successor_has_recovered() {
+    // The turn in which upstreams are offered a key depends on the boot: try several successors.
+    for earlier_boots in 0..3 {
+        let mut world = World::new(4);
+        world.request(true, 0, 0);
+        deliver(&mut world, 1);
+        let first = world.first_of_last_key();
+        for _ in 0..=earlier_boots {
+            world.kill(first);
+        }
+        world.recover(first);
+        for _ in 0..6 {
+            world.deliver(1, false);
+        }
+        world.request(false, 0, 0);
+        for _ in 0..2 {
+            world.deliver(1, false);
+        }
+        deliver(&mut world, 4);
+    }
+}
--- a/components/keys/tests/keys/world.rs
+++ b/components/keys/tests/keys/world.rs
@@ -49,6 +49,11 @@
     Release {
         key: Key,
     },
+    Recover,
+    Recovered {
+        from: usize,
+        keys: Option<Vec<KeyHash>>,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -86,9 +91,13 @@
     works: BTreeMap<Key, Work>,
     ran: HashMap<AttemptId, Key>,
     paused: bool,
+    /// Thawed, and not yet told by the platform that it is the latest boot.
+    thawed: bool,
     /// Not the latest boot of its VM any more.
     replaced: bool,
     unclean_until: Moment,
+    /// Nodes whose answer a new boot waits for, and the keys learned so far.
+    recovering: Option<(Vec<usize>, Vec<KeyHash>)>,
     next_seq: u64,
 }
 
@@ -106,6 +115,7 @@
     requests: Vec<Request>,
     first_use: BTreeMap<Key, Moment>,
     runs: HashMap<Key, u32>,
+    vm_of_boot: HashMap<BootId, usize>,
     next_key: Key,
     next_boot: u64,
 }
@@ -121,6 +131,7 @@
             requests: Vec::new(),
             first_use: BTreeMap::new(),
             runs: HashMap::new(),
+            vm_of_boot: HashMap::new(),
             next_key: 1,
             next_boot: 1,
         };
@@ -229,6 +240,7 @@
         if let Some(index) = frozen.get(pick % frozen.len().max(1)) {
             let node = &mut self.nodes[*index];
             node.paused = false;
+            node.thawed = true;
             node.claims.uncertain_until(Moment(u64::MAX));
         }
     }
@@ -238,11 +250,28 @@
         let index = self.latest_index(vm % self.vms);
         let node = &mut self.nodes[index];
         if !node.paused {
+            node.thawed = false;
             node.claims.certain();
             node.claims.uncertain_until(node.unclean_until);
         }
     }
 
+    /// A boot that knows nothing of its predecessor asks the others.
+    pub fn recover(&mut self, vm: usize) {
+        let index = self.latest_index(vm % self.vms);
+        let node = &mut self.nodes[index];
+        if node.paused || node.unclean_until <= self.now {
+            return;
+        }
+        let (me, boot) = (node.vm, node.boot);
+        let others: Vec<usize> = (0..self.vms).filter(|vm| *vm != me).collect();
+        node.recovering = Some((others.clone(), Vec::new()));
+        for vm in others {
+            let to = self.latest(vm).boot;
+            self.send(boot, to, Body::Recover);
+        }
+    }
+
     /// Time passes.
     pub fn advance(&mut self, seconds: u64) {
         self.now = self.now + seconds * SECOND;
@@ -259,6 +288,11 @@
         }
     }
 
+    /// The VM that is first in the ranking of the key used last.
+    pub fn first_of_last_key(&self) -> usize {
+        self.ranking(self.next_key)[0]
+    }
+
     /// At most one run for each key.
     pub fn check(&self) {
         for (key, runs) in &self.runs {
@@ -268,6 +302,7 @@
 
     fn node(&mut self, vm: usize) -> Node {
         self.next_boot += 1;
+        self.vm_of_boot.insert(BootId(self.next_boot), vm);
         Node {
             vm,
             boot: BootId(self.next_boot),
@@ -276,8 +311,10 @@
             works: BTreeMap::new(),
             ran: HashMap::new(),
             paused: false,
+            thawed: false,
             replaced: false,
             unclean_until: Moment(0),
+            recovering: None,
             next_seq: 0,
         }
     }
@@ -371,6 +408,8 @@
             }
             Body::Offered { key, from, reply } => self.offer_ended(index, key, from, reply),
             Body::Release { key } => self.nodes[index].claims.released(hash(key), from),
+            Body::Recover => self.asked_to_recover(index, from),
+            Body::Recovered { from, keys } => self.recovered(index, from, keys),
         }
     }
 
@@ -389,14 +428,24 @@
                     self.end(sender, key, Outcome::Unknown);
                 }
             }
-            Body::Claimed { .. } | Body::Offered { .. } | Body::Release { .. } => {}
+            Body::Recover => {
+                if let Some(sender) = sender {
+                    self.nodes[sender].recovering = None;
+                }
+            }
+            Body::Claimed { .. }
+            | Body::Offered { .. }
+            | Body::Release { .. }
+            | Body::Recovered { .. } => {}
         }
     }
 
-    /// The VM of a boot that may be gone: any will do for an answer that says nothing.
     fn vm_of(&self, boot: BootId) -> Option<usize> {
-        let node = self.nodes.iter().find(|node| node.boot == boot);
-        node.map(|node| node.vm)
+        self.vm_of_boot.get(&boot).copied()
+    }
+
+    fn name_of(&self, boot: BootId) -> Name {
+        name(self.vm_of_boot[&boot])
     }
 
     fn relayed(&mut self, index: usize, request: usize) {
@@ -425,6 +474,45 @@
         }
     }
 
+    fn asked_to_recover(&mut self, index: usize, from: BootId) {
+        let now = self.now;
+        let Some(vm) = self.vm_of(from) else {
+            return;
+        };
+        let node = &mut self.nodes[index];
+        let latest = node.claims.replaced(&name(vm), from);
+        let mut keys: Vec<KeyHash> = node.table.hand_over().collect();
+        keys.extend(node.claims.hand_over());
+        let whole = latest && !node.claims.is_uncertain(now);
+        let body = Body::Recovered {
+            from: node.vm,
+            keys: whole.then_some(keys),
+        };
+        let boot = node.boot;
+        self.send(boot, from, body);
+    }
+
+    fn recovered(&mut self, index: usize, from: usize, keys: Option<Vec<KeyHash>>) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let (Some((waiting, learned)), Some(keys)) = (&mut node.recovering, keys) else {
+            node.recovering = None;
+            return;
+        };
+        waiting.retain(|vm| *vm != from);
+        learned.extend(keys);
+        if !waiting.is_empty() {
+            return;
+        }
+        node.table.take_over(now, learned);
+        node.claims.take_over(now, learned);
+        node.recovering = None;
+        node.unclean_until = Moment(0);
+        if !node.thawed {
+            node.claims.certain();
+        }
+    }
+
     fn start_work(
         &mut self,
         index: usize,
@@ -433,12 +521,14 @@
         standing: &Standing,
         claimed: bool,
     ) {
-        let candidates = standing
+        let mut candidates: Vec<usize> = standing
             .members
             .iter()
             .filter(|vm| standing.may_run_at(vm))
             .map(index_of)
             .collect();
+        let turn = self.nodes[index].boot.0 as usize % candidates.len().max(1);
+        candidates.rotate_left(turn);
         let work = Work {
             began: self.now,
             claimed,
@@ -469,8 +559,9 @@
 
     fn grant(&mut self, index: usize, key: Key, by: BootId) -> ClaimReply<Key> {
         let now = self.now;
+        let vm = self.name_of(by);
         let node = &mut self.nodes[index];
-        let (reply, ran) = node.claims.claim(now, hash(key), by);
+        let (reply, ran) = node.claims.claim(now, hash(key), &vm, by);
         match reply {
             ClaimReply::Granted => ClaimReply::Granted,
             ClaimReply::Held => ClaimReply::Held,
@@ -535,8 +626,9 @@
 
     fn offered(&mut self, index: usize, key: Key, id: AttemptId, busy: bool) -> OfferReply {
         let now = self.now;
+        let vm = self.name_of(id.boot);
         let node = &mut self.nodes[index];
-        match node.claims.claim(now, hash(key), id.boot).0 {
+        match node.claims.claim(now, hash(key), &vm, id.boot).0 {
             ClaimReply::Granted if busy => OfferReply::Busy,
             ClaimReply::Granted => {
                 node.claims.started(hash(key), id);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -120,6 +120,19 @@
         /// The key.
         key: KeyHash,
     },
+    /// A new boot to the other nodes of its groups: which keys do you know, and no longer take any
+    /// from my predecessor.
+    Recover {
+        /// Identity of the question.
+        id: AttemptId,
+    },
+    /// The answer to [`Frame::Recover`].
+    Recovered {
+        /// Identity of the question.
+        id: AttemptId,
+        /// Every key that the sender coordinated, granted or ran; none when it doesn't know all.
+        keys: Option<Vec<KeyHash>>,
+    },
     /// Entry to the coordinator of an idempotency key: carry this request through.
     Relay {
         /// Identity of the relay.
