--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -146,6 +146,7 @@
             service: self.req.service.clone(),
             remaining_us: left.saturating_sub(home_driver::WAY_BACK_US),
             priority: self.treatment.priority,
+            level: self.req.level,
             repeatable: self.treatment.repeatable,
             may_queue,
         };
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -9,6 +9,8 @@
 const IMMEDIATE_OFFERS: u32 = 2;
 /// Offers of one request at most, counting those that were refused or handed back.
 const MOST_OFFERS: u32 = 6;
+/// Offers that may queue at most: three full queues mean that the service is overloaded.
+const MOST_QUEUE_OFFERS: u32 = 3;
 /// Told to callers when no home duty named a time, in milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -119,6 +121,8 @@
     refused_by: Vec<Name>,
     closed: Vec<Name>,
     offers: u32,
+    queue_offers: u32,
+    asked_to_queue: bool,
     runs: u32,
     maybe_ran: bool,
     fallback: Option<A>,
@@ -144,6 +148,8 @@
             refused_by: Vec::new(),
             closed: Vec::new(),
             offers: 0,
+            queue_offers: 0,
+            asked_to_queue: false,
             runs: 0,
             maybe_ran: false,
             fallback: None,
@@ -205,13 +211,15 @@
         if now >= self.deadline {
             return self.give_up(Reason::Deadline, entry);
         }
-        if self.offers >= MOST_OFFERS {
+        if self.offers >= MOST_OFFERS || self.queue_offers >= MOST_QUEUE_OFFERS {
             return self.give_up(Reason::Busy, entry);
         }
-        let may_queue = entry.rule() != Rule::Expected || self.queue_next();
+        let may_queue = entry.rule() != Rule::Expected || self.queue_next(now, entry);
         let Some(to) = self.pick(now, may_queue, entry) else {
             return self.give_up(Reason::NoUpstream, entry);
         };
+        self.asked_to_queue = may_queue;
+        self.queue_offers += u32::from(may_queue);
         let id = entry.next_attempt();
         entry.offered(&to);
         self.offers += 1;
@@ -219,19 +227,27 @@
         vec![Action::Offer { id, to, may_queue }]
     }
 
-    fn queue_next(&self) -> bool {
-        let open = self.candidates.len() - self.closed.len().min(self.candidates.len());
-        self.offers >= IMMEDIATE_OFFERS || self.refused_by.len() + 1 >= open
+    /// Whether the next offer may queue: enough were made that may not, or no upstream is left
+    /// that might have a free slot.
+    fn queue_next(&self, now: Moment, entry: &Entry) -> bool {
+        self.offers >= IMMEDIATE_OFFERS || self.open(false, now, entry).is_empty()
     }
 
-    /// An offer that may queue goes to any that is open; one that may not, to those not yet asked.
-    fn pick(&self, now: Moment, may_queue: bool, entry: &mut Entry) -> Option<Name> {
-        let open: Vec<&Candidate> = self
-            .candidates
+    /// The upstreams to which the next offer may go. One that may not queue goes to those that
+    /// have not refused and are not known to be full.
+    fn open<'a>(&'a self, may_queue: bool, now: Moment, entry: &Entry) -> Vec<&'a Candidate> {
+        self.candidates
             .iter()
             .filter(|candidate| !self.closed.contains(&candidate.vm))
-            .filter(|candidate| may_queue || !self.refused_by.contains(&candidate.vm))
-            .collect();
+            .filter(|candidate| {
+                let refused = self.refused_by.contains(&candidate.vm);
+                may_queue || (!refused && !entry.is_full(now, &candidate.vm))
+            })
+            .collect()
+    }
+
+    fn pick(&self, now: Moment, may_queue: bool, entry: &mut Entry) -> Option<Name> {
+        let open = self.open(may_queue, now, entry);
         entry.choose(now, &open)
     }
 
@@ -247,11 +263,10 @@
         };
         self.last_refusal = Some(refusal);
         self.contacted |= refusal.reason != Reason::Uncertain;
-        let queued = self.queue_next_was_tried(&vm);
         match refusal.reason {
             Reason::Deadline => return self.give_up(Reason::Deadline, entry),
             Reason::KeyUsed => return self.finish(Outcome::Unknown(Reason::KeyUsed)),
-            Reason::Busy if !queued => self.refused_by.push(vm),
+            Reason::Busy if !self.asked_to_queue => self.refused_by.push(vm),
             Reason::Leaving => {
                 entry.leaving(&vm, true);
                 self.closed.push(vm);
@@ -261,11 +276,6 @@
         self.next(now, entry)
     }
 
-    /// Whether the home duty beside `vm` refused an offer of this call before.
-    fn queue_next_was_tried(&self, vm: &Name) -> bool {
-        self.refused_by.contains(vm)
-    }
-
     fn revoked(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
         let Some(vm) = self.end(id, entry) else {
             return Vec::new();
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use std::collections::HashMap;
 
-/// A report older than this says nothing of how full an upstream is.
+/// A report of a short queue older than this says nothing of how full an upstream is.
 const FULLNESS_KEPT_US: u64 = 20 * MILLISECOND;
 /// A report older than this says nothing of how slow or failing an upstream is.
 const SLOWNESS_KEPT_US: u64 = 1_000 * MILLISECOND;
@@ -19,7 +19,7 @@
 /// Cost of another node in the same hall, in microseconds.
 const HOP_US: f64 = 0.3 * MILLISECOND as f64;
 /// Share of the cost that is drawn at random, so that entry nodes don't all pick the same upstream.
-const SPREAD: f64 = 0.5;
+const SPREAD: f64 = 0.1;
 /// At most this many candidates are weighed; more are sampled.
 const MOST_WEIGHED: usize = 8;
 
@@ -67,6 +67,22 @@
         self.load.is_some_and(|load| load.leaving)
     }
 
+    /// Whether a fresh report says that no slot was free.
+    pub(crate) fn is_full(&self, now: Moment) -> bool {
+        let fresh = (now.since(self.reported) as f64) < self.fullness_kept_us();
+        self.load
+            .is_some_and(|load| fresh && load.in_flight + load.queued >= load.limit)
+    }
+
+    /// A report of a long queue holds for as long as the queue takes to drain.
+    fn fullness_kept_us(&self) -> f64 {
+        let drain = self.load.map_or(0.0, |load| {
+            let work = (load.queued as u64 * load.service_us) as f64;
+            work / load.limit.max(1) as f64
+        });
+        drain.max(FULLNESS_KEPT_US as f64)
+    }
+
     fn is_suspect(&self, now: Moment) -> bool {
         now < self.suspect_until
     }
@@ -86,7 +102,7 @@
 
     fn occupied(&self, age: u64) -> f64 {
         let reported = self.load.map_or(0, |load| load.in_flight + load.queued) as f64;
-        let fresh = 1.0 - (age as f64 / FULLNESS_KEPT_US as f64).min(1.0);
+        let fresh = 1.0 - (age as f64 / self.fullness_kept_us()).min(1.0);
         let own = self.outstanding as f64;
         (reported * fresh + self.since_report as f64 * fresh).max(own)
     }
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -82,6 +82,11 @@
         self.views.get(vm).cloned().unwrap_or_default()
     }
 
+    /// Whether a fresh report says that no slot of the upstream was free.
+    pub(crate) fn is_full(&self, now: Moment, vm: &Name) -> bool {
+        self.views.get(vm).is_some_and(|view| view.is_full(now))
+    }
+
     pub(crate) fn next_attempt(&mut self) -> AttemptId {
         let seq = self.next_seq;
         self.next_seq += 1;
--- a/components/entry/tests/attempts/world.rs
+++ b/components/entry/tests/attempts/world.rs
@@ -505,6 +505,7 @@
                     service: "s".into(),
                     remaining_us: DEADLINE_US,
                     priority: 1,
+                    level: (call % 3) as u32,
                     repeatable: !self.oracle.once.contains(&call),
                     may_queue,
                 };
--- a/components/home/src/attempt.rs
+++ b/components/home/src/attempt.rs
@@ -1,6 +1,7 @@
 //! The life of an attempt as typestate: only a queued or offered attempt can start, and one that
 //! was refused or revoked no longer exists as a value that could.
 
+use crate::limit::Class;
 use crate::Offer;
 use names::{AttemptId, Moment};
 
@@ -28,6 +29,7 @@
     id: AttemptId,
     deadline: Moment,
     priority: u8,
+    class: Class,
     state: S,
 }
 
@@ -47,6 +49,11 @@
         self.priority
     }
 
+    /// The class of its service time.
+    pub fn class(&self) -> Class {
+        self.class
+    }
+
     /// The state's own data.
     pub fn state(&self) -> &S {
         &self.state
@@ -57,6 +64,7 @@
             id: self.id,
             deadline: self.deadline,
             priority: self.priority,
+            class: self.class,
             state,
         }
     }
@@ -69,6 +77,10 @@
             id: offer.id,
             deadline: now + offer.remaining_us,
             priority: offer.priority,
+            class: Class {
+                level: offer.level,
+                repeatable: offer.repeatable,
+            },
             state: Offered,
         }
     }
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -1,7 +1,8 @@
 //! The home duty's state machine.
 
 use crate::attempt::{Attempt, Queued, Started};
-use crate::limit::{Limit, Verdict};
+use crate::depth::Depth;
+use crate::limit::{Class, Limit, Verdict};
 use crate::message::{AskReply, Load, Offer, Reason, Refusal};
 use crate::record::{Known, Record, Records};
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
@@ -76,7 +77,8 @@
     pub late_completions: u64,
 }
 
-type QueueKey = (Reverse<u8>, Moment, AttemptId);
+/// Order in the queue: priority, level, deadline.
+type QueueKey = (Reverse<u8>, Reverse<u32>, Moment, AttemptId);
 
 /// The home duty of one upstream. `A` is the type of a whole answer.
 #[derive(Debug)]
@@ -84,6 +86,7 @@
     boot: BootId,
     cfg: Config,
     limit: Limit,
+    depth: Depth,
     running: HashMap<AttemptId, Attempt<Started>>,
     queue: BTreeMap<QueueKey, Attempt<Queued>>,
     queue_keys: HashMap<AttemptId, QueueKey>,
@@ -101,6 +104,7 @@
         Home {
             boot,
             limit: Limit::new(cfg.slots),
+            depth: Depth::default(),
             records: Records::new(cfg.max_records, cfg.max_answers, cfg.keep_us),
             rng: SmallRng::seed_from_u64(cfg.seed),
             running: HashMap::new(),
@@ -185,7 +189,8 @@
             return Vec::new();
         };
         let service_us = now.since(attempt.state().at);
-        self.limit.completed(service_us, verdict);
+        self.limit
+            .completed(now, attempt.class(), service_us, verdict);
         let mut actions = Vec::new();
         match verdict {
             Verdict::Good | Verdict::Error => {
@@ -240,12 +245,12 @@
 
     /// The state of the upstream as carried on answers and refusals.
     pub fn load(&self, now: Moment) -> Load {
-        let ages = self.ages(now);
+        let running = self.in_flight(now);
         Load {
             in_flight: self.running.len() as u32,
             queued: self.queue.len() as u32,
-            limit: self.current_limit(&ages),
-            service_us: self.limit.service_us(&ages) as u64,
+            limit: self.current_limit(now, &running),
+            service_us: self.limit.service_us(&running) as u64,
             errors_permille: self.limit.errors_permille(),
             leaving: self.leaving,
         }
@@ -276,13 +281,16 @@
             return actions;
         }
         let attempt = Attempt::arrive(now, offer);
-        let ages = self.ages(now);
-        let limit = self.current_limit(&ages);
-        if self.running.len() < limit as usize && self.queue.is_empty() {
+        let running = self.in_flight(now);
+        let limit = self.current_limit(now, &running);
+        self.limit.offered(now);
+        self.depth.observe(now, offer.level);
+        let allowed = self.depth.limit(now, offer.level, limit);
+        if self.running.len() < allowed as usize && self.queue.is_empty() {
             self.start(attempt.start(now), &mut actions);
             return actions;
         }
-        if !offer.may_queue || !self.fits(offer, &ages, limit) {
+        if !offer.may_queue || !self.fits(offer, &running, limit) {
             self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
             return actions;
         }
@@ -306,8 +314,8 @@
     }
 
     /// Whether a new attempt would be served before its deadline and finds room.
-    fn fits(&self, offer: &Offer, ages: &[u64], limit: u32) -> bool {
-        let service = self.limit.service_us(ages);
+    fn fits(&self, offer: &Offer, running: &[(Class, u64)], limit: u32) -> bool {
+        let service = self.limit.service_us(running);
         let ahead = self.ahead_of(offer.priority);
         let wait = (ahead + 1) as f64 * service / limit as f64;
         let in_time = wait + service <= offer.remaining_us as f64;
@@ -319,7 +327,7 @@
     fn ahead_of(&self, priority: u8) -> usize {
         self.queue
             .keys()
-            .take_while(|(Reverse(other), _, _)| *other >= priority)
+            .take_while(|(Reverse(other), _, _, _)| *other >= priority)
             .count()
     }
 
@@ -334,7 +342,7 @@
         if key.0 .0 >= offer.priority {
             return;
         }
-        let id = key.2;
+        let id = key.3;
         self.take_queued(id);
         self.refuse_ended(now, id, Reason::Busy, actions);
     }
@@ -355,11 +363,9 @@
     fn fill(&mut self, now: Moment, actions: &mut Vec<Action>) {
         self.expire(now, actions);
         while !self.queue.is_empty() && !self.leaving && self.down_since.is_none() {
-            let ages = self.ages(now);
-            if self.running.len() >= self.current_limit(&ages) as usize {
-                return;
-            }
-            let Some((_, attempt)) = self.queue.pop_first() else {
+            let running = self.in_flight(now);
+            let limit = self.current_limit(now, &running);
+            let Some(attempt) = self.next_queued(now, limit) else {
                 return;
             };
             self.queue_keys.remove(&attempt.id());
@@ -370,6 +376,17 @@
         }
     }
 
+    /// Takes the first queued attempt for whose level a slot is free.
+    fn next_queued(&mut self, now: Moment, limit: u32) -> Option<Attempt<Queued>> {
+        let busy = self.running.len() as u32;
+        let key = self
+            .queue
+            .iter()
+            .find(|(_, attempt)| busy < self.depth.limit(now, attempt.class().level, limit))
+            .map(|(key, _)| *key)?;
+        self.queue.remove(&key)
+    }
+
     fn expire(&mut self, now: Moment, actions: &mut Vec<Action>) {
         let late: Vec<AttemptId> = self
             .queue
@@ -387,8 +404,8 @@
         if self.queue.is_empty() {
             return;
         }
-        let ages = self.ages(now);
-        if self.limit.is_slow(&ages) && self.current_limit(&ages) * 2 <= self.cfg.slots {
+        let running = self.in_flight(now);
+        if self.limit.is_slow(&running) && self.current_limit(now, &running) * 2 <= self.cfg.slots {
             self.hand_back_all(now, actions);
         }
     }
@@ -419,21 +436,22 @@
 
     /// The time to drain what is queued, spread over its double so that callers don't return at once.
     fn retry_after_ms(&mut self, now: Moment) -> u64 {
-        let ages = self.ages(now);
-        let service = self.limit.service_us(&ages);
-        let wait_us = (self.queue.len() + 1) as f64 * service / self.current_limit(&ages) as f64;
+        let running = self.in_flight(now);
+        let service = self.limit.service_us(&running);
+        let wait_us =
+            (self.queue.len() + 1) as f64 * service / self.current_limit(now, &running) as f64;
         let wait_ms = (wait_us as u64 / MILLISECOND).max(LEAST_RETRY_AFTER_MS);
         self.rng.random_range(wait_ms..=2 * wait_ms)
     }
 
-    fn current_limit(&self, ages: &[u64]) -> u32 {
-        self.limit.current(ages)
+    fn current_limit(&self, now: Moment, running: &[(Class, u64)]) -> u32 {
+        self.limit.current(now, running)
     }
 
-    fn ages(&self, now: Moment) -> Vec<u64> {
+    fn in_flight(&self, now: Moment) -> Vec<(Class, u64)> {
         self.running
             .values()
-            .map(|attempt| now.since(attempt.state().at))
+            .map(|attempt| (attempt.class(), now.since(attempt.state().at)))
             .collect()
     }
 
@@ -444,6 +462,7 @@
     fn put_queued(&mut self, attempt: Attempt<Queued>) {
         let key = (
             Reverse(attempt.priority()),
+            Reverse(attempt.class().level),
             attempt.deadline(),
             attempt.id(),
         );
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod delay;
+mod depth;
 mod duty;
 mod limit;
 mod message;
@@ -13,7 +14,8 @@
 
 pub use attempt::{Attempt, Offered, Queued, Started};
 pub use delay::Delay;
+pub use depth::Depth;
 pub use duty::{Action, Config, Counters, Home};
-pub use limit::{Limit, Verdict};
+pub use limit::{Class, Limit, Verdict};
 pub use message::{AskReply, Load, Offer, Reason, Refusal};
 pub use record::{Known, Record, Records};
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -14,6 +14,8 @@
     pub remaining_us: u64,
     /// Priority from the policy; a higher number is served first.
     pub priority: u8,
+    /// How many services the call has passed; deeper calls are served first.
+    pub level: u32,
     /// Whether the request may run more than once.
     pub repeatable: bool,
     /// Whether the home duty may queue the attempt when no slot is free.
--- a/standins/src/bin/standin-caller.rs
+++ b/standins/src/bin/standin-caller.rs
@@ -49,6 +49,9 @@
     /// Bytes of an answer
     #[bpaf(fallback(200))]
     answer_bytes: usize,
+    /// Requests of a burst that start at once, once a second; 0 for none
+    #[bpaf(fallback(0))]
+    burst: u32,
     /// Levels of nested calls
     #[bpaf(fallback(0))]
     depth: u32,
@@ -116,18 +119,25 @@
     Ok(())
 }
 
+/// One request with its start.
+struct Shot {
+    id: String,
+    host: String,
+    post: bool,
+    keyed: bool,
+    first_node: usize,
+    at: Duration,
+    scheduled: Instant,
+}
+
 async fn run(shared: Arc<Shared>) {
     let args = &shared.args;
     let mut rng = SmallRng::seed_from_u64(args.seed);
     let weights = zipf_weights(args.hosts.len(), args.zipf);
+    let arrivals = arrivals(args, &mut rng);
     let began = Instant::now();
-    let mut at = Duration::ZERO;
     let mut calls = Vec::new();
-    for number in 0.. {
-        at += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / args.rate);
-        if at.as_secs_f64() >= args.seconds {
-            break;
-        }
+    for (number, at) in arrivals.into_iter().enumerate() {
         let host = args.hosts[pick(&weights, rng.random())].clone();
         let post = rng.random::<f64>() < args.posts;
         let keyed = post && rng.random::<f64>() < args.keyed;
@@ -140,24 +150,51 @@
         if scheduled.elapsed() > MISSED_START {
             shared.totals.lock().expect("no holder panics").missed += 1;
         }
-        let id = format!("{}-{}-{number}", args.prefix, args.seed);
-        let one = one(shared.clone(), id, host, post, keyed, first_node, scheduled);
-        calls.push(task::spawn(one));
+        let shot = Shot {
+            id: format!("{}-{}-{number}", args.prefix, args.seed),
+            host,
+            post,
+            keyed,
+            first_node,
+            at,
+            scheduled,
+        };
+        calls.push(task::spawn(one(shared.clone(), shot)));
     }
     for call in calls {
         call.await;
     }
 }
 
-async fn one(
-    shared: Arc<Shared>,
-    id: String,
-    host: String,
-    post: bool,
-    keyed: bool,
-    first_node: usize,
-    scheduled: Instant,
-) {
+/// Times of the requests: a Poisson process, and bursts on each full second.
+fn arrivals(args: &Args, rng: &mut SmallRng) -> Vec<Duration> {
+    let mut arrivals = Vec::new();
+    let mut at = 0.0;
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / args.rate;
+        if at >= args.seconds {
+            break;
+        }
+        arrivals.push(Duration::from_secs_f64(at));
+    }
+    for second in 1..args.seconds as u64 {
+        arrivals.extend(vec![Duration::from_secs(second); args.burst as usize]);
+    }
+    arrivals.sort();
+    arrivals
+}
+
+async fn one(shared: Arc<Shared>, shot: Shot) {
+    let Shot {
+        id,
+        host,
+        post,
+        keyed,
+        first_node,
+        at,
+        scheduled,
+    } = shot;
+    let at_us = at.as_micros();
     let tries = if keyed { shared.args.tries } else { 1 };
     for attempt in 0..tries.max(1) {
         let node = (first_node + attempt as usize) % shared.args.to.len();
@@ -169,7 +206,7 @@
         let us = scheduled.elapsed().as_micros() as u64;
         let kind = if post { "once" } else { "repeatable" };
         shared.ledger.note(&format!(
-            "{id} {kind} {outcome} {reason} {us} {}",
+            "{id} {kind} {outcome} {reason} {us} {} {at_us} {host}",
             attempt + 1
         ));
         count(&shared, &outcome, &reason, us);
