Tests of the doors, of stops, settings, declarations, rollout, budget, home duty and wire

Found by them: a drained upstream that was undrained was never used again by an entry node that had seen its refusal, since only a report could end the mark and none came. The word that an upstream is leaving now holds for 5 s, and the node beside it tells its own entry duty. Also: a link on which nothing is heard for 3 s while something waits is given up (a VM that is gone without a reset kept its links until TCP gave up); a platform restored to a lower version is noticed by a plain read now and then; an upstream that left is replaced in the node's eyes once a new one can be connected to.

--- a/components/budget/src/gate.rs
+++ b/components/budget/src/gate.rs
@@ -34,6 +34,11 @@
         messages: 2,
         slot_us: 0,
     };
+    /// A connection to an upstream that is opened and closed.
+    pub const CONNECT: Act = Act {
+        messages: 2,
+        slot_us: 0,
+    };
 }
 
 /// What was spent and refused since the start.
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -7,6 +7,7 @@
 use crate::upstream::Failure;
 use async_std::future::timeout;
 use async_std::task;
+use budget::Act;
 use futures_util::future::{select, Either};
 use home::{Action, AskReply, Home, Offer, Reason, Refusal, Verdict};
 use keys::{ClaimReply, KeyHash};
@@ -21,6 +22,8 @@
 const OVERRUN: Duration = Duration::from_secs(30);
 /// Told to callers whose attempt is refused before the home duty sees it, in milliseconds.
 const DOOR_RETRY_AFTER_MS: u64 = 1_000;
+/// Time between two tries to reach the successor of an upstream that was leaving.
+const SUCCESSOR_LOOK: Duration = Duration::from_millis(500);
 /// Time between two looks at a queue that holds something.
 const QUEUE_TICK: Duration = Duration::from_millis(5);
 /// Time between two looks at an empty queue.
@@ -145,11 +148,39 @@
             Vec::new()
         }
     });
+    let own = node.cfg.vm.clone();
+    node.entry.borrow_mut().leaving(now, &own, leaving);
     for reply in node.incoming.borrow().values() {
         reply.send(node, Frame::Leaving { leaving });
     }
 }
 
+/// Finds out that an upstream which was leaving has ended and another stands in its place. A
+/// connection is a measuring act; without a budget an operator has to say so.
+pub async fn run_successor_watch(node: Rc<Node>) {
+    let Some(pool) = node.pool.clone() else {
+        return;
+    };
+    let mut gone = false;
+    loop {
+        task::sleep(SUCCESSOR_LOOK).await;
+        if !node.upstream_leaving.get() {
+            gone = false;
+            continue;
+        }
+        let now = node.now();
+        if !node.gate.borrow_mut().spend(now, Act::CONNECT) {
+            continue;
+        }
+        let reached = pool.can_connect().await;
+        if reached && gone {
+            node.upstream_leaving.set(false);
+            leaving_changed(&node);
+        }
+        gone |= !reached;
+    }
+}
+
 /// Lets the home duty's time pass.
 pub async fn run_ticks(node: Rc<Node>) {
     loop {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -68,6 +68,7 @@
     task::spawn_local(links::serve(node.clone(), peers));
     task::spawn_local(links::run_heartbeats(node.clone()));
     task::spawn_local(home_driver::run_ticks(node.clone()));
+    task::spawn_local(home_driver::run_successor_watch(node.clone()));
     task::spawn_local(configuration::run_comparisons(node.clone()));
     task::spawn_local(platform_watch::run_boot_record(node.clone()));
     task::spawn_local(platform_watch::run_head(node.clone()));
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -4,12 +4,15 @@
 use super::{MAX_WAITING_FRAMES, REDIAL_US};
 use crate::node::Node;
 use crate::stats;
+use async_channel::Receiver;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use errors::{Error, Result, Step};
+use futures_util::future::{select, Either};
 use futures_util::stream::SplitStream;
 use names::Name;
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::{Frame, Handshake, Welcome};
@@ -19,18 +22,33 @@
 /// Longest time spent with one seed.
 const SEED_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// A connection that was opened and proved.
+struct Opened {
+    up: UpLink,
+    stream: SplitStream<socket::Socket>,
+    cut: Receiver<()>,
+}
+
 /// Opens a connection to `vm`, sends what waits for it and reads until it breaks.
 pub async fn run(node: Rc<Node>, vm: Name) {
     let opened = timeout(DIAL_TIMEOUT, open(&node, &vm))
         .await
         .unwrap_or_else(|_| Err(Error::new(Step::Handshake, &vm, "no answer in time")));
     match opened {
-        Ok((up, mut stream)) => {
+        Ok(Opened {
+            up,
+            mut stream,
+            cut,
+        }) => {
             tracing::info!(peer = %vm, boot = %up.boot, "connected to a peer");
             stats::link_changed("up");
             let tx = up.tx.clone();
             install(&node, &vm, up);
-            let error = read(&node, &vm, &mut stream).await;
+            let reading = pin!(read(&node, &vm, &mut stream));
+            let error = match select(reading, pin!(cut.recv())).await {
+                Either::Left((error, _)) => error,
+                Either::Right(_) => Error::new(Step::Frame, &vm, "the peer does not answer"),
+            };
             tx.close();
             stats::link_changed("down");
             tracing::info!(peer = %vm, %error, "lost the connection to a peer");
@@ -45,7 +63,7 @@
     }
 }
 
-async fn open(node: &Rc<Node>, vm: &Name) -> Result<(UpLink, SplitStream<socket::Socket>)> {
+async fn open(node: &Rc<Node>, vm: &Name) -> Result<Opened> {
     let address = {
         let view = node.view.borrow();
         let listed = view.vm(vm);
@@ -67,14 +85,21 @@
         node.entry.borrow_mut().forget(vm);
     }
     let (tx, stream) = socket::split(socket, MAX_WAITING_FRAMES);
+    let (cut, cut_rx) = async_channel::bounded(1);
     let up = UpLink {
         tx,
+        cut,
         boot: welcome.hello.boot,
+        opened: now,
         heard: Cell::new(now),
         asked: Cell::new(None),
         used: Cell::new(now),
     };
-    Ok((up, stream))
+    Ok(Opened {
+        up,
+        stream,
+        cut: cut_rx,
+    })
 }
 
 /// Learns from the peers at the addresses in the settings: the list of VMs and the revision.
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -46,7 +46,10 @@
             reported(node, from, load);
             node.entry.borrow_mut().trust(from);
         }
-        Frame::Leaving { leaving } => node.entry.borrow_mut().leaving(from, leaving),
+        Frame::Leaving { leaving } => {
+            let now = node.now();
+            node.entry.borrow_mut().leaving(now, from, leaving);
+        }
         Frame::Relay {
             id,
             remaining_us,
--- a/components/daemon/src/links/heartbeat.rs
+++ b/components/daemon/src/links/heartbeat.rs
@@ -21,6 +21,9 @@
 const QUIET_US: u64 = 150 * MILLISECOND;
 /// A heartbeat not answered for so long means that the node does not run, in microseconds.
 const SILENT_US: u64 = 250 * MILLISECOND;
+/// A connection on which nothing was heard for so long, although something waits there and a
+/// heartbeat was not answered, is given up, in microseconds: the VM may be gone without a word.
+const DEAD_US: u64 = 3_000 * MILLISECOND;
 /// A connection unused for so long is closed, in microseconds.
 const IDLE_US: u64 = 60_000 * MILLISECOND;
 
@@ -62,6 +65,9 @@
             }
             node.entry.borrow_mut().suspect(now, vm);
             questions_lost(node, vm);
+            if now.since(up.heard.get().max(up.opened)) > DEAD_US {
+                up.cut.try_send(()).ok();
+            }
             up.asked.set(None);
         }
         Some(_) => {}
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -50,6 +50,10 @@
     pub tx: Sender<Vec<u8>>,
     /// Boot of the other node.
     pub boot: BootId,
+    /// Ends the connection when it is sent to.
+    pub cut: Sender<()>,
+    /// When it was opened.
+    pub opened: Moment,
     /// When the last frame came.
     pub heard: Cell<Moment>,
     /// When an unanswered heartbeat was sent.
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -62,6 +62,18 @@
     pub keys: usize,
     /// Attempts started.
     pub started: u64,
+    /// Queued attempts handed back or cancelled.
+    pub revoked: u64,
+    /// Attempts fenced by a question before they were offered.
+    pub fenced: u64,
+    /// Offers and completions that came too late to matter.
+    pub late: u64,
+    /// Offers of a revision below the one in force.
+    pub revisions_older: u64,
+    /// Offers of other content under the number in force.
+    pub revisions_differ: u64,
+    /// Measuring acts that the budget refused.
+    pub measuring_refused: u64,
 }
 
 /// A request to the node's thread.
@@ -119,6 +131,9 @@
             }
             Command::Drain(drained, tx) => {
                 node.drained.set(drained);
+                if !drained {
+                    node.upstream_leaving.set(false);
+                }
                 home_driver::leaving_changed(&node);
                 tx.try_send(()).ok();
             }
@@ -134,6 +149,7 @@
     let load = node.load();
     let spent = node.gate.borrow().spent();
     let in_force = node.in_force();
+    let rollout = node.rollout.borrow().counters();
     let home = node.home.borrow();
     let counters = home
         .as_ref()
@@ -160,6 +176,12 @@
         records: home.as_ref().map_or(0, |home| home.records()),
         keys: node.keys.borrow().len(),
         started: counters.started,
+        revoked: counters.revoked,
+        fenced: counters.fenced,
+        late: counters.late_offers + counters.late_completions,
+        revisions_older: rollout.older,
+        revisions_differ: rollout.differs,
+        measuring_refused: spent.refused,
     }
 }
 
@@ -204,6 +226,15 @@
         ("drumwheel_records", state.records as f64),
         ("drumwheel_keys", state.keys as f64),
         ("drumwheel_started", state.started as f64),
+        ("drumwheel_revoked", state.revoked as f64),
+        ("drumwheel_fenced", state.fenced as f64),
+        ("drumwheel_late", state.late as f64),
+        ("drumwheel_revisions_older", state.revisions_older as f64),
+        ("drumwheel_revisions_differ", state.revisions_differ as f64),
+        (
+            "drumwheel_measuring_refused",
+            state.measuring_refused as f64,
+        ),
     ];
     for (name, value) in gauges {
         crate::stats::set(name, value);
--- a/components/daemon/src/platform_watch.rs
+++ b/components/daemon/src/platform_watch.rs
@@ -25,6 +25,8 @@
 const MOST_PAUSE_MS: u64 = 3_000;
 /// Mean pause between two looks of a node that doesn't watch.
 const POLL_MS: u64 = 60_000;
+/// One watch in so many that ends without news is followed by a plain read.
+const LOOK_BELOW_EVERY: u32 = 3;
 /// Time after which a node without any knowledge asks again.
 const BLANK_POLL_MS: u64 = 500;
 
@@ -238,11 +240,17 @@
     let wait = if watching { WATCH } else { Duration::ZERO };
     match topic {
         Topic::Head => {
-            let after = node.platform_state.borrow().head_version;
-            if let Some(object) = node.platform.watch(HEAD_KEY, after, wait).await? {
-                take_head(node, object).await?;
-            } else if watching {
-                pause_if_blank(node).await;
+            let known = node.platform_state.borrow().head_version;
+            let found = if watching {
+                node.platform.watch(HEAD_KEY, known, wait).await?
+            } else {
+                node.platform.read(HEAD_KEY).await?
+            };
+            match found {
+                Some(object) if object.version != known => take_head(node, object).await?,
+                Some(_) => {}
+                None if watching => look_below(node, known).await?,
+                None => {}
             }
         }
         Topic::Vms => {
@@ -308,10 +316,20 @@
     watchers(&view, &node.cfg.hall).contains(&node.cfg.vm)
 }
 
-/// A head that does not exist yet answers at once; don't ask in a tight loop.
-async fn pause_if_blank(node: &Rc<Node>) {
-    if node.platform_state.borrow().head_version == 0 {
+/// A watch sees only versions above the one that is known. A platform that was restored from an
+/// old copy counts on from a lower one, so now and then the head is read whatever its version.
+async fn look_below(node: &Rc<Node>, known: u64) -> Result<()> {
+    if known == 0 {
+        // A head that does not exist yet answers at once; don't ask in a tight loop.
         task::sleep(Duration::from_millis(BLANK_POLL_MS)).await;
+        return Ok(());
+    }
+    if rand::rng().random_range(0..LOOK_BELOW_EVERY) != 0 {
+        return Ok(());
+    }
+    match node.platform.read(HEAD_KEY).await? {
+        Some(object) if object.version != known => take_head(node, object).await,
+        _ => Ok(()),
     }
 }
 
--- a/components/daemon/src/upstream.rs
+++ b/components/daemon/src/upstream.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether a connection can be opened.
+    pub async fn can_connect(&self) -> bool {
+        self.connect().await.is_ok()
+    }
+
     fn build(&self, req: &Request, extra: &[(&str, String)]) -> Result<http_types::Request> {
         let fail = |error: String| Error::new(Step::Upstream, self.address, error);
         let url = Url::parse(&format!("http://upstream{}", req.target))
--- /dev/null
+++ b/components/declarations/tests/declarations.rs
@@ -0,0 +1,126 @@
+//! Declarations, good and bad.
+
+use declarations::{check, Bundle};
+use std::collections::BTreeMap;
+
+const SERVICES: &str = "\
+[hall north]
+measuring_messages_per_s = 10
+
+[group fast]
+upstreams = a b
+
+[service prices]
+group = fast
+host = prices.example
+path = /prices
+policy = prices.rhai
+inputs = X-Urgent
+";
+const POLICY: &str = "#{ repeatable: method == \"GET\", priority: 3 }\n";
+
+fn bundle(services: &str, policy: &str, examples: &str) -> Bundle {
+    let mut files = BTreeMap::from([
+        ("services.ini".to_string(), services.to_string()),
+        ("prices.rhai".to_string(), policy.to_string()),
+    ]);
+    if !examples.is_empty() {
+        files.insert("prices.examples.ini".to_string(), examples.to_string());
+    }
+    Bundle { files }
+}
+
+fn problems(bundle: &Bundle) -> String {
+    check(bundle).expect_err("there are problems").to_string()
+}
+
+#[test]
+fn a_request_is_routed_by_host_then_by_the_longest_path() {
+    let services = format!(
+        "{SERVICES}\n[service old]\ngroup = fast\npath = /prices/old\npolicy = prices.rhai\n"
+    );
+    let found = check(&bundle(&services, POLICY, "")).expect("good declarations");
+    let route = |host, path| {
+        found
+            .route(host, path)
+            .map(|service| service.name.to_string())
+    };
+    assert_eq!(route("prices.example", "/x").as_deref(), Some("prices"));
+    assert_eq!(route("other", "/prices/a").as_deref(), Some("prices"));
+    assert_eq!(route("other", "/prices/old/a").as_deref(), Some("old"));
+    assert_eq!(route("other", "/pricesx"), None);
+    assert_eq!(route("other", "/"), None);
+}
+
+#[test]
+fn problems_of_all_files_are_reported_at_once() {
+    let services = SERVICES
+        .replace("group = fast", "group = slow")
+        .replace("upstreams = a b", "upstreams = a a")
+        .replace("per_s = 10", "per_s = -1")
+        .replace("inputs", "input");
+    insta::assert_snapshot!(problems(&bundle(&services, "let x = ;\n", "")));
+}
+
+#[test]
+fn an_example_that_gets_another_treatment_is_a_problem_with_its_line() {
+    let examples = "[example look-up]\nmethod = GET\npath = /\nexpect.repeatable = true\n\
+                    expect.priority = 4\n\n[example empty]\nmethod = GET\npath = /\n";
+    insta::assert_snapshot!(problems(&bundle(SERVICES, POLICY, examples)));
+}
+
+#[test]
+fn a_policy_that_gives_back_anything_else_than_a_treatment_is_refused() {
+    let mut found = Vec::new();
+    for policy in [
+        "42",
+        "#{ repeatible: true }",
+        "#{ priority: 11 }",
+        "#{ attempts: 2 }",
+        "#{ deadline_ms: \"soon\" }",
+        "loop { }",
+        "fn f(x) { f(x + 1) } f(0)",
+        "let s = \"x\"; loop { s += s; }",
+        "timestamp()",
+        "eval(\"1\")",
+        "sleep(1)",
+        "unknown_name",
+    ] {
+        found.push(format!(
+            "{policy}\n    {}",
+            problems(&bundle(SERVICES, policy, ""))
+        ));
+    }
+    insta::assert_snapshot!(found.join("\n"));
+}
+
+#[test]
+fn two_services_can_not_have_the_same_host() {
+    let services = format!(
+        "{SERVICES}\n[service other]\ngroup = fast\nhost = Prices.example\npolicy = prices.rhai\n"
+    );
+    insta::assert_snapshot!(problems(&bundle(&services, POLICY, "")));
+}
+
+#[test]
+fn a_set_without_services_is_refused() {
+    insta::assert_snapshot!(problems(&Bundle::default()));
+}
+
+#[test]
+fn the_examples_of_this_repository_pass() {
+    for name in ["windhoek", "anatolia"] {
+        let dir = std::path::Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join("../../examples")
+            .join(name);
+        let bundle = Bundle::read(&dir).expect("the examples can be read");
+        let found = check(&bundle).expect("no problems");
+        assert_eq!(found.services.len(), 4);
+        let upstreams: usize = found
+            .groups
+            .values()
+            .map(|group| group.upstreams.len())
+            .sum();
+        assert_eq!(upstreams, 13);
+    }
+}
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -268,7 +268,7 @@
             Reason::KeyUsed => return self.finish(Outcome::Unknown(Reason::KeyUsed)),
             Reason::Busy if !self.asked_to_queue => self.refused_by.push(vm),
             Reason::Leaving => {
-                entry.leaving(&vm, true);
+                entry.leaving(now, &vm, true);
                 self.closed.push(vm);
             }
             _ => self.closed.push(vm),
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -10,6 +10,8 @@
 const FULLNESS_KEPT_US: u64 = 20 * MILLISECOND;
 /// A report older than this says nothing of how slow or failing an upstream is.
 const SLOWNESS_KEPT_US: u64 = 1_000 * MILLISECOND;
+/// The word that an upstream is leaving holds for so long.
+const LEAVING_KEPT_US: u64 = 5_000 * MILLISECOND;
 /// Service time assumed of an upstream of which nothing is known.
 const UNKNOWN_SERVICE_US: u64 = 5 * MILLISECOND;
 /// Cost of an error in terms of waiting, in microseconds.
@@ -62,9 +64,11 @@
 }
 
 impl View {
-    /// Whether the upstream must get no new work.
-    pub fn is_leaving(&self) -> bool {
-        self.load.is_some_and(|load| load.leaving)
+    /// Whether the upstream must get no new work. The word holds for a while only: an upstream that
+    /// stays after all would not be asked again. Its home duty refuses while it leaves.
+    pub fn is_leaving(&self, now: Moment) -> bool {
+        let lately = now.since(self.reported) < LEAVING_KEPT_US;
+        lately && self.load.is_some_and(|load| load.leaving)
     }
 
     /// Whether a fresh report says that no slot was free.
@@ -152,7 +156,7 @@
     let staying: Vec<&Candidate> = candidates
         .iter()
         .copied()
-        .filter(|candidate| !view(views, candidate).is_leaving())
+        .filter(|candidate| !view(views, candidate).is_leaving(now))
         .collect();
     let trusted: Vec<&Candidate> = staying
         .iter()
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -48,9 +48,10 @@
         view.since_report = 0;
     }
 
-    /// Marks an upstream as leaving, whoever said so.
-    pub fn leaving(&mut self, vm: &Name, leaving: bool) {
+    /// Marks an upstream as leaving or staying, whoever said so.
+    pub fn leaving(&mut self, now: Moment, vm: &Name, leaving: bool) {
         let view = self.view_mut(vm);
+        view.reported = now;
         let mut load = view.load.unwrap_or_default();
         load.leaving = leaving;
         view.load = Some(load);
--- /dev/null
+++ b/components/rollout/tests/rollout/differences.rs
@@ -0,0 +1,96 @@
+//! The difference shown to operators, and revisions a node must not take.
+
+use declarations::Bundle;
+use rollout::{diff, split, Change, Configuration, Head, Offered, Rollout};
+use std::collections::BTreeMap;
+
+fn bundle(policy: &str) -> Bundle {
+    Bundle {
+        files: BTreeMap::from([
+            (
+                "services.ini".to_string(),
+                "[group g]\nupstreams = a\n\n[service s]\ngroup = g\nhost = s\npolicy = s.rhai\n"
+                    .to_string(),
+            ),
+            ("s.rhai".to_string(), policy.to_string()),
+        ]),
+    }
+}
+
+fn configuration(revision: u64, policy: &str) -> Configuration {
+    let (files, objects) = split(&bundle(policy));
+    Configuration {
+        head: Head {
+            revision,
+            previous: None,
+            change: Change {
+                id: format!("{revision}"),
+                who: "a".to_string(),
+                when_ms: 0,
+                why: "b".to_string(),
+            },
+            files,
+        },
+        objects,
+    }
+}
+
+#[test]
+fn a_difference_names_the_file_and_shows_only_changed_lines() {
+    let before = bundle("// one\n// two\n#{ priority: 1 }\n");
+    let after = bundle("// one\n#{ priority: 2 }\n// three\n");
+    assert_eq!(
+        diff(&before, &after),
+        [
+            "s.rhai:",
+            "- // two",
+            "- #{ priority: 1 }",
+            "+ #{ priority: 2 }",
+            "+ // three"
+        ]
+    );
+    assert!(diff(&after, &after).is_empty());
+}
+
+#[test]
+fn a_node_never_takes_an_earlier_revision_or_another_content_under_the_same_number() {
+    let mut node = Rollout::default();
+    assert_eq!(
+        node.offer(configuration(5, "#{ priority: 1 }")),
+        Offered::Taken
+    );
+    assert_eq!(
+        node.offer(configuration(4, "#{ priority: 1 }")),
+        Offered::Older
+    );
+    assert_eq!(
+        node.offer(configuration(5, "#{ priority: 2 }")),
+        Offered::Differs
+    );
+    assert_eq!(
+        node.offer(configuration(5, "#{ priority: 1 }")),
+        Offered::Same
+    );
+    assert_eq!(node.revision(), 5);
+    assert_eq!(node.counters().older, 1);
+    assert_eq!(node.counters().differs, 1);
+}
+
+#[test]
+fn a_node_keeps_its_revision_when_the_next_one_does_not_pass_the_check() {
+    let mut node = Rollout::default();
+    node.offer(configuration(1, "#{ priority: 1 }"));
+    let offered = node.offer(configuration(2, "#{ priority: 99 }"));
+    assert!(matches!(offered, Offered::Bad(_)), "{offered:?}");
+    assert_eq!(node.revision(), 1);
+}
+
+#[test]
+fn a_revision_whose_content_was_tampered_with_is_not_taken() {
+    let mut forged = configuration(1, "#{ priority: 1 }");
+    for bytes in forged.objects.values_mut() {
+        bytes.push(b'\n');
+    }
+    let offered = Rollout::default().offer(forged);
+    assert!(matches!(offered, Offered::Bad(_)), "{offered:?}");
+}
--- /dev/null
+++ b/components/rollout/tests/rollout/main.rs
@@ -0,0 +1,5 @@
+//! Rollout under races, lost answers, outages, restarts and a store that goes back.
+
+mod differences;
+mod fuzz;
+mod world;
--- /dev/null
+++ b/components/wire/tests/wire.rs
@@ -0,0 +1,154 @@
+//! Frames and handshakes, whole and malformed.
+
+use home::{Load, Offer};
+use names::{AttemptId, BootId};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use std::sync::Arc;
+use wire::{decode, decode_message, encode, Frame, Handshake, Hello, Request, Welcome};
+
+fn offer(body: Vec<u8>) -> Frame {
+    Frame::Offer {
+        offer: Offer {
+            id: AttemptId {
+                boot: BootId(7),
+                seq: 9,
+            },
+            service: "prices".into(),
+            remaining_us: 1_000,
+            priority: 3,
+            level: 0,
+            repeatable: true,
+            may_queue: false,
+        },
+        key: None,
+        req: Arc::new(Request {
+            service: "prices".into(),
+            method: "GET".to_string(),
+            target: "/a?b=c".to_string(),
+            headers: vec![("accept".to_string(), "*/*".to_string())],
+            body,
+            level: 0,
+        }),
+    }
+}
+
+fn handshakes(key: &str, other: &str) -> (Handshake, Handshake) {
+    (
+        Handshake::new(key, "a".into(), BootId(1), 11),
+        Handshake::new(other, "b".into(), BootId(2), 22),
+    )
+}
+
+#[test]
+fn a_frame_comes_back_as_it_was_sent() {
+    let frame = offer(vec![0, 255, 10]);
+    let envelope = decode("peer", &encode(42, &frame)).expect("it decodes");
+    assert_eq!(envelope.sent_us, 42);
+    assert_eq!(envelope.frame, frame);
+}
+
+#[test]
+fn a_body_costs_its_length_and_little_more() {
+    let empty = encode(0, &offer(Vec::new())).len();
+    let full = encode(0, &offer(vec![200; 10_000])).len();
+    assert!(full - empty <= 10_000 + 8);
+}
+
+#[test]
+fn an_error_of_decoding_names_the_step_and_the_peer() {
+    let error = decode("10.0.0.7:80", b"\xff").expect_err("no frame");
+    assert!(error.to_string().starts_with("frame with 10.0.0.7:80: "));
+}
+
+#[test]
+fn two_nodes_with_the_same_key_admit_each_other() {
+    let (a, b) = handshakes("the key of the fleet", "the key of the fleet");
+    let welcome = b.welcome(&a.hello()).expect("a hello");
+    let proof = a.prove_to(&welcome).expect("a welcome");
+    b.check(&a.hello(), &proof).expect("a proof");
+}
+
+#[test]
+fn a_stranger_is_found_out_by_either_side() {
+    let (a, b) = handshakes("the key of the fleet", "another key");
+    let welcome = b.welcome(&a.hello()).expect("a hello");
+    assert!(a.prove_to(&welcome).is_err());
+    let (a, b) = handshakes("the key of the fleet", "the key of the fleet");
+    let welcome = b.welcome(&a.hello()).expect("a hello");
+    let mut proof = a.prove_to(&welcome).expect("a welcome");
+    proof.proof[0] ^= 1;
+    assert!(b.check(&a.hello(), &proof).is_err());
+}
+
+#[test]
+fn a_proof_can_not_be_used_for_another_connection_or_turned_round() {
+    let key = "the key of the fleet";
+    let (a, b) = handshakes(key, key);
+    let welcome = b.welcome(&a.hello()).expect("a hello");
+    let proof = a.prove_to(&welcome).expect("a welcome");
+    let again = Handshake::new(key, "b".into(), BootId(2), 23);
+    assert!(again.check(&a.hello(), &proof).is_err());
+    let reflected = Welcome {
+        hello: welcome.hello.clone(),
+        proof: proof.proof.clone(),
+    };
+    assert!(a.prove_to(&reflected).is_err());
+}
+
+#[test]
+fn a_peer_of_another_version_is_refused_by_name() {
+    let (a, b) = handshakes("k", "k");
+    let hello = Hello {
+        version: 99,
+        ..a.hello()
+    };
+    let error = b.welcome(&hello).expect_err("another version");
+    assert!(error.to_string().contains("speaks version 99"), "{error}");
+}
+
+fn config() -> Config {
+    Config {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_bytes_decode_or_fail_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        decode("peer", &bytes).ok();
+        decode_message::<Hello>("peer", &bytes).ok();
+        decode_message::<Welcome>("peer", &bytes).ok();
+    }
+
+    #[test]
+    fn a_frame_with_damaged_bytes_decodes_or_fails_without_a_panic(
+        at in 0..200usize,
+        byte in any::<u8>(),
+        cut in 0..200usize,
+    ) {
+        let mut bytes = encode(1, &offer(vec![1, 2, 3]));
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        decode("peer", &bytes).ok();
+        bytes.truncate(cut);
+        decode("peer", &bytes).ok();
+    }
+
+    #[test]
+    fn every_load_survives_the_way(
+        in_flight in any::<u32>(),
+        service_us in any::<u64>(),
+        leaving in any::<bool>(),
+    ) {
+        let load = Load { in_flight, service_us, leaving, ..Load::default() };
+        let frame = Frame::Alive { load };
+        let envelope = decode("peer", &encode(0, &frame)).expect("it decodes");
+        prop_assert_eq!(envelope.frame, frame);
+    }
+}
--- /dev/null
+++ b/node/tests/node/stop.rs
@@ -0,0 +1,89 @@
+//! Deadlines and the planned stop.
+
+use crate::fleet::{connect, header, read_all, Beside, Fleet};
+use std::io::Write;
+use std::time::Duration;
+
+#[test]
+fn a_planned_stop_lets_a_request_in_flight_end_and_then_exits() {
+    let mut fleet = Fleet::start("stop", Beside::Upstream(1_500_000));
+    let mut stream = connect(fleet.callers);
+    stream
+        .write_all(b"POST / HTTP/1.1\r\nHost: one.example\r\nContent-Length: 0\r\n\r\n")
+        .expect("it is taken");
+    while fleet.metric("drumwheel_in_flight") < 1.0 {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    fleet.terminate();
+    let response = read_all(&mut stream);
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert_eq!(header(&response, "connection"), Some("close"));
+    assert!(fleet.wait(), "the node ends with success");
+}
+
+#[test]
+fn a_stopping_node_starts_no_new_work() {
+    let fleet = Fleet::start("stopping", Beside::Upstream(1_500_000));
+    let mut stream = connect(fleet.callers);
+    stream
+        .write_all(b"POST / HTTP/1.1\r\nHost: one.example\r\nContent-Length: 0\r\n\r\n")
+        .expect("it is taken");
+    while fleet.metric("drumwheel_in_flight") < 1.0 {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    fleet.terminate();
+    while fleet.metric("drumwheel_leaving") < 1.0 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let response = fleet.request("POST", "", "x");
+    assert_eq!(header(&response, "drumwheel-outcome"), Some("not-run"));
+    assert!(read_all(&mut stream).starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn a_request_given_up_at_its_deadline_is_told_unknown_when_it_may_have_run() {
+    let fleet = Fleet::start("deadline", Beside::Upstream(2_000_000));
+    let response = fleet.request("POST", "Drumwheel-Deadline-Ms: 200\r\n", "x");
+    assert!(response.starts_with("HTTP/1.1 504"), "{response}");
+    assert_eq!(header(&response, "drumwheel-outcome"), Some("unknown"));
+}
+
+#[test]
+fn a_caller_that_hangs_up_takes_its_queued_request_along() {
+    let fleet = Fleet::start("hang-up", Beside::Upstream(700_000));
+    let send = |count: usize| {
+        (0..count)
+            .map(|_| {
+                let mut stream = connect(fleet.callers);
+                stream
+                    .write_all(b"POST / HTTP/1.1\r\nHost: one.example\r\nContent-Length: 0\r\n\r\n")
+                    .expect("it is taken");
+                stream
+            })
+            .collect::<Vec<_>>()
+    };
+    let running = send(4);
+    while fleet.metric("drumwheel_in_flight") + fleet.metric("drumwheel_queued") < 4.0 {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let queued = send(2);
+    while fleet.metric("drumwheel_in_flight") + fleet.metric("drumwheel_queued") < 6.0 {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let started = fleet.metric("drumwheel_started");
+    drop(queued);
+    drop(running);
+    while fleet.metric("drumwheel_in_flight") > 0.0 {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(fleet.metric("drumwheel_started"), started);
+}
+
+#[test]
+fn a_head_request_keeps_the_length_that_the_upstream_declares() {
+    let bytes = "HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n";
+    let fleet = Fleet::start("head", Beside::Bytes(bytes.as_bytes().to_vec()));
+    let response = fleet.request("HEAD", "", "");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert_eq!(header(&response, "content-length"), Some("1234"));
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,6 +2,7 @@
 
 use crate::cli::Format;
 use crate::messages;
+use futures_util::future::join_all;
 use platform::Client;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -15,10 +16,9 @@
         Err(error) => return messages::failure(&error),
     };
     let in_force = operator::head(&client).await;
-    let mut nodes = Vec::new();
-    for vm in &list.vms {
-        nodes.push((vm, operator::status(&vm.operators).await));
-    }
+    let asked = list.vms.iter().map(|vm| operator::status(&vm.operators));
+    let answers = join_all(asked).await;
+    let nodes: Vec<_> = list.vms.iter().zip(answers).collect();
     if format == Format::Json {
         let rows: Vec<_> = nodes
             .iter()
