--- a/components/budget/tests/gate.rs
+++ b/components/budget/tests/gate.rs
@@ -3,7 +3,8 @@
 use budget::{Act, Gate, HallBudget};
 use names::{Moment, SECOND};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+
+const CASES: u32 = 500;
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -24,17 +25,8 @@
     prop::collection::vec(step, 1..300)
 }
 
-fn config() -> Config {
-    Config {
-        cases: 500,
-        rng_seed: RngSeed::Fixed(20_261_202),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fuzzing::config(CASES))]
 
     /// A node may know of as few as half the nodes of its hall.
     #[test]
--- /dev/null
+++ b/components/daemon/benches/decisions.rs
@@ -0,0 +1,144 @@
+//! Cost of each pure decision at 1, 10 and 100 times today's state.
+
+use budget::{Act, Gate, HallBudget};
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use entry::{Call, Candidate, Entry, Event, Rule, Treatment};
+use home::{Config, Home, Offer, Verdict};
+use keys::{Begin, Claims, End, KeyHash, Table};
+use names::{AttemptId, BootId, Moment, Name};
+use policy::{Input, Policy};
+use std::hint::black_box;
+
+const SCALES: [u64; 3] = [1, 10, 100];
+/// Upstreams of a group today.
+const UPSTREAMS: u64 = 4;
+/// Records of ended attempts after a minute at today's rate.
+const RECORDS: u64 = 500;
+/// Idempotency keys of a node today.
+const KEYS: u64 = 200;
+
+fn offer(seq: u64) -> Offer {
+    Offer {
+        id: AttemptId {
+            boot: BootId(1),
+            seq,
+        },
+        service: "s".into(),
+        remaining_us: 1_000_000,
+        priority: 1,
+        level: 0,
+        repeatable: true,
+        may_queue: true,
+    }
+}
+
+fn choose(c: &mut Criterion) {
+    let mut group = c.benchmark_group("choose among upstreams");
+    for scale in SCALES {
+        let candidates: Vec<Candidate> = (0..UPSTREAMS * scale)
+            .map(|n| Candidate {
+                vm: Name::from(format!("vm-{n}")),
+                same_hall: n % 3 == 0,
+                own: false,
+            })
+            .collect();
+        let mut entry = Entry::new(BootId(1), Rule::Expected, 1);
+        group.bench_function(BenchmarkId::from_parameter(UPSTREAMS * scale), |b| {
+            b.iter(|| {
+                let treatment = Treatment {
+                    repeatable: true,
+                    priority: 1,
+                    attempts: 2,
+                };
+                let mut call: Call<u64> =
+                    Call::new("s".into(), treatment, Moment(9_000_000), candidates.clone());
+                black_box(call.step(Moment(1), Event::Begin, &mut entry));
+                black_box(call.step(Moment(1), Event::HungUp, &mut entry));
+            });
+        });
+    }
+    group.finish();
+}
+
+fn admit(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admit and complete, by records kept");
+    for scale in SCALES {
+        let mut home: Home<u64> = Home::new(BootId(2), Config::default());
+        let mut now = Moment(1);
+        let mut seq = 0;
+        let mut step = move || {
+            let offer = offer(seq);
+            let id = offer.id;
+            home.offer(now, &offer);
+            black_box(home.completed(now + 100, id, Verdict::Good, None));
+            seq += 1;
+            now = now + 60_000_000 / (RECORDS * scale);
+        };
+        for _ in 0..RECORDS * scale {
+            step();
+        }
+        group.bench_function(BenchmarkId::from_parameter(RECORDS * scale), |b| {
+            b.iter(&mut step);
+        });
+    }
+    group.finish();
+}
+
+fn key(c: &mut Criterion) {
+    let mut group = c.benchmark_group("begin and end a key, by keys kept");
+    for scale in SCALES {
+        let mut table: Table<u64> = Table::new(1_000_000, 256);
+        let mut claims = Claims::new(1_000_000);
+        let vm = Name::from("vm");
+        let mut now = Moment(1);
+        let mut number = 0_u64;
+        let mut step = move || {
+            let key = KeyHash::new(&vm, &number.to_string());
+            if table.begin(now, key, false) == Begin::Run {
+                table.end(now, key, End::Answered(number));
+            }
+            black_box(claims.claim(now, key, &vm, BootId(1)));
+            number += 1;
+            now = now + keys::KEY_KEPT_US / (KEYS * scale);
+        };
+        for _ in 0..KEYS * scale {
+            step();
+        }
+        group.bench_function(BenchmarkId::from_parameter(KEYS * scale), |b| {
+            b.iter(&mut step);
+        });
+    }
+    group.finish();
+}
+
+fn policy(c: &mut Criterion) {
+    let source = include_str!("../../../examples/windhoek/bids.rhai");
+    let policy = Policy::compile("bids.rhai", source).expect("the example compiles");
+    let input = Input {
+        method: "POST".to_string(),
+        path: "/bids".to_string(),
+        ..Input::default()
+    };
+    c.bench_function("evaluate a policy of seven lines", |b| {
+        b.iter(|| black_box(policy.evaluate(&input)));
+    });
+}
+
+fn gate(c: &mut Criterion) {
+    let mut gate = Gate::new(Moment(1));
+    let hall = HallBudget {
+        messages_per_s: 60.0,
+        slot_us_per_s: 0.0,
+    };
+    gate.set(Moment(1), hall, 95);
+    let mut now = Moment(1);
+    c.bench_function("ask the measuring budget", |b| {
+        b.iter(|| {
+            now = now + 50_000;
+            black_box(gate.spend(now, Act::HEARTBEAT))
+        });
+    });
+}
+
+criterion_group!(benches, choose, admit, key, policy, gate);
+criterion_main!(benches);
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -1,10 +1,10 @@
 //! The coordinator of an idempotency key: makes the attempts, and claims the key first when
 //! another node may have acted for it.
 
+use crate::boot_record;
 use crate::entry_driver::{run_call, Finished, Plan};
 use crate::links::{self, Reply};
 use crate::node::{Node, Whole};
-use crate::platform_watch;
 use crate::relay::Relay;
 use async_channel::Sender;
 use async_std::future::timeout;
@@ -35,7 +35,7 @@
         return RelayOutcome::Unknown(Reason::NotCoordinator);
     };
     if node.was_paused() {
-        platform_watch::paused(node);
+        boot_record::paused(node);
     }
     let standing = Standing {
         me: node.cfg.vm.clone(),
@@ -104,7 +104,7 @@
 fn grant(node: &Rc<Node>, key: KeyHash, vm: &Name, by: BootId) -> ClaimReply<Whole> {
     let now = node.now();
     if node.was_paused() {
-        platform_watch::paused(node);
+        boot_record::paused(node);
     }
     let (reply, ran) = node.claims.borrow_mut().claim(now, key, vm, by);
     match reply {
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -1,8 +1,8 @@
 //! Carries out the decisions of the home duty.
 
+use crate::boot_record;
 use crate::links::Reply;
 use crate::node::{Job, Node, Whole};
-use crate::platform_watch;
 use crate::stats;
 use crate::upstream::Failure;
 use async_std::future::timeout;
@@ -62,7 +62,7 @@
     }
     let key = key.filter(|_| !node.jobs.borrow().contains_key(&offer.id))?;
     if node.was_paused() {
-        platform_watch::paused(node);
+        boot_record::paused(node);
     }
     let now = node.now();
     let claim = node
@@ -191,7 +191,7 @@
             .is_some_and(|home| home.has_queue());
         task::sleep(if busy { QUEUE_TICK } else { IDLE_TICK }).await;
         if node.was_paused() {
-            platform_watch::paused(&node);
+            boot_record::paused(&node);
         }
         let now = node.now();
         node.last_tick.set(now);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! place, since a hand-over between threads costs more than they do (see `docs/DESIGN.md`). The
 //! operators' address has a thread of its own, joined by a bounded channel.
 
+mod boot_record;
 mod callers;
 mod clock;
 mod configuration;
@@ -70,7 +71,7 @@
     task::spawn_local(home_driver::run_ticks(node.clone()));
     task::spawn_local(home_driver::run_successor_watch(node.clone()));
     task::spawn_local(configuration::run_comparisons(node.clone()));
-    task::spawn_local(platform_watch::run_boot_record(node.clone()));
+    task::spawn_local(boot_record::run(node.clone()));
     task::spawn_local(platform_watch::run_head(node.clone()));
     task::spawn_local(platform_watch::run_vms(node.clone()));
     task::spawn_local(operators::run_commands(node.clone(), rx));
--- a/components/daemon/src/recovery.rs
+++ b/components/daemon/src/recovery.rs
@@ -5,9 +5,9 @@
 //! of them have answered, and none is itself uncertain, this boot knows every key. Until then, or
 //! until the key window has passed, it is uncertain.
 
+use crate::boot_record::{certain, used_keys};
 use crate::links::{self, Reply};
 use crate::node::Node;
-use crate::platform_watch::{certain, used_keys};
 use async_std::future::timeout;
 use async_std::task;
 use futures_util::future::join_all;
@@ -44,7 +44,7 @@
 /// A new boot of the VM `from` asks.
 pub fn asked(node: &Rc<Node>, from: &Name, id: AttemptId, reply: &Reply) {
     if node.was_paused() {
-        crate::platform_watch::paused(node);
+        crate::boot_record::paused(node);
     }
     let now = node.now();
     let latest = node.claims.borrow_mut().replaced(from, id.boot);
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -1,8 +1,8 @@
 //! The planned stop of a node.
 
+use crate::boot_record;
 use crate::home_driver;
 use crate::node::Node;
-use crate::platform_watch;
 use async_std::prelude::*;
 use async_std::task;
 use signal_hook::consts::signal::{SIGINT, SIGTERM};
@@ -46,7 +46,7 @@
 }
 
 async fn hand_over(node: &Rc<Node>) {
-    let handed = async_std::future::timeout(HAND_OVER_LIMIT, platform_watch::hand_over(node)).await;
+    let handed = async_std::future::timeout(HAND_OVER_LIMIT, boot_record::hand_over(node)).await;
     match handed {
         Ok(Ok(())) => {}
         Ok(Err(error)) => tracing::warn!(%error, "the keys were not handed over"),
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -4,12 +4,12 @@
 use crate::depth::Depth;
 use crate::limit::{Class, Limit, Verdict};
 use crate::message::{AskReply, Load, Offer, Reason, Refusal};
+use crate::queue::Queue;
 use crate::record::{Known, Record, Records};
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 /// The queue holds at most this many attempts for each slot.
 const QUEUE_PER_SLOT: usize = 8;
@@ -77,9 +77,6 @@
     pub late_completions: u64,
 }
 
-/// Order in the queue: priority, level, deadline.
-type QueueKey = (Reverse<u8>, Reverse<u32>, Moment, AttemptId);
-
 /// The home duty of one upstream. `A` is the type of a whole answer.
 #[derive(Debug)]
 pub struct Home<A> {
@@ -88,8 +85,7 @@
     limit: Limit,
     depth: Depth,
     running: HashMap<AttemptId, Attempt<Started>>,
-    queue: BTreeMap<QueueKey, Attempt<Queued>>,
-    queue_keys: HashMap<AttemptId, QueueKey>,
+    queue: Queue,
     records: Records<A>,
     leaving: bool,
     down_since: Option<Moment>,
@@ -108,8 +104,7 @@
             records: Records::new(cfg.max_records, cfg.max_answers, cfg.keep_us),
             rng: SmallRng::seed_from_u64(cfg.seed),
             running: HashMap::new(),
-            queue: BTreeMap::new(),
-            queue_keys: HashMap::new(),
+            queue: Queue::default(),
             leaving: false,
             down_since: None,
             counters: Counters::default(),
@@ -147,7 +142,7 @@
         if self.running.contains_key(&id) {
             return AskReply::Started;
         }
-        if self.take_queued(id).is_some() {
+        if self.queue.take(id).is_some() {
             self.counters.revoked += 1;
             self.records.end(now, id, Record::NotRun);
             return AskReply::Revoked;
@@ -168,7 +163,7 @@
 
     /// Cancels an attempt. Returns whether it is running; one that is queued is dropped.
     pub fn cancel(&mut self, now: Moment, id: AttemptId) -> bool {
-        if self.take_queued(id).is_some() {
+        if self.queue.take(id).is_some() {
             self.counters.revoked += 1;
             self.records.end(now, id, Record::NotRun);
             return false;
@@ -296,7 +291,7 @@
         }
         self.make_room(now, offer, &mut actions);
         self.counters.queued += 1;
-        self.put_queued(attempt.queue(now));
+        self.queue.put(attempt.queue(now));
         actions
     }
 
@@ -316,7 +311,7 @@
     /// Whether a new attempt would be served before its deadline and finds room.
     fn fits(&self, offer: &Offer, running: &[(Class, u64)], limit: u32) -> bool {
         let service = self.limit.service_us(running);
-        let ahead = self.ahead_of(offer.priority);
+        let ahead = self.queue.ahead_of(offer.priority);
         let wait = (ahead + 1) as f64 * service / limit as f64;
         let in_time = wait + service <= offer.remaining_us as f64;
         let room =
@@ -324,26 +319,19 @@
         in_time && room
     }
 
-    fn ahead_of(&self, priority: u8) -> usize {
-        self.queue
-            .keys()
-            .take_while(|(Reverse(other), _, _, _)| *other >= priority)
-            .count()
-    }
-
     /// When the queue is full, refuses the last of a lower priority.
     fn make_room(&mut self, now: Moment, offer: &Offer, actions: &mut Vec<Action>) {
         if self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT {
             return;
         }
-        let Some((key, _)) = self.queue.last_key_value() else {
+        let Some(last) = self.queue.last() else {
             return;
         };
-        if key.0 .0 >= offer.priority {
+        if last.priority() >= offer.priority {
             return;
         }
-        let id = key.3;
-        self.take_queued(id);
+        let id = last.id();
+        self.queue.take(id);
         self.refuse_ended(now, id, Reason::Busy, actions);
     }
 
@@ -368,7 +356,6 @@
             let Some(attempt) = self.next_queued(now, limit) else {
                 return;
             };
-            self.queue_keys.remove(&attempt.id());
             self.start(attempt.start(now), actions);
         }
         if self.down_since.is_some() {
@@ -379,23 +366,14 @@
     /// Takes the first queued attempt for whose level a slot is free.
     fn next_queued(&mut self, now: Moment, limit: u32) -> Option<Attempt<Queued>> {
         let busy = self.running.len() as u32;
-        let key = self
-            .queue
-            .iter()
-            .find(|(_, attempt)| busy < self.depth.limit(now, attempt.class().level, limit))
-            .map(|(key, _)| *key)?;
-        self.queue.remove(&key)
+        let depth = &self.depth;
+        self.queue
+            .take_first(|attempt| busy < depth.limit(now, attempt.class().level, limit))
     }
 
     fn expire(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        let late: Vec<AttemptId> = self
-            .queue
-            .values()
-            .filter(|attempt| attempt.deadline() <= now)
-            .map(|attempt| attempt.id())
-            .collect();
-        for id in late {
-            self.take_queued(id);
+        for id in self.queue.late(now) {
+            self.queue.take(id);
             self.refuse_ended(now, id, Reason::Deadline, actions);
         }
     }
@@ -411,9 +389,8 @@
     }
 
     fn hand_back_all(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        let ids: Vec<AttemptId> = self.queue.values().map(|attempt| attempt.id()).collect();
-        for id in ids {
-            self.take_queued(id);
+        for id in self.queue.ids() {
+            self.queue.take(id);
             self.counters.revoked += 1;
             self.records.end(now, id, Record::NotRun);
             actions.push(Action::Revoke(id));
@@ -456,23 +433,7 @@
     }
 
     fn is_active(&self, id: AttemptId) -> bool {
-        self.running.contains_key(&id) || self.queue_keys.contains_key(&id)
-    }
-
-    fn put_queued(&mut self, attempt: Attempt<Queued>) {
-        let key = (
-            Reverse(attempt.priority()),
-            Reverse(attempt.class().level),
-            attempt.deadline(),
-            attempt.id(),
-        );
-        self.queue_keys.insert(attempt.id(), key);
-        self.queue.insert(key, attempt);
-    }
-
-    fn take_queued(&mut self, id: AttemptId) -> Option<Attempt<Queued>> {
-        let key = self.queue_keys.remove(&id)?;
-        self.queue.remove(&key)
+        self.running.contains_key(&id) || self.queue.contains(id)
     }
 }
 
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -10,6 +10,7 @@
 mod duty;
 mod limit;
 mod message;
+mod queue;
 mod record;
 
 pub use attempt::{Attempt, Offered, Queued, Started};
--- /dev/null
+++ b/components/home/src/queue.rs
@@ -0,0 +1,87 @@
+//! The queue of a home duty, ordered by priority, level and deadline.
+
+use crate::attempt::{Attempt, Queued};
+use names::{AttemptId, Moment};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+
+/// Order in the queue: higher priorities first, then deeper levels, then earlier deadlines.
+type Place = (Reverse<u8>, Reverse<u32>, Moment, AttemptId);
+
+/// Attempts that wait for a slot.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    attempts: BTreeMap<Place, Attempt<Queued>>,
+    places: HashMap<AttemptId, Place>,
+}
+
+impl Queue {
+    /// Number of attempts that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Whether none waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Whether the attempt waits.
+    pub(crate) fn contains(&self, id: AttemptId) -> bool {
+        self.places.contains_key(&id)
+    }
+
+    /// Lets an attempt wait.
+    pub(crate) fn put(&mut self, attempt: Attempt<Queued>) {
+        let place = (
+            Reverse(attempt.priority()),
+            Reverse(attempt.class().level),
+            attempt.deadline(),
+            attempt.id(),
+        );
+        self.places.insert(attempt.id(), place);
+        self.attempts.insert(place, attempt);
+    }
+
+    /// Takes an attempt out, if it waits.
+    pub(crate) fn take(&mut self, id: AttemptId) -> Option<Attempt<Queued>> {
+        let place = self.places.remove(&id)?;
+        self.attempts.remove(&place)
+    }
+
+    /// Takes out the first attempt that `fits`.
+    pub(crate) fn take_first(
+        &mut self,
+        fits: impl Fn(&Attempt<Queued>) -> bool,
+    ) -> Option<Attempt<Queued>> {
+        let id = self.attempts.values().find(|attempt| fits(attempt))?.id();
+        self.take(id)
+    }
+
+    /// The attempt served last.
+    pub(crate) fn last(&self) -> Option<&Attempt<Queued>> {
+        self.attempts.values().next_back()
+    }
+
+    /// Number of attempts served before a new one of this priority.
+    pub(crate) fn ahead_of(&self, priority: u8) -> usize {
+        self.attempts
+            .values()
+            .take_while(|attempt| attempt.priority() >= priority)
+            .count()
+    }
+
+    /// The attempts whose deadline has passed.
+    pub(crate) fn late(&self, now: Moment) -> Vec<AttemptId> {
+        self.attempts
+            .values()
+            .filter(|attempt| attempt.deadline() <= now)
+            .map(|attempt| attempt.id())
+            .collect()
+    }
+
+    /// All that wait.
+    pub(crate) fn ids(&self) -> Vec<AttemptId> {
+        self.attempts.values().map(|attempt| attempt.id()).collect()
+    }
+}
--- a/components/keys/tests/keys/fuzz.rs
+++ b/components/keys/tests/keys/fuzz.rs
@@ -3,10 +3,8 @@
 
 use crate::world::World;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 
-const SEED: u64 = 20_261_202;
 const CASES: u32 = 1_500;
 
 /// One step of the world; numbers pick by remainder.
@@ -106,24 +104,8 @@
     }
 }
 
-fn number(name: &str, default: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
-}
-
-fn config() -> Config {
-    Config {
-        cases: number("FUZZ_CASES", CASES.into()) as u32,
-        rng_seed: RngSeed::Fixed(number("FUZZ_SEED", SEED)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(fuzzing::config(CASES))]
 
     #[test]
     fn a_key_runs_at_most_once_whatever_happens_to_messages_and_nodes(sequential 1..200 => Keys);
--- a/components/rollout/tests/rollout/fuzz.rs
+++ b/components/rollout/tests/rollout/fuzz.rs
@@ -3,10 +3,8 @@
 
 use crate::world::{Fate, World};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 
-const SEED: u64 = 20_261_202;
 const CASES: u32 = 200;
 
 /// One step of the world; numbers pick by remainder.
@@ -88,24 +86,8 @@
     }
 }
 
-fn number(name: &str, default: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
-}
-
-fn config() -> Config {
-    Config {
-        cases: number("FUZZ_CASES", CASES.into()) as u32,
-        rng_seed: RngSeed::Fixed(number("FUZZ_SEED", SEED)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(fuzzing::config(CASES))]
 
     #[test]
     fn what_was_accepted_is_never_lost_and_no_node_goes_back(sequential 1..150 => Rollouts);
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -3,10 +3,11 @@
 use home::{Load, Offer};
 use names::{AttemptId, BootId};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use std::sync::Arc;
 use wire::{decode, decode_message, encode, Frame, Handshake, Hello, Request, Welcome};
 
+const CASES: u32 = 2_000;
+
 fn offer(body: Vec<u8>) -> Frame {
     Frame::Offer {
         offer: Offer {
@@ -107,17 +108,8 @@
     assert!(error.to_string().contains("speaks version 99"), "{error}");
 }
 
-fn config() -> Config {
-    Config {
-        cases: 2_000,
-        rng_seed: RngSeed::Fixed(20_261_202),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(fuzzing::config(CASES))]
 
     #[test]
     fn any_bytes_decode_or_fail_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
