The thread that waits for I/O is the one that works

Cause: async-std's executor thread and the HTTP library's own timer each kept a reactor of their own awake; whichever thread held the reactor handed every event over to the path's thread, and each request set a timer in another reactor. Ruled out: the cost of decisions (microseconds) and of encoding. Change: an executor of the parts async-std is made of, on one thread; the callers' and operators' connections are accepted here instead of by the libraries' loops. A planned stop now also waits until the last answer is written.

--- a/components/daemon/src/boot_record.rs
+++ b/components/daemon/src/boot_record.rs
@@ -1,10 +1,10 @@
 //! The record of a VM's boots in the platform: what a boot leaves to its successor, and whether a
 //! boot that was paused is still the latest.
 
+use crate::local;
 use crate::node::Node;
 use crate::platform_watch::{rest, LEAST_PAUSE_MS};
 use crate::recovery;
-use async_std::task;
 use errors::{Error, Result, Step};
 use keys::{KeyHash, KEY_KEPT_US};
 use names::{Moment, Name};
@@ -137,7 +137,7 @@
     }
     tracing::warn!("the process was paused");
     node.claims.borrow_mut().uncertain_until(Moment(u64::MAX));
-    task::spawn_local(run_after_pause(node.clone()));
+    local::spawn(run_after_pause(node.clone()));
 }
 
 /// This boot is the latest; it knows every key used since it can.
--- a/components/daemon/src/callers/connection.rs
+++ b/components/daemon/src/callers/connection.rs
@@ -3,20 +3,24 @@
 use super::request::{self, BadRequest};
 use super::{response, serve};
 use crate::guard::{Guard, HeadFault};
+use crate::local;
 use crate::node::Node;
 use crate::stats;
-use async_h1::server::{ConnectionStatus, Server, ServerOptions};
+use async_h1::server;
+use async_std::future::timeout;
+use async_std::io;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::prelude::*;
 use async_std::task;
 use futures_util::FutureExt;
-use std::cell::Cell;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// A connection on which no whole head arrived for so long is closed.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// A caller that does not take its answer for so long is cut off.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after the listener failed, for example because descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -29,12 +33,12 @@
         };
         if node.open_callers.get() >= node.cfg.max_callers {
             stats::bad_input("too many callers");
-            task::spawn_local(turn_away(stream));
+            local::spawn(turn_away(stream));
             continue;
         }
         node.open_callers.set(node.open_callers.get() + 1);
         let node = node.clone();
-        task::spawn_local(async move {
+        local::spawn(async move {
             let connection = AssertUnwindSafe(connection(&node, stream));
             if connection.catch_unwind().await.is_err() {
                 stats::panicked();
@@ -56,56 +60,60 @@
     stream.set_nodelay(true).ok();
     let guard = Guard::new(stream);
     let caller = address.ip().to_string();
-    let served = Rc::new(Cell::new(false));
-    let endpoint = |req: http_types::Request| {
-        served.set(true);
-        endpoint(node.clone(), guard.clone(), caller.clone(), req)
-    };
-    let options = ServerOptions::default();
-    let mut server = Server::new(guard.clone(), endpoint).with_opts(options);
-    loop {
-        guard.expect_head();
-        served.set(false);
-        let accepted = async_std::future::timeout(
-            HEAD_TIMEOUT + Duration::from_millis(node.cfg.stop_wait_ms) + MAX_SERVE,
-            server.accept_one(),
-        );
-        match accepted.await {
-            Ok(Ok(ConnectionStatus::KeepAlive)) if guard.is_reusable() => {}
-            Ok(Ok(_)) | Err(_) => return,
-            Ok(Err(error)) => {
-                if !served.get() {
-                    refuse_head(&guard, &error.to_string()).await;
-                }
-                return;
-            }
+    while exchange(node, &guard, &caller).await.unwrap_or(false) {}
+}
+
+/// Serves one request; returns whether the connection may carry another.
+///
+/// The library's own accept loop is not used: it sets a timer of another reactor for each request,
+/// which wakes that reactor's thread.
+async fn exchange(node: &Rc<Node>, guard: &Guard, caller: &str) -> http_types::Result<bool> {
+    guard.expect_head();
+    let decoded = match timeout(HEAD_TIMEOUT, server::decode(guard.clone())).await {
+        Ok(Ok(decoded)) => decoded,
+        Ok(Err(error)) => {
+            refuse_head(guard, &error.to_string()).await;
+            return Ok(false);
         }
-    }
+        Err(_) => return Ok(false),
+    };
+    let Some((req, _)) = decoded else {
+        return Ok(false);
+    };
+    let method = req.method();
+    let asked_to_close = has_close(req.header("connection"));
+    node.open_calls.set(node.open_calls.get() + 1);
+    let res = answer(node, guard, caller, req).await;
+    let close = asked_to_close || has_close(res.header("connection"));
+    let mut encoder = server::Encoder::new(res, method);
+    let written = timeout(WRITE_TIMEOUT, io::copy(&mut encoder, &mut guard.clone())).await;
+    node.open_calls.set(node.open_calls.get() - 1);
+    written??;
+    Ok(!close && guard.is_reusable())
 }
 
-/// Longest time a request may take from its head to the end of its answer.
-const MAX_SERVE: Duration = Duration::from_secs(660);
+fn has_close(connection: Option<&http_types::headers::HeaderValues>) -> bool {
+    connection.is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"))
+}
 
-async fn endpoint(
-    node: Rc<Node>,
-    guard: Guard,
-    caller: String,
+async fn answer(
+    node: &Rc<Node>,
+    guard: &Guard,
+    caller: &str,
     mut req: http_types::Request,
-) -> http_types::Result<http_types::Response> {
-    node.open_calls.set(node.open_calls.get() + 1);
-    let read = request::read(&node, &guard, &caller, &mut req).await;
+) -> http_types::Response {
+    let read = request::read(node, guard, caller, &mut req).await;
     let mut res = match read {
         Ok(call) => {
             let hung_up = hung_up(guard.stream());
-            serve::serve(&node, call, hung_up).await
+            serve::serve(node, call, hung_up).await
         }
-        Err(bad) => refuse(&guard, &bad),
+        Err(bad) => refuse(guard, &bad),
     };
     if node.stopping.get() {
         res.insert_header("connection", "close");
     }
-    node.open_calls.set(node.open_calls.get() - 1);
-    Ok(res)
+    res
 }
 
 fn refuse(guard: &Guard, bad: &BadRequest) -> http_types::Response {
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -2,6 +2,7 @@
 
 use crate::boot_record;
 use crate::links::Reply;
+use crate::local;
 use crate::node::{Job, Node, Whole};
 use crate::stats;
 use crate::upstream::Failure;
@@ -245,7 +246,7 @@
         node.claims.borrow_mut().started(key, id);
     }
     let node = node.clone();
-    task::spawn_local(async move {
+    local::spawn(async move {
         let work = pin!(exchange(&node, id, &job));
         let cancelled = pin!(rx.recv());
         match select(work, cancelled).await {
--- a/components/daemon/src/links/accept.rs
+++ b/components/daemon/src/links/accept.rs
@@ -1,6 +1,7 @@
 //! The peers' door: connections that other nodes open to this one.
 
 use super::{age, frames, max_bytes, socket, Reply, MAX_WAITING_FRAMES};
+use crate::local;
 use crate::node::Node;
 use crate::stats;
 use async_std::future::timeout;
@@ -37,7 +38,7 @@
         serial += 1;
         let node = node.clone();
         let peer = address.to_string();
-        task::spawn_local(async move {
+        local::spawn(async move {
             let session = AssertUnwindSafe(session(&node, stream, &peer, serial));
             if session.catch_unwind().await.is_err() {
                 stats::panicked();
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -148,7 +148,7 @@
         Some(Link::Failed(_)) | None => {
             links.insert(to.clone(), Link::Connecting(vec![frame]));
             drop(links);
-            async_std::task::spawn_local(dial::run(node.clone(), to.clone()));
+            crate::local::spawn(dial::run(node.clone(), to.clone()));
         }
     }
 }
--- a/components/daemon/src/links/socket.rs
+++ b/components/daemon/src/links/socket.rs
@@ -68,7 +68,7 @@
 pub fn split(socket: Socket, waiting: usize) -> (Sender<Vec<u8>>, SplitStream<Socket>) {
     let (sink, stream) = socket.split();
     let (tx, rx) = async_channel::bounded(waiting);
-    async_std::task::spawn_local(write(sink, rx));
+    crate::local::spawn(write(sink, rx));
     (tx, stream)
 }
 
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -1,14 +1,16 @@
 //! The operators' address: metrics, health, status, drain, and revisions pushed by `apply`.
 //!
-//! It is served by tide on a thread of its own. Requests for the node's state go to the node's
-//! thread over a bounded channel, so a node that hangs is seen here as one that doesn't answer.
+//! The routes are tide's; connections are accepted here, since tide's own `listen` starts threads
+//! and has no graceful stop. Requests for the node's state go over a bounded channel.
 
 use crate::configuration;
 use crate::home_driver;
+use crate::local;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
-use errors::{Error, Result, Step};
+use async_std::net::TcpListener;
+use async_std::task;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rollout::{Configuration, Offered};
 use serde::Serialize;
@@ -18,6 +20,8 @@
 
 /// Commands that may wait for the node's thread.
 const MAX_COMMANDS: usize = 64;
+/// Pause after the listener failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for the node's thread.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest pushed revision, in bytes.
@@ -98,13 +102,13 @@
     async_channel::bounded(MAX_COMMANDS)
 }
 
-/// Serves operators on `address` for as long as the process runs.
+/// Serves operators for as long as the process runs.
 pub async fn serve(
-    address: std::net::SocketAddr,
+    listener: TcpListener,
     tx: Sender<Command>,
     prometheus: PrometheusHandle,
     fleet_key: String,
-) -> Result<()> {
+) {
     let mut app = tide::with_state(Shared {
         tx,
         prometheus,
@@ -117,9 +121,19 @@
     app.at("/drain").post(|req| drain(req, true));
     app.at("/undrain").post(|req| drain(req, false));
     app.at("/configuration").post(push);
-    app.listen(address)
-        .await
-        .map_err(|error| Error::new(Step::Operators, address, error))
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let app = app.clone();
+        local::spawn(async move {
+            let served = async_h1::accept(stream, |req| app.respond(req));
+            if let Err(error) = served.await {
+                tracing::debug!(%error, "an operator's connection ended");
+            }
+        });
+    }
 }
 
 /// Carries out commands on the node's thread.
--- a/components/daemon/src/platform_watch.rs
+++ b/components/daemon/src/platform_watch.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration;
 use crate::links;
+use crate::local;
 use crate::node::Node;
 use async_std::task;
 use errors::{Error, Result, Step};
@@ -187,7 +188,7 @@
         return;
     }
     let node = node.clone();
-    task::spawn_local(async move { links::ask_seeds(&node).await });
+    local::spawn(async move { links::ask_seeds(&node).await });
 }
 
 fn set_reachable(node: &Rc<Node>, reachable: bool) {
--- a/components/daemon/src/relay.rs
+++ b/components/daemon/src/relay.rs
@@ -2,10 +2,10 @@
 
 use crate::coordinator;
 use crate::links::{self, Reply};
+use crate::local;
 use crate::node::Node;
 use crate::stats;
 use async_std::future::timeout;
-use async_std::task;
 use home::Reason;
 use keys::ranked;
 use names::{AttemptId, Moment, Name};
@@ -77,7 +77,7 @@
 pub fn take_in(node: &Rc<Node>, id: AttemptId, relay: Relay, reply: Reply) {
     let node = node.clone();
     node.open_calls.set(node.open_calls.get() + 1);
-    task::spawn_local(async move {
+    local::spawn(async move {
         let outcome = coordinator::carry_through(&node, relay).await;
         reply.send(&node, Frame::Relayed { id, outcome });
         node.open_calls.set(node.open_calls.get() - 1);
