--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -12,7 +12,7 @@
 use futures_util::future::join_all;
 use home::Reason;
 use keys::{combine, ranked, Begin, ClaimReply, End, KeyHash, Standing, KEY_KEPT_US};
-use names::{AttemptId, BootId, Name};
+use names::{AttemptId, BootId, Moment, Name};
 use rollout::InForce;
 use std::future::pending;
 use std::rc::Rc;
@@ -28,6 +28,7 @@
 
 /// Carries one request through.
 pub async fn carry_through(node: &Rc<Node>, relay: Relay) -> RelayOutcome {
+    let deadline = node.now() + relay.remaining_us;
     let Some(in_force) = revision(node, relay.revision).await else {
         return RelayOutcome::Unknown(Reason::NotCoordinator);
     };
@@ -48,6 +49,7 @@
         in_force: &in_force,
         key: KeyHash::new(&relay.req.service, &relay.key),
         standing,
+        deadline,
         relay,
     };
     work.run().await
@@ -137,6 +139,7 @@
     in_force: &'a InForce,
     key: KeyHash,
     standing: Standing,
+    deadline: Moment,
     relay: Relay,
 }
 
@@ -212,7 +215,7 @@
             treatment,
             req: self.relay.req.clone(),
             key: Some(self.key),
-            deadline: node.now() + self.relay.remaining_us,
+            deadline: self.deadline,
         };
         let finished = run_call(node, plan, pending()).await;
         let outcome = outcome(finished);
@@ -257,8 +260,7 @@
             .entry(self.key)
             .or_default()
             .push(tx);
-        let left = Duration::from_micros(self.relay.remaining_us);
-        match timeout(left, rx.recv()).await {
+        match timeout(self.node.clock.until(self.deadline), rx.recv()).await {
             Ok(Ok(outcome)) => outcome,
             _ => RelayOutcome::Unknown(Reason::Deadline),
         }
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -52,8 +52,18 @@
         repeatable: offer.repeatable,
         cancel: None,
     };
-    node.jobs.borrow_mut().entry(offer.id).or_insert(job);
+    let id = offer.id;
+    node.jobs.borrow_mut().entry(id).or_insert(job);
     with_home(node, |home| home.offer(now, &offer));
+    let taken_in = node
+        .home
+        .borrow()
+        .as_ref()
+        .is_some_and(|home| home.is_active(id));
+    if !taken_in {
+        // An offer that came too late gets no answer, and its request must not stay.
+        node.jobs.borrow_mut().remove(&id);
+    }
 }
 
 /// Why an attempt is refused before the home duty sees it.
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -62,6 +62,10 @@
     pub platform_calls: u64,
     /// Ended attempts on record.
     pub records: usize,
+    /// Requests held for the upstream; as many as run and wait.
+    pub jobs: usize,
+    /// Attempts of this node's own calls that have not ended.
+    pub waiters: usize,
     /// Idempotency keys on record.
     pub keys: usize,
     /// Attempts started.
@@ -188,6 +192,8 @@
         measuring_slot_us: spent.slot_us,
         platform_calls: node.platform.calls(),
         records: home.as_ref().map_or(0, |home| home.records()),
+        jobs: node.jobs.borrow().len(),
+        waiters: node.waiters.borrow().len(),
         keys: node.keys.borrow().len(),
         started: counters.started,
         revoked: counters.revoked,
@@ -238,6 +244,8 @@
         ),
         ("drumwheel_platform_calls", state.platform_calls as f64),
         ("drumwheel_records", state.records as f64),
+        ("drumwheel_jobs", state.jobs as f64),
+        ("drumwheel_waiters", state.waiters as f64),
         ("drumwheel_keys", state.keys as f64),
         ("drumwheel_started", state.started as f64),
         ("drumwheel_revoked", state.revoked as f64),
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -432,7 +432,8 @@
             .collect()
     }
 
-    fn is_active(&self, id: AttemptId) -> bool {
+    /// Whether the attempt runs or waits.
+    pub fn is_active(&self, id: AttemptId) -> bool {
         self.running.contains_key(&id) || self.queue.contains(id)
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,12 +24,12 @@
     }
 }
 
+const EXIT_CODES: &str = "Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another \
+                          operator's change; 4 unknown, ask again with the same id.";
+
 /// Operators' tool of drumwheel.
-///
-/// Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another operator's change;
-/// 4 unknown, ask again with the same id.
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version, generate(command))]
+#[bpaf(options, version, generate(command), footer(EXIT_CODES))]
 pub enum Command {
     /// Check a directory of declarations and run its examples
     #[bpaf(command)]
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,181 @@
+//! The operators' command line against the platform's stand-in.
+
+use standins::platform::Platform;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Site {
+    platform: SocketAddr,
+    dir: PathBuf,
+}
+
+impl Site {
+    /// A platform, and a directory of declarations that a test may change.
+    fn new(name: &str) -> Site {
+        let platform = TcpListener::bind("127.0.0.1:0")
+            .and_then(|listener| listener.local_addr())
+            .expect("a free port");
+        async_std::task::spawn(Platform::default().app().listen(platform));
+        let began = Instant::now();
+        while TcpStream::connect(platform).is_err() {
+            assert!(began.elapsed() < PATIENCE, "the platform does not come up");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let dir = std::env::temp_dir().join(format!("drumwheel-cli-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a directory");
+        let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/windhoek");
+        for entry in std::fs::read_dir(example).expect("the example") {
+            let path = entry.expect("a file").path();
+            std::fs::copy(&path, dir.join(path.file_name().expect("a name"))).expect("a copy");
+        }
+        Site { platform, dir }
+    }
+
+    fn run(&self, command: &str, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_drumwheel"))
+            .args([command, "--platform", &self.platform.to_string()])
+            .args(args)
+            .output()
+            .expect("the command runs")
+    }
+
+    fn apply(&self, base: &str, why: &str, more: &[&str]) -> Output {
+        let dir = self.dir.display().to_string();
+        let mut args = vec!["--base", base, "--who", "ndapewa", "--why", why];
+        args.extend(more);
+        args.push(&dir);
+        self.run("apply", &args)
+    }
+
+    /// Replaces a policy, whose examples no longer hold.
+    fn change(&self, text: &str) {
+        std::fs::remove_file(self.dir.join("prices.examples.ini")).ok();
+        std::fs::write(self.dir.join("prices.rhai"), text).expect("it is written");
+    }
+
+    fn control(&self, path: &str) {
+        let mut stream = TcpStream::connect(self.platform).expect("a connection");
+        let text = format!(
+            "POST /control/{path} HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+        stream.write_all(text.as_bytes()).expect("it is taken");
+        stream.read_to_end(&mut Vec::new()).ok();
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.dir).ok();
+    }
+}
+
+fn code(output: &Output) -> Option<i32> {
+    output.status.code()
+}
+
+fn text(output: &Output) -> String {
+    let out = String::from_utf8_lossy(&output.stdout).into_owned();
+    out + &String::from_utf8_lossy(&output.stderr)
+}
+
+#[test]
+fn problems_are_shown_with_their_place_and_nothing_is_applied() {
+    let site = Site::new("problems");
+    site.change("#{ repeatable: maybe }");
+    let dir = site.dir.display().to_string();
+    let check = Command::new(env!("CARGO_BIN_EXE_drumwheel"))
+        .args(["check", &dir])
+        .output()
+        .expect("the command runs");
+    assert_eq!(code(&check), Some(2));
+    assert!(text(&check).contains("prices.rhai:1:"), "{}", text(&check));
+    assert_eq!(code(&site.apply("0", "first", &[])), Some(2));
+    assert_eq!(text(&site.run("history", &[])), "");
+}
+
+#[test]
+fn a_plan_names_the_base_on_which_it_is_applied_and_history_keeps_the_record() {
+    let site = Site::new("plan");
+    let dir = site.dir.display().to_string();
+    assert!(text(&site.run("plan", &[&dir])).contains("apply with --base 0"));
+    assert_eq!(code(&site.apply("0", "first", &[])), Some(0));
+    site.change("#{ repeatable: true }\n");
+    let plan = text(&site.run("plan", &[&dir]));
+    assert!(plan.contains("+ #{ repeatable: true }"), "{plan}");
+    assert!(plan.contains("apply with --base 1"), "{plan}");
+    assert_eq!(code(&site.apply("1", "simpler", &[])), Some(0));
+    let history = text(&site.run("history", &["--diff"]));
+    let lines: Vec<&str> = history.lines().collect();
+    assert!(lines[0].starts_with("revision 2"), "{history}");
+    assert!(lines[0].contains("ndapewa  simpler"), "{history}");
+    assert!(history.contains("    + #{ repeatable: true }"), "{history}");
+    assert!(text(&site.run("plan", &[&dir])).contains("no difference from revision 2"));
+}
+
+#[test]
+fn an_old_plan_meets_a_conflict_that_names_the_other_change() {
+    let site = Site::new("conflict");
+    site.apply("0", "first", &[]);
+    site.change("#{ repeatable: method == \"GET\", attempts: 1 }\n");
+    let late = site.apply("0", "late", &[]);
+    assert_eq!(code(&late), Some(3));
+    assert!(
+        text(&late).contains("ndapewa changed it first: first"),
+        "{}",
+        text(&late)
+    );
+}
+
+#[test]
+fn an_outage_is_told_as_unknown_and_the_same_id_settles_it() {
+    let site = Site::new("outage");
+    site.control("outage/on");
+    let unknown = site.apply("0", "first", &["--id", "abc", "--tries", "1"]);
+    assert_eq!(code(&unknown), Some(4));
+    assert!(text(&unknown).contains("--id abc"), "{}", text(&unknown));
+    site.control("outage/off");
+    assert_eq!(code(&site.apply("0", "first", &["--id", "abc"])), Some(0));
+    let again = site.apply("0", "first", &["--id", "abc"]);
+    assert_eq!(code(&again), Some(0));
+    assert!(
+        text(&again).contains("accepted as revision 1"),
+        "{}",
+        text(&again)
+    );
+    assert_eq!(text(&site.run("history", &[])).lines().count(), 1);
+}
+
+#[test]
+fn an_answer_lost_after_it_took_effect_is_found_again() {
+    let site = Site::new("lost");
+    site.apply("0", "first", &[]);
+    site.change("#{ repeatable: method == \"GET\", attempts: 1, priority: 1 }\n");
+    // The new policy, the new head, and the update of the head: the last answer is lost too.
+    site.control("lose/3");
+    let output = site.apply("1", "second", &["--tries", "6"]);
+    assert_eq!(code(&output), Some(0), "{}", text(&output));
+    assert!(text(&output).contains("revision 2"), "{}", text(&output));
+    assert_eq!(text(&site.run("history", &[])).lines().count(), 2);
+}
+
+#[test]
+fn a_platform_restored_from_an_old_copy_is_counted_on_above_what_nodes_have() {
+    let site = Site::new("restored");
+    site.apply("0", "first", &[]);
+    site.control("snapshot");
+    site.change("#{ repeatable: method == \"GET\", attempts: 1, priority: 1 }\n");
+    site.apply("1", "second", &[]);
+    site.control("restore");
+    let output = site.apply("1", "second again", &["--floor", "2"]);
+    assert!(
+        text(&output).contains("accepted as revision 3"),
+        "{}",
+        text(&output)
+    );
+}
