A crash in a group that is uncertain of its keys doesn't lengthen the uncertainty

A boot could recover only from nodes that were certain, so one uncertain node made every later crash in its group cost the whole 150 s anew. Ruled out: a fault of the recovery itself (0.3 s after single crashes, in the logs). Change: a node answers with the keys it knows and for how long there may be others; the new boot is uncertain for as long as the most uncertain of them. Keys that only two crashed boots knew are past their window by then.

--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -19,7 +19,11 @@
         Frame::Claim { id, key } => coordinator::claim(node, from, id, key, reply),
         Frame::Claimed { id, reply } => coordinator::claimed(node, id, reply),
         Frame::Recover { id } => recovery::asked(node, from, id, reply),
-        Frame::Recovered { id, keys } => recovery::answered(node, id, keys),
+        Frame::Recovered {
+            id,
+            keys,
+            uncertain_us,
+        } => recovery::answered(node, id, keys.map(|keys| (keys, uncertain_us))),
         Frame::Release { by, key } => node.claims.borrow_mut().released(key, by),
         Frame::Ask { id, boot } => home_driver::ask(node, id, boot, reply.clone()),
         Frame::Cancel { id } => home_driver::cancel(node, id),
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -36,6 +36,9 @@
 /// Questions to other nodes that wait for an answer: where it goes, and who was asked.
 pub type Questions<T> = HashMap<AttemptId, (Sender<T>, Name)>;
 
+/// Keys that a node knows, and for how long there may be others, in microseconds.
+pub type Known = (Vec<KeyHash>, u64);
+
 /// When a group ended, and its upstreams.
 pub type FormerGroup = (Moment, Vec<Name>);
 
@@ -91,7 +94,7 @@
     /// Claims that have not been answered.
     pub claim_waiters: RefCell<Questions<ClaimReply<Whole>>>,
     /// Questions of a new boot that have not been answered.
-    pub recoveries: RefCell<Questions<Option<Vec<KeyHash>>>>,
+    pub recoveries: RefCell<Questions<Option<Known>>>,
     /// Counter of relays and claims.
     next_question: Cell<u64>,
     /// Connections to other nodes.
--- a/components/daemon/src/recovery.rs
+++ b/components/daemon/src/recovery.rs
@@ -2,17 +2,18 @@
 //!
 //! Every key that ran at the predecessor's upstream is known to its coordinator, and every key that
 //! the predecessor coordinated is known where it ran: at other nodes of the same groups. When all
-//! of them have answered, and none is itself uncertain, this boot knows every key. Until then, or
-//! until the key window has passed, it is uncertain.
+//! of them have answered, this boot knows every key but those that only another crashed boot knew
+//! as well. It stays uncertain for as long as the most uncertain of those that answered: by then
+//! the windows of such keys have passed.
 
 use crate::boot_record::{certain, used_keys};
 use crate::links::{self, Reply};
-use crate::node::Node;
+use crate::node::{Known, Node};
 use async_std::future::timeout;
 use async_std::task;
 use futures_util::future::join_all;
-use keys::KeyHash;
-use names::{AttemptId, Moment, Name};
+use keys::KEY_KEPT_US;
+use names::{AttemptId, Name, SECOND};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,15 +27,21 @@
 /// Asks until every other node of the groups has answered, or the key window has passed.
 pub async fn run(node: Rc<Node>) {
     while node.now() < node.unclean_until.get() {
-        if let Some(keys) = round(&node).await {
+        if let Some((keys, uncertain_us)) = round(&node).await {
             let now = node.now();
             node.keys.borrow_mut().take_over(now, &keys);
             node.claims.borrow_mut().take_over(now, &keys);
-            node.unclean_until.set(Moment(0));
+            let until = node.unclean_until.get().min(now + uncertain_us);
+            node.unclean_until.set(until);
             if !node.checking_pause.get() {
                 certain(&node);
             }
-            tracing::info!(keys = keys.len(), "the predecessor's keys are known");
+            let uncertain_s = uncertain_us / SECOND;
+            tracing::info!(
+                keys = keys.len(),
+                uncertain_s,
+                "the predecessor's keys are known"
+            );
             return;
         }
         task::sleep(PAUSE).await;
@@ -48,30 +55,41 @@
     }
     let now = node.now();
     let latest = node.claims.borrow_mut().replaced(from, id.boot);
-    let whole = latest && !node.claims.borrow().is_uncertain(now);
-    let keys = whole.then(|| used_keys(node));
-    reply.send(node, Frame::Recovered { id, keys });
+    let uncertain_us = node.claims.borrow().uncertain_for(now);
+    let sure = latest && uncertain_us <= KEY_KEPT_US;
+    let keys = sure.then(|| used_keys(node));
+    reply.send(
+        node,
+        Frame::Recovered {
+            id,
+            keys,
+            uncertain_us,
+        },
+    );
 }
 
 /// Takes in an answer.
-pub fn answered(node: &Rc<Node>, id: AttemptId, keys: Option<Vec<KeyHash>>) {
+pub fn answered(node: &Rc<Node>, id: AttemptId, known: Option<Known>) {
     if let Some((tx, _)) = node.recoveries.borrow().get(&id) {
-        tx.try_send(keys).ok();
+        tx.try_send(known).ok();
     }
 }
 
-/// One round of questions: all keys, if every node answered with all that it knows.
-async fn round(node: &Rc<Node>) -> Option<Vec<KeyHash>> {
+/// One round of questions: all keys and the longest uncertainty, if every node answered.
+async fn round(node: &Rc<Node>) -> Option<Known> {
     let members = members(node)?;
     let answers = join_all(members.iter().map(|vm| ask(node, vm))).await;
     let mut all = Vec::new();
+    let mut longest = 0;
     for answer in answers {
-        all.extend(answer?);
+        let (keys, uncertain_us) = answer?;
+        all.extend(keys);
+        longest = longest.max(uncertain_us);
     }
-    Some(all)
+    Some((all, longest))
 }
 
-async fn ask(node: &Rc<Node>, vm: &Name) -> Option<Vec<KeyHash>> {
+async fn ask(node: &Rc<Node>, vm: &Name) -> Option<Known> {
     let (tx, rx) = async_channel::bounded(1);
     let id = node.next_question();
     node.recoveries.borrow_mut().insert(id, (tx, vm.clone()));
--- a/components/keys/src/claims.rs
+++ b/components/keys/src/claims.rs
@@ -80,6 +80,11 @@
         now < self.uncertain_until
     }
 
+    /// For how long from now a key without a record may have been used, in microseconds.
+    pub fn uncertain_for(&self, now: Moment) -> u64 {
+        self.uncertain_until.since(now)
+    }
+
     /// The coordinator at `vm` asks for the key, or offers an attempt that carries it. The second
     /// result is the attempt that ran, whose answer may be on record.
     pub fn claim(
--- a/components/keys/tests/keys/world.rs
+++ b/components/keys/tests/keys/world.rs
@@ -52,7 +52,7 @@
     Recover,
     Recovered {
         from: usize,
-        keys: Option<Vec<KeyHash>>,
+        keys: Option<(Vec<KeyHash>, u64)>,
     },
 }
 
@@ -97,7 +97,7 @@
     replaced: bool,
     unclean_until: Moment,
     /// Nodes whose answer a new boot waits for, and the keys learned so far.
-    recovering: Option<(Vec<usize>, Vec<KeyHash>)>,
+    recovering: Option<(Vec<usize>, Vec<KeyHash>, Moment)>,
     next_seq: u64,
 }
 
@@ -265,7 +265,7 @@
         }
         let (me, boot) = (node.vm, node.boot);
         let others: Vec<usize> = (0..self.vms).filter(|vm| *vm != me).collect();
-        node.recovering = Some((others.clone(), Vec::new()));
+        node.recovering = Some((others.clone(), Vec::new(), self.now));
         for vm in others {
             let to = self.latest(vm).boot;
             self.send(boot, to, Body::Recover);
@@ -409,7 +409,7 @@
             Body::Offered { key, from, reply } => self.offer_ended(index, key, from, reply),
             Body::Release { key } => self.nodes[index].claims.released(hash(key), from),
             Body::Recover => self.asked_to_recover(index, from),
-            Body::Recovered { from, keys } => self.recovered(index, from, keys),
+            Body::Recovered { from, keys: known } => self.recovered(index, from, known),
         }
     }
 
@@ -483,33 +483,38 @@
         let latest = node.claims.replaced(&name(vm), from);
         let mut keys: Vec<KeyHash> = node.table.hand_over().collect();
         keys.extend(node.claims.hand_over());
-        let whole = latest && !node.claims.is_uncertain(now);
+        let uncertain_us = node.claims.uncertain_for(now);
+        let sure = latest && uncertain_us <= KEY_KEPT_US;
         let body = Body::Recovered {
             from: node.vm,
-            keys: whole.then_some(keys),
+            keys: sure.then_some((keys, uncertain_us)),
         };
         let boot = node.boot;
         self.send(boot, from, body);
     }
 
-    fn recovered(&mut self, index: usize, from: usize, keys: Option<Vec<KeyHash>>) {
+    fn recovered(&mut self, index: usize, from: usize, known: Option<(Vec<KeyHash>, u64)>) {
         let now = self.now;
         let node = &mut self.nodes[index];
-        let (Some((waiting, learned)), Some(keys)) = (&mut node.recovering, keys) else {
+        let (Some((waiting, learned, until)), Some((keys, uncertain_us))) =
+            (&mut node.recovering, known)
+        else {
             node.recovering = None;
             return;
         };
         waiting.retain(|vm| *vm != from);
         learned.extend(keys);
+        *until = (*until).max(now + uncertain_us);
         if !waiting.is_empty() {
             return;
         }
         node.table.take_over(now, learned);
         node.claims.take_over(now, learned);
+        node.unclean_until = node.unclean_until.min(*until);
         node.recovering = None;
-        node.unclean_until = Moment(0);
         if !node.thawed {
             node.claims.certain();
+            node.claims.uncertain_until(node.unclean_until);
         }
     }
 
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -130,8 +130,10 @@
     Recovered {
         /// Identity of the question.
         id: AttemptId,
-        /// Every key that the sender coordinated, granted or ran; none when it doesn't know all.
+        /// Every key that the sender knows; none when it can't say.
         keys: Option<Vec<KeyHash>>,
+        /// For how long there may be others that the sender doesn't know, in microseconds.
+        uncertain_us: u64,
     },
     /// Entry to the coordinator of an idempotency key: carry this request through.
     Relay {
