Not-run stays true for a key when an earlier try is still in some buffer

Cause: an earlier try of the same key, given up by its caller, lay in the buffers of a frozen entry node and ran after the thaw, while the later try had been told not-run in between. Ruled out by the ledgers and the rows of outcomes: a second run (none), a refused attempt that started (the runs belong to the earlier try). Change: a caller that has closed its connection is noticed before its request starts; the length of a pause is taken off the deadline of requests read after it; a coordinator refuses a try that was sent before a later one was told not-run; a claim is given back only when the longest deadline has passed; after a lost coordinator, not-run of the next is told as unknown. The oracle of the keys' fuzzing now asserts that nothing runs after the last try was told not-run; it found one more case (two tries sent at the same moment). 120,000 cases pass after. Also: tests take their ports from a range of their own (a port reused by another test made one run fail), and stop signals are caught before anything else.

--- a/components/daemon/benches/decisions.rs
+++ b/components/daemon/benches/decisions.rs
@@ -94,7 +94,7 @@
         let mut number = 0_u64;
         let mut step = move || {
             let key = KeyHash::new(&vm, &number.to_string());
-            if table.begin(now, key, false) == Begin::Run {
+            if table.begin(now, key, now, false) == Begin::Run {
                 table.end(now, key, End::Answered(number));
             }
             black_box(claims.claim(now, key, &vm, BootId(1)));
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -8,18 +8,20 @@
 use crate::stats;
 use declarations::Service;
 use entry::{Outcome, Treatment};
+use futures_util::FutureExt;
 use home::{Reason, Refusal};
 use keys::KEY_DEADLINE_US;
 use names::{Moment, MILLISECOND};
 use policy::Input;
 use rollout::InForce;
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use wire::{RelayOutcome, Request};
 
-/// Told to callers of a node without configuration, in milliseconds.
-const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
+/// Told to callers of a node that can't serve yet or was paused, in milliseconds.
+const NOT_SERVING_RETRY_MS: u64 = 1_000;
 
 /// Carries a request to its outcome and writes the response.
 pub async fn serve(
@@ -27,6 +29,11 @@
     call: CallerRequest,
     hung_up: impl Future<Output = ()>,
 ) -> http_types::Response {
+    let mut hung_up = pin!(hung_up);
+    if hung_up.as_mut().now_or_never().is_some() {
+        // The request may have waited long in the buffers of a paused process.
+        return response::outcome(RelayOutcome::Unknown(Reason::Lost));
+    }
     response::outcome(outcome(node, call, hung_up).await)
 }
 
@@ -49,7 +56,11 @@
         .deadline_ms
         .unwrap_or(ruled.deadline_ms)
         .min(ruled.deadline_ms);
-    let deadline = node.now() + limit_ms * MILLISECOND;
+    let left_us = (limit_ms * MILLISECOND).saturating_sub(node.paused_for());
+    if left_us == 0 {
+        return too_late(&call);
+    }
+    let deadline = node.now() + left_us;
     let treatment = Treatment {
         repeatable: ruled.repeatable,
         priority: ruled.priority,
@@ -70,12 +81,20 @@
     direct(node, plan, hung_up).await
 }
 
+/// The caller's time passed while this process was paused.
+fn too_late(call: &CallerRequest) -> RelayOutcome {
+    if call.key.is_some() {
+        return RelayOutcome::Unknown(Reason::Deadline);
+    }
+    refused(Reason::Deadline, NOT_SERVING_RETRY_MS)
+}
+
 /// A node without configuration can't tell whether an earlier try with the same key ran.
 fn blank(call: &CallerRequest) -> RelayOutcome {
     if call.key.is_some() {
         return RelayOutcome::Unknown(Reason::NoConfiguration);
     }
-    refused(Reason::NoConfiguration, NO_CONFIGURATION_RETRY_MS)
+    refused(Reason::NoConfiguration, NOT_SERVING_RETRY_MS)
 }
 
 /// Only the outermost level repeats a request; twelve levels don't multiply it.
@@ -136,6 +155,7 @@
     let deadline = deadline.min(node.now() + KEY_DEADLINE_US);
     let relay = Relay {
         remaining_us: deadline.since(node.now()),
+        waited_us: node.paused_for(),
         key,
         priority,
         revision: in_force.configuration.head.revision,
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -4,14 +4,18 @@
 use crate::boot_record;
 use crate::entry_driver::{run_call, Finished, Plan};
 use crate::links::{self, Reply};
+use crate::local;
 use crate::node::{Node, Whole};
 use crate::relay::Relay;
 use async_channel::Sender;
 use async_std::future::timeout;
+use async_std::task;
 use entry::{Candidate, Outcome, Treatment};
 use futures_util::future::join_all;
 use home::Reason;
-use keys::{combine, ranked, Begin, ClaimReply, End, KeyHash, Standing, KEY_KEPT_US};
+use keys::{
+    combine, ranked, Begin, ClaimReply, End, KeyHash, Standing, KEY_DEADLINE_US, KEY_KEPT_US,
+};
 use names::{AttemptId, BootId, Moment, Name};
 use rollout::InForce;
 use std::future::pending;
@@ -28,7 +32,8 @@
 
 /// Carries one request through.
 pub async fn carry_through(node: &Rc<Node>, relay: Relay) -> RelayOutcome {
-    let deadline = node.now() + relay.remaining_us;
+    let received = node.now();
+    let deadline = received + relay.remaining_us;
     let Some(in_force) = revision(node, relay.revision).await else {
         return RelayOutcome::Unknown(Reason::NotCoordinator);
     };
@@ -49,6 +54,7 @@
         in_force: &in_force,
         key: KeyHash::new(&relay.req.service, &relay.key),
         standing,
+        received,
         deadline,
         relay,
     };
@@ -63,7 +69,7 @@
                 return Some(in_force);
             }
         }
-        async_std::task::sleep(REVISION_LOOK).await;
+        task::sleep(REVISION_LOOK).await;
     }
     None
 }
@@ -133,12 +139,25 @@
     ))
 }
 
+/// Gives the key back where it was granted.
+fn release(node: &Rc<Node>, key: KeyHash, members: &[Name]) {
+    let by = node.boot;
+    for vm in members {
+        if *vm == node.cfg.vm {
+            node.claims.borrow_mut().released(key, by);
+        } else {
+            links::send(node, vm, &Frame::Release { by, key });
+        }
+    }
+}
+
 /// One request with its key.
 struct Work<'a> {
     node: &'a Rc<Node>,
     in_force: &'a InForce,
     key: KeyHash,
     standing: Standing,
+    received: Moment,
     deadline: Moment,
     relay: Relay,
 }
@@ -148,7 +167,8 @@
         let node = self.node;
         let now = node.now();
         let claim = self.standing.must_claim();
-        let begin = node.keys.borrow_mut().begin(now, self.key, claim);
+        let sent = self.received - self.relay.waited_us;
+        let begin = node.keys.borrow_mut().begin(now, self.key, sent, claim);
         match begin {
             Begin::Run => self.run_first(false).await,
             Begin::Claim => match self.claim_all().await {
@@ -168,7 +188,7 @@
         let asked = self.standing.asked().map(|vm| self.claim_one(vm));
         let reply = combine(join_all(asked).await);
         if reply != ClaimReply::Granted {
-            self.release();
+            release(self.node, self.key, &self.standing.members);
         }
         reply
     }
@@ -190,19 +210,6 @@
         }
     }
 
-    /// Gives the key back where it was granted.
-    fn release(&self) {
-        let node = self.node;
-        let by = node.boot;
-        for vm in &self.standing.members {
-            if *vm == node.cfg.vm {
-                node.claims.borrow_mut().released(self.key, by);
-            } else {
-                links::send(node, vm, &Frame::Release { by, key: self.key });
-            }
-        }
-    }
-
     async fn run_first(self, claimed: bool) -> RelayOutcome {
         let node = self.node;
         let treatment = Treatment {
@@ -219,10 +226,25 @@
         };
         let finished = run_call(node, plan, pending()).await;
         let outcome = outcome(finished);
+        let outcome = self.end(outcome);
         if claimed && matches!(outcome, RelayOutcome::NotRun(_)) {
-            self.release();
+            self.release_later();
         }
-        self.end(outcome)
+        outcome
+    }
+
+    /// The first in the ranking may have an earlier try of this key in its buffers: the key stays
+    /// claimed until that try's deadline has passed, so that "not run" remains true.
+    fn release_later(&self) {
+        let node = self.node.clone();
+        let key = self.key;
+        let members = self.standing.members.clone();
+        local::spawn(async move {
+            task::sleep(Duration::from_micros(KEY_DEADLINE_US)).await;
+            if !node.keys.borrow().knows(key) {
+                release(&node, key, &members);
+            }
+        });
     }
 
     fn candidates(&self) -> Vec<Candidate> {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -38,6 +38,7 @@
     let prometheus = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|error| Error::new(Step::Operators, "metrics", error))?;
+    let signals = stop::signals().map_err(|error| Error::new(Step::Settings, "signals", error))?;
     local::block_on(async move {
         let (tx, rx) = operators::channel();
         let callers = bind(cfg.callers).await?;
@@ -48,9 +49,8 @@
         tracing::info!(vm = %node.cfg.vm, hall = %node.cfg.hall, boot = %node.boot, "started");
         spawn_duties(&node, callers, peers, rx);
         local::spawn(served);
-        stop::run(node)
-            .await
-            .map_err(|error| Error::new(Step::Settings, "signals", error))
+        stop::run(node, signals).await;
+        Ok(())
     })
 }
 
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -57,6 +57,7 @@
         Frame::Relay {
             id,
             remaining_us,
+            waited_us,
             key,
             priority,
             revision,
@@ -64,6 +65,7 @@
         } => {
             let relay = relay::Relay {
                 remaining_us,
+                waited_us,
                 key,
                 priority,
                 revision,
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -240,12 +240,20 @@
 
 /// Takes the time that a frame spent waiting on the way off the time that is left.
 fn age(frame: &mut Frame, late_us: u64) {
-    let remaining_us = match frame {
-        Frame::Offer { offer, .. } => &mut offer.remaining_us,
-        Frame::Relay { remaining_us, .. } => remaining_us,
-        _ => return,
-    };
-    *remaining_us = remaining_us.saturating_sub(late_us);
+    match frame {
+        Frame::Offer { offer, .. } => {
+            offer.remaining_us = offer.remaining_us.saturating_sub(late_us);
+        }
+        Frame::Relay {
+            remaining_us,
+            waited_us,
+            ..
+        } => {
+            *remaining_us = remaining_us.saturating_sub(late_us);
+            *waited_us = waited_us.saturating_add(late_us);
+        }
+        _ => {}
+    }
 }
 
 /// Largest message between nodes, in bytes: a whole body or a whole set of declarations.
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -201,6 +201,16 @@
         self.now().since(self.last_tick.get()) > PAUSE_US
     }
 
+    /// How long a request that is read now may have waited because the process was paused, in
+    /// microseconds.
+    pub fn paused_for(&self) -> u64 {
+        if self.was_paused() {
+            self.now().since(self.last_tick.get())
+        } else {
+            0
+        }
+    }
+
     /// The revision by which a request that arrives now is served.
     pub fn in_force(&self) -> Option<Arc<InForce>> {
         self.rollout.borrow().in_force()
--- a/components/daemon/src/relay.rs
+++ b/components/daemon/src/relay.rs
@@ -22,6 +22,8 @@
 pub struct Relay {
     /// Time left until the caller's deadline, in microseconds.
     pub remaining_us: u64,
+    /// How long the request has waited since it was read, in microseconds.
+    pub waited_us: u64,
     /// The key.
     pub key: String,
     /// Priority from the policy.
@@ -61,7 +63,8 @@
             ask(node, &coordinator, relay.clone(), deadline).await
         };
         match relayed {
-            Relayed::Outcome(outcome) => return outcome,
+            Relayed::Outcome(outcome) => return settle(outcome, reason),
+            Relayed::NotSent if reason == Reason::Lost => {}
             Relayed::NotSent => reason = Reason::Unreachable,
             Relayed::Lost => reason = Reason::Lost,
         }
@@ -73,6 +76,15 @@
     RelayOutcome::Unknown(reason)
 }
 
+/// When a coordinator was lost on the way, it may still act for this request: "not run" of the next
+/// one holds for that one alone.
+fn settle(outcome: RelayOutcome, reason: Reason) -> RelayOutcome {
+    match outcome {
+        RelayOutcome::NotRun(_) if reason == Reason::Lost => RelayOutcome::Unknown(reason),
+        other => other,
+    }
+}
+
 /// Takes in a relay from another node.
 pub fn take_in(node: &Rc<Node>, id: AttemptId, relay: Relay, reply: Reply) {
     let node = node.clone();
@@ -115,6 +127,7 @@
     let frame = Frame::Relay {
         id,
         remaining_us: relay.remaining_us,
+        waited_us: relay.waited_us,
         key: relay.key,
         priority: relay.priority,
         revision: relay.revision,
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -17,12 +17,15 @@
 /// Longest wait for the platform to take the keys.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
 
+/// Catches stop signals from now on.
+pub fn signals() -> std::io::Result<Signals> {
+    Signals::new([SIGTERM, SIGINT])
+}
+
 /// Waits for a stop signal, then ends the node's work; returns when it may exit.
-pub async fn run(node: Rc<Node>) -> std::io::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+pub async fn run(node: Rc<Node>, mut signals: Signals) {
     signals.next().await;
     stop(&node).await;
-    Ok(())
 }
 
 async fn stop(node: &Rc<Node>) {
--- a/components/keys/src/table.rs
+++ b/components/keys/src/table.rs
@@ -74,6 +74,9 @@
     states: HashMap<KeyHash, State<A>>,
     ended: VecDeque<(Moment, KeyHash)>,
     answers: VecDeque<KeyHash>,
+    /// Keys that were told not-run, with the time, for as long as an earlier try may still arrive.
+    refused: HashMap<KeyHash, Moment>,
+    refusals: VecDeque<(Moment, KeyHash)>,
     max_keys: usize,
     max_answers: usize,
 }
@@ -85,15 +88,21 @@
             states: HashMap::new(),
             ended: VecDeque::new(),
             answers: VecDeque::new(),
+            refused: HashMap::new(),
+            refusals: VecDeque::new(),
             max_keys,
             max_answers,
         }
     }
 
-    /// Takes in a request that carries a key. `claim` says that this node is not the first in the
+    /// Takes in a request that carries a key and was sent at `sent`, on this process's clock: one
+    /// sent before a later try was told not-run must not run any more. `claim` says that this node is not the first in the
     /// key's ranking, or doesn't know all that it was when it was first.
-    pub fn begin(&mut self, now: Moment, key: KeyHash, claim: bool) -> Begin<A> {
+    pub fn begin(&mut self, now: Moment, key: KeyHash, sent: Moment, claim: bool) -> Begin<A> {
         self.forget(now);
+        if self.refused.get(&key).is_some_and(|told| sent <= *told) {
+            return Begin::Unknown;
+        }
         match self.states.get(&key) {
             Some(State::Running) => return Begin::Join,
             Some(State::Answered(Some(answer))) => return Begin::Replay(answer.clone()),
@@ -118,6 +127,8 @@
         match end {
             End::NotRun => {
                 self.states.remove(&key);
+                self.refused.insert(key, now);
+                self.refusals.push_back((now, key));
             }
             End::Answered(answer) => {
                 self.states.insert(key, State::Answered(Some(answer)));
@@ -147,6 +158,11 @@
         }
     }
 
+    /// Whether the key is on record.
+    pub fn knows(&self, key: KeyHash) -> bool {
+        self.states.contains_key(&key)
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.states.len()
@@ -169,6 +185,7 @@
     }
 
     fn forget(&mut self, now: Moment) {
+        self.forget_refusals(now);
         while let Some((at, key)) = self.ended.front().copied() {
             if now.since(at) <= KEY_KEPT_US {
                 return;
@@ -177,4 +194,16 @@
             self.states.remove(&key);
         }
     }
+
+    fn forget_refusals(&mut self, now: Moment) {
+        while let Some((at, key)) = self.refusals.front().copied() {
+            if now.since(at) <= KEY_DEADLINE_US {
+                return;
+            }
+            self.refusals.pop_front();
+            if self.refused.get(&key) == Some(&at) {
+                self.refused.remove(&key);
+            }
+        }
+    }
 }
--- a/components/keys/tests/keys/world.rs
+++ b/components/keys/tests/keys/world.rs
@@ -2,11 +2,11 @@
 //! and reordered, and an oracle that counts runs.
 
 use keys::{
-    combine, ranked, Begin, ClaimReply, Claims, End, KeyHash, Standing, Table, KEY_KEPT_US,
-    KEY_WINDOW_US,
+    combine, ranked, Begin, ClaimReply, Claims, End, KeyHash, Standing, Table, KEY_DEADLINE_US,
+    KEY_KEPT_US, KEY_WINDOW_US,
 };
 use names::{AttemptId, BootId, Moment, Name, SECOND};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A key's number; also its answer.
 pub type Key = u64;
@@ -116,6 +116,10 @@
     first_use: BTreeMap<Key, Moment>,
     runs: HashMap<Key, u32>,
     vm_of_boot: HashMap<BootId, usize>,
+    /// Claims to be given back, not before these moments.
+    releases: Vec<(Moment, BootId, Key)>,
+    /// Keys whose last request was told not-run, while no other is under way.
+    barred: BTreeSet<Key>,
     next_key: Key,
     next_boot: u64,
 }
@@ -132,6 +136,8 @@
             first_use: BTreeMap::new(),
             runs: HashMap::new(),
             vm_of_boot: HashMap::new(),
+            releases: Vec::new(),
+            barred: BTreeSet::new(),
             next_key: 1,
             next_boot: 1,
         };
@@ -158,6 +164,7 @@
             }
         };
         self.first_use.entry(key).or_insert(self.now);
+        self.barred.remove(&key);
         let request = self.requests.len();
         self.requests.push(Request { key, told: None });
         let vm = self.ranking(key)[rank % self.vms.min(3)];
@@ -275,6 +282,7 @@
     /// Time passes.
     pub fn advance(&mut self, seconds: u64) {
         self.now = self.now + seconds * SECOND;
+        self.release_due();
         for index in 0..self.nodes.len() {
             let late: Vec<Key> = self.nodes[index]
                 .works
@@ -288,6 +296,19 @@
         }
     }
 
+    fn release_due(&mut self) {
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.releases)
+            .into_iter()
+            .partition(|(at, _, _)| *at <= self.now);
+        self.releases = later;
+        for (_, boot, key) in due {
+            let index = self.nodes.iter().position(|node| node.boot == boot);
+            if let Some(index) = index.filter(|index| !self.nodes[*index].table.knows(hash(key))) {
+                self.release(index, key);
+            }
+        }
+    }
+
     /// The VM that is first in the ranking of the key used last.
     pub fn first_of_last_key(&self) -> usize {
         self.ranking(self.next_key)[0]
@@ -378,7 +399,7 @@
         let expired = self.now.since(sent) > DEADLINE_US;
         match body {
             Body::Relay { request } if expired => self.tell(request, Outcome::Unknown),
-            Body::Relay { request } => self.relayed(index, request),
+            Body::Relay { request } => self.relayed(index, request, sent),
             Body::Claim { key } => {
                 let reply = self.grant(index, key, from);
                 let vm = self.nodes[index].vm;
@@ -448,12 +469,15 @@
         name(self.vm_of_boot[&boot])
     }
 
-    fn relayed(&mut self, index: usize, request: usize) {
+    fn relayed(&mut self, index: usize, request: usize, sent: Moment) {
         let key = self.requests[request].key;
         let standing = self.standing(index, key);
         let now = self.now;
         let node = &mut self.nodes[index];
-        match node.table.begin(now, hash(key), standing.must_claim()) {
+        match node
+            .table
+            .begin(now, hash(key), sent, standing.must_claim())
+        {
             Begin::Join => {
                 let work = node.works.get_mut(&key).expect("a running key has work");
                 work.requests.push(request);
@@ -614,7 +638,9 @@
                 Outcome::Unknown
             };
             if claimed && contacted {
-                self.release(index, key);
+                let due = self.now + KEY_DEADLINE_US;
+                let boot = self.nodes[index].boot;
+                self.releases.push((due, boot, key));
             }
             self.end(index, key, outcome);
             return;
@@ -649,6 +675,10 @@
     /// A key may run only for a request that nobody was told was not run.
     fn ran(&mut self, key: Key) {
         *self.runs.entry(key).or_insert(0) += 1;
+        assert!(
+            !self.barred.contains(&key),
+            "key {key} ran after its last request was told not-run"
+        );
         let wanted = self
             .requests
             .iter()
@@ -707,7 +737,16 @@
             Outcome::Answered => assert_eq!(runs, 1, "key {key} was answered and did not run"),
             Outcome::Unknown => {}
         }
-        self.requests[request].told.get_or_insert(outcome);
+        if self.requests[request].told.is_some() {
+            return;
+        }
+        self.requests[request].told = Some(outcome);
+        let open = |request: &Request| request.key == key && request.told.is_none();
+        let latest = self.requests.iter().rposition(|other| other.key == key);
+        if outcome == Outcome::NotRun && latest == Some(request) && !self.requests.iter().any(open)
+        {
+            self.barred.insert(key);
+        }
     }
 }
 
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -141,6 +141,8 @@
         id: AttemptId,
         /// Time left until the caller's deadline, in microseconds.
         remaining_us: u64,
+        /// How long the request has waited since it was read, in microseconds.
+        waited_us: u64,
         /// The idempotency key.
         key: String,
         /// Priority from the policy.
--- a/node/tests/node/fleet.rs
+++ b/node/tests/node/fleet.rs
@@ -13,10 +13,13 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// Longest wait for anything to come up.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// First port of these tests.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(11_000);
 /// Key of the fleet in these tests.
 pub const FLEET_KEY: &str = "key-of-a-fleet-in-tests";
 
@@ -189,10 +192,16 @@
     format!("GET {path} HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n").into_bytes()
 }
 
+/// A port that no other test of this process gets, below those that the system hands out: a port
+/// that was free a moment ago may otherwise be another test's by now.
 fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0")
-        .and_then(|listener| listener.local_addr())
-        .expect("a free port")
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn start_beside(address: SocketAddr, beside: Beside) {
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -65,6 +65,7 @@
         self.groups = groups_of(example)
         self.vms = [vm for vms in self.groups.values() for vm in vms]
         self.processes = {}
+        self.callers = []
         os.makedirs(out, exist_ok=True)
         self.key_file = os.path.join(out, "fleet.key")
         with open(self.key_file, "w", encoding="utf-8") as f:
@@ -205,7 +206,8 @@
         return time.monotonic() - began
 
     def control(self, vm, switch):
-        return json.loads(fetch(f"http://{self.address(vm, 'upstream')}/control/{switch}"))
+        return json.loads(
+            self.wait_for(f"http://{self.address(vm, 'upstream')}/control/{switch}"))
 
     def platform_control(self, path):
         fetch(f"http://{self.platform()}/control/{path}", data=b"")
@@ -235,14 +237,19 @@
         for key, value in options.items():
             args += [f"--{key.replace('_', '-')}", str(value)]
         log = open(os.path.join(self.out, f"log-caller-{name}.txt"), "ab")
-        return subprocess.Popen(
+        process = subprocess.Popen(
             args, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, stderr=log, text=True)
+        self.callers.append(process)
+        return process
 
     def verdict(self):
         return subprocess.run([f"{BIN}/standin-verdict", self.out],
                               capture_output=True, text=True, check=False)
 
     def stop_all(self):
+        for caller in self.callers:
+            caller.kill()
+            caller.wait()
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
             process.kill()
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -5,10 +5,14 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// First port of these tests; below those that the system hands out.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(19_000);
+
 struct Site {
     platform: SocketAddr,
     dir: PathBuf,
@@ -17,9 +21,7 @@
 impl Site {
     /// A platform, and a directory of declarations that a test may change.
     fn new(name: &str) -> Site {
-        let platform = TcpListener::bind("127.0.0.1:0")
-            .and_then(|listener| listener.local_addr())
-            .expect("a free port");
+        let platform = free();
         async_std::task::spawn(Platform::default().app().listen(platform));
         let began = Instant::now();
         while TcpStream::connect(platform).is_err() {
@@ -75,6 +77,16 @@
     }
 }
 
+fn free() -> SocketAddr {
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 fn code(output: &Output) -> Option<i32> {
     output.status.code()
 }
