--- a/components/daemon/src/links/accept.rs
+++ b/components/daemon/src/links/accept.rs
@@ -39,8 +39,8 @@
         let node = node.clone();
         let peer = address.to_string();
         local::spawn(async move {
-            let session = AssertUnwindSafe(session(&node, stream, &peer, serial));
-            if session.catch_unwind().await.is_err() {
+            let served = AssertUnwindSafe(serve_peer(&node, stream, &peer, serial));
+            if served.catch_unwind().await.is_err() {
                 stats::panicked();
             }
             node.incoming.borrow_mut().remove(&serial);
@@ -48,7 +48,7 @@
     }
 }
 
-async fn session(node: &Rc<Node>, stream: TcpStream, peer: &str, serial: u64) {
+async fn serve_peer(node: &Rc<Node>, stream: TcpStream, peer: &str, serial: u64) {
     node.strangers.set(node.strangers.get() + 1);
     let admitted = timeout(PROOF_TIMEOUT, admit(node, stream, peer))
         .await
