--- /dev/null
+++ b/components/daemon/src/audit.rs
@@ -0,0 +1,214 @@
+//! One line for each decision that touches a request or changes what this process believes.
+//!
+//! Every kind of line is bounded in each second; what was left out is told with the next line of
+//! the kind and counted. `docs/OPERATIONS.md` reads these lines.
+
+use crate::callers::CallerRequest;
+use crate::node::Node;
+use crate::stats;
+use declarations::Route;
+use entry::View;
+use home::{Load, Reason};
+use logs::Limiter;
+use names::{AttemptId, Name};
+use registry::{Instance, Record, Verdict};
+use rollout::InForce;
+use std::cell::RefCell;
+use std::time::Instant;
+use wire::RelayOutcome;
+
+/// Lines of one kind in each second.
+const LINES_PER_SECOND: u32 = 200;
+
+/// The kinds of lines about requests, each with a bound of its own.
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    Routed,
+    Offered,
+    Home,
+    Ended,
+}
+
+const KINDS: usize = 4;
+
+thread_local! {
+    static LIMITERS: RefCell<([Limiter; KINDS], Option<Instant>)> =
+        const { RefCell::new(([const { Limiter::new(LINES_PER_SECOND) }; KINDS], None)) };
+}
+
+/// Whether a line of this kind may be written now.
+fn allowed(kind: Kind) -> bool {
+    if !tracing::enabled!(tracing::Level::INFO) {
+        return false;
+    }
+    LIMITERS.with_borrow_mut(|(limiters, start)| {
+        let now_us = start.get_or_insert_with(Instant::now).elapsed().as_micros() as u64;
+        match limiters[kind as usize].pass(now_us) {
+            Some(missed) => {
+                if missed > 0 {
+                    tracing::warn!(?kind, missed, "lines left out");
+                }
+                true
+            }
+            None => {
+                stats::line_left_out();
+                false
+            }
+        }
+    })
+}
+
+/// A route and a service were found for a request.
+pub fn routed(
+    node: &Node,
+    call: &CallerRequest,
+    route: &Route,
+    service: &Name,
+    in_force: &InForce,
+) {
+    if allowed(Kind::Routed) {
+        tracing::info!(
+            id = %call.id,
+            route = %route.name,
+            service = %service,
+            revision = in_force.configuration.head.revision,
+            level = call.level,
+            deadline_ms = call.deadline_ms.unwrap_or(0),
+            timeout_ms = route.treatment.deadline_ms,
+            open = node.open_calls.get(),
+            "request routed"
+        );
+    }
+}
+
+/// No route fits a request.
+pub fn no_route(call: &CallerRequest, revision: u64) {
+    if allowed(Kind::Routed) {
+        tracing::info!(id = %call.id, host = %call.host, path = %call.path, revision, "no route");
+    }
+}
+
+/// A request was offered to the node beside an upstream. `view` is what was known of it then, and
+/// `age_us` how old that was.
+pub fn offered(id: &str, attempt: AttemptId, to: &Name, may_queue: bool, view: &View, age_us: u64) {
+    if allowed(Kind::Offered) {
+        let load = view.load.unwrap_or_default();
+        tracing::info!(
+            id,
+            attempt = %attempt,
+            to = %to,
+            may_queue,
+            outstanding = view.outstanding,
+            load_age_ms = age_us / 1_000,
+            in_flight = load.in_flight,
+            queued = load.queued,
+            limit = load.limit,
+            service_ms = load.service_us / 1_000,
+            "request offered"
+        );
+    }
+}
+
+/// The node beside an upstream decided about an attempt.
+pub fn home(id: &str, attempt: AttemptId, decision: &str, reason: Option<Reason>, load: Load) {
+    if allowed(Kind::Home) {
+        tracing::info!(
+            id,
+            attempt = %attempt,
+            decision,
+            reason = reason.map_or("-", Reason::as_str),
+            in_flight = load.in_flight,
+            queued = load.queued,
+            limit = load.limit,
+            service_ms = load.service_us / 1_000,
+            "attempt decided"
+        );
+    }
+}
+
+/// A caller was given its outcome.
+pub fn call_ended(id: &str, outcome: &RelayOutcome, took_us: u64) {
+    if !allowed(Kind::Ended) {
+        return;
+    }
+    let (outcome, reason, detail) = match outcome {
+        RelayOutcome::Answered(answer) => ("answered", "-", u64::from(answer.status)),
+        RelayOutcome::NotRun(refusal) => {
+            ("not-run", refusal.reason.as_str(), refusal.retry_after_ms)
+        }
+        RelayOutcome::Unknown(reason) => ("unknown", reason.as_str(), 0),
+    };
+    let took_ms = took_us / 1_000;
+    tracing::info!(id, outcome, reason, detail, took_ms, "request ended");
+}
+
+/// The upstream beside this node registered something new.
+pub fn registered(instance: &Instance, sequence: u64, verdict: Verdict) {
+    tracing::info!(
+        instance = %instance.id,
+        service = %instance.service,
+        address = instance.address,
+        slots = instance.slots,
+        state = instance.state.as_str(),
+        sequence,
+        ?verdict,
+        "registration taken in"
+    );
+}
+
+/// The upstream beside this node said that it ends.
+pub fn leaves(instance: &Name, changed: bool) {
+    tracing::info!(instance = %instance, changed, "an upstream leaves");
+}
+
+/// The run that an earlier start of this node knew was found again.
+pub fn found(instance: &Instance, taken: bool) {
+    tracing::info!(instance = %instance.id, taken, "an upstream was found at its address");
+}
+
+/// This node's record changed.
+pub fn own_record(own: &Record) {
+    tracing::info!(
+        generation = own.version.generation,
+        change = own.version.change,
+        serving = own.serving,
+        instance = own
+            .upstream
+            .as_ref()
+            .map_or("-", |upstream| upstream.id.as_str()),
+        state = own
+            .upstream
+            .as_ref()
+            .map_or("-", |upstream| upstream.state.as_str()),
+        "this node's record changed"
+    );
+}
+
+/// Another node's record was taken in.
+pub fn record_taken(after: &Record, before: Option<&Record>) {
+    tracing::info!(
+        vm = %after.vm,
+        generation = after.version.generation,
+        change = after.version.change,
+        before_generation = before.map_or(0, |before| before.version.generation),
+        before_change = before.map_or(0, |before| before.version.change),
+        serving = after.serving,
+        instance = after.upstream.as_ref().map_or("-", |upstream| upstream.id.as_str()),
+        state = after.upstream.as_ref().map_or("-", |upstream| upstream.state.as_str()),
+        "record taken in"
+    );
+}
+
+/// The records in the store were read.
+pub fn listed(count: usize, at: u64) {
+    tracing::info!(count, at, "the nodes' records were listed");
+}
+
+/// The operators' declarations were read from the store.
+pub fn declarations_read(version: u64, revision: u64) {
+    tracing::info!(
+        version,
+        store_revision = revision,
+        "declarations read from the store"
+    );
+}
--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -6,3 +6,4 @@
 mod serve;
 
 pub use connection::run;
+pub use request::CallerRequest;
--- a/components/daemon/src/callers/connection.rs
+++ b/components/daemon/src/callers/connection.rs
@@ -1,24 +1,22 @@
 //! Connections of callers.
 
-use super::request::{self, BadRequest};
-use super::{response, serve};
-use crate::guard::{Guard, HeadFault};
+use super::request::{self, BadRequest, Limits};
+use super::response::{self, Response};
+use super::serve;
 use crate::local;
 use crate::node::Node;
 use crate::stats;
-use async_h1::server;
 use async_std::future::timeout;
-use async_std::io;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::prelude::*;
 use async_std::task;
 use futures_util::FutureExt;
+use home::Reason;
+use http1::{Connection, Fault, RequestHead};
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A connection on which no whole head arrived for so long is closed.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// A caller that does not take its answer for so long is cut off.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after the listener failed, for example because descriptors ran out.
@@ -58,85 +56,67 @@
         return;
     };
     stream.set_nodelay(true).ok();
-    let guard = Guard::new(stream);
-    let caller = address.ip().to_string();
-    while exchange(node, &guard, &caller).await.unwrap_or(false) {}
+    let mut connection = Connection::new(stream);
+    while exchange(node, &mut connection, address.ip()).await {}
 }
 
 /// Serves one request; returns whether the connection may carry another.
-///
-/// The library's own accept loop is not used: it sets a timer of another reactor for each request,
-/// which wakes that reactor's thread.
-async fn exchange(node: &Rc<Node>, guard: &Guard, caller: &str) -> http_types::Result<bool> {
-    guard.expect_head();
-    let decoded = match timeout(HEAD_TIMEOUT, server::decode(guard.clone())).await {
-        Ok(Ok(decoded)) => decoded,
-        Ok(Err(error)) => {
-            refuse_head(guard, &error.to_string()).await;
-            return Ok(false);
+async fn exchange(
+    node: &Rc<Node>,
+    connection: &mut Connection<TcpStream>,
+    caller: std::net::IpAddr,
+) -> bool {
+    let limits = Limits::of(node);
+    let head = match timeout(limits.idle, connection.request_head(limits.header_bytes)).await {
+        Ok(Ok(Some(head))) => head,
+        Ok(Ok(None)) | Err(_) => return false,
+        Ok(Err(fault)) => {
+            refuse_head(connection.stream(), &fault).await;
+            return false;
         }
-        Err(_) => return Ok(false),
-    };
-    let Some((req, _)) = decoded else {
-        return Ok(false);
     };
-    let method = req.method();
-    let asked_to_close = has_close(req.header("connection"));
     node.open_calls.set(node.open_calls.get() + 1);
-    let res = answer(node, guard, caller, req).await;
-    let close = asked_to_close || has_close(res.header("connection"));
-    let mut encoder = server::Encoder::new(res, method);
-    let written = timeout(WRITE_TIMEOUT, io::copy(&mut encoder, &mut guard.clone())).await;
+    let asked_to_close = request::has_token(&head.headers, "connection", "close");
+    let method = head.method.clone();
+    let (res, read_whole) = answer(node, connection, caller, head, limits).await;
+    let close = asked_to_close || !read_whole || node.stopping.get();
+    let bytes = res.bytes(&method, close);
+    let mut stream = connection.stream().clone();
+    let written = timeout(WRITE_TIMEOUT, stream.write_all(&bytes)).await;
     node.open_calls.set(node.open_calls.get() - 1);
-    written??;
-    Ok(!close && guard.is_reusable())
-}
-
-fn has_close(connection: Option<&http_types::headers::HeaderValues>) -> bool {
-    connection.is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"))
+    matches!(written, Ok(Ok(()))) && !close
 }
 
+/// The answer, and whether the request was read to its end.
 async fn answer(
     node: &Rc<Node>,
-    guard: &Guard,
-    caller: &str,
-    mut req: http_types::Request,
-) -> http_types::Response {
-    let read = request::read(node, guard, caller, &mut req).await;
-    let mut res = match read {
+    connection: &mut Connection<TcpStream>,
+    caller: std::net::IpAddr,
+    head: RequestHead,
+    limits: Limits,
+) -> (Response, bool) {
+    match request::read(node, connection, caller, head, limits).await {
         Ok(call) => {
-            let hung_up = hung_up(guard.stream());
-            serve::serve(node, call, hung_up).await
+            let hung_up = hung_up(connection.stream().clone());
+            (serve::serve(node, call, hung_up).await, true)
+        }
+        Err(bad) => {
+            stats::bad_input("caller");
+            (response::bad_request(&bad), false)
         }
-        Err(bad) => refuse(guard, &bad),
-    };
-    if node.stopping.get() {
-        res.insert_header("connection", "close");
     }
-    res
 }
 
-fn refuse(guard: &Guard, bad: &BadRequest) -> http_types::Response {
+/// Answers a head that could not be read.
+async fn refuse_head(stream: &TcpStream, fault: &Fault) {
     stats::bad_input("caller");
-    guard.expect_body(0);
-    response::bad_request(bad)
-}
-
-/// Answers a head that could not be read; the library gives no answer of its own.
-async fn refuse_head(guard: &Guard, error: &str) {
-    stats::bad_input("caller");
-    let text = match guard.fault() {
-        Some(HeadFault::TooLong) => response::raw(
-            431,
-            "Request Header Fields Too Large",
-            "bad-request",
-            "head too long",
-        ),
-        Some(HeadFault::CutOff) => return,
-        _ => response::raw(400, "Bad Request", "bad-request", error),
+    let bad = match fault {
+        Fault::CutOff | Fault::Io(_) => return,
+        fault => BadRequest::from(fault),
     };
-    let mut stream = guard.stream();
-    stream.write_all(text.as_bytes()).await.ok();
+    let reason = Reason::BadRequest.as_str();
+    let text = response::raw(bad.status, response::phrase(bad.status), reason, &bad.cause);
+    stream.clone().write_all(text.as_bytes()).await.ok();
 }
 
 /// Ends when the caller closes its connection. A caller that sends on is not watched any further.
--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -1,16 +1,12 @@
 //! Reading a caller's request.
 
-use crate::guard::Guard;
 use crate::node::Node;
-use crate::upstream::is_hop_header;
 use async_std::future::timeout;
-use async_std::io::ReadExt;
+use async_std::net::TcpStream;
+use http1::{request_framing, single, Connection, Fault, Header, RequestHead};
+use std::net::IpAddr;
 use std::time::Duration;
 
-/// Remaining time, in milliseconds.
-pub const DEADLINE_HEADER: &str = "drumwheel-deadline-ms";
-/// How many services the call has passed.
-pub const LEVEL_HEADER: &str = "drumwheel-level";
 /// The caller's key for a request that may not run twice.
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key, in bytes.
@@ -19,6 +15,45 @@
 const MAX_LEVEL: u32 = 64;
 /// Longest time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head when the declarations set none, in bytes.
+const MAX_HEAD_BYTES: usize = 8_000;
+/// Longest rest of a connection when the declarations set none.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Bounds on one request.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Largest head, in bytes.
+    pub header_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: u64,
+    /// Longest wait for a whole head.
+    pub idle: Duration,
+}
+
+impl Limits {
+    /// The bounds in force: the declarations' or else the node's own. A body is held in memory, so
+    /// the node's own bound on it holds in any case.
+    pub fn of(node: &Node) -> Limits {
+        let own = node.cfg.max_body_bytes as u64;
+        let in_force = node.in_force();
+        match in_force
+            .as_ref()
+            .and_then(|in_force| in_force.declarations.limits)
+        {
+            Some(limits) => Limits {
+                header_bytes: limits.header_bytes,
+                body_bytes: own.min(limits.body_bytes as u64),
+                idle: Duration::from_millis(limits.idle_ms),
+            },
+            None => Limits {
+                header_bytes: MAX_HEAD_BYTES,
+                body_bytes: own,
+                idle: IDLE_TIMEOUT,
+            },
+        }
+    }
+}
 
 /// A request that was read whole.
 #[derive(Debug)]
@@ -32,7 +67,7 @@
     /// Path and query.
     pub target: String,
     /// End-to-end headers.
-    pub headers: Vec<(String, String)>,
+    pub headers: Vec<Header>,
     /// The whole body.
     pub body: Vec<u8>,
     /// Remaining time that the caller gives, in milliseconds.
@@ -41,6 +76,8 @@
     pub level: u32,
     /// Idempotency key.
     pub key: Option<String>,
+    /// Identity that the caller gave its try; `-` for none.
+    pub id: String,
     /// The caller's IP address.
     pub caller: String,
 }
@@ -54,95 +91,120 @@
     pub cause: String,
 }
 
+impl From<&Fault> for BadRequest {
+    fn from(fault: &Fault) -> BadRequest {
+        let status = match fault {
+            Fault::HeadTooLong => 431,
+            Fault::BodyTooLong(_) => 413,
+            Fault::Encoding(_) => 501,
+            Fault::Malformed(_) | Fault::CutOff | Fault::Io(_) => 400,
+        };
+        bad(status, fault.to_string())
+    }
+}
+
+/// Whether a header's list of tokens holds `token`.
+pub fn has_token(headers: &[Header], name: &str, token: &str) -> bool {
+    headers
+        .iter()
+        .filter(|(other, _)| other.eq_ignore_ascii_case(name))
+        .flat_map(|(_, value)| value.split(','))
+        .any(|other| other.trim().eq_ignore_ascii_case(token))
+}
+
 /// Reads the whole request, or says what is wrong with it.
 pub async fn read(
     node: &Node,
-    guard: &Guard,
-    caller: &str,
-    req: &mut http_types::Request,
+    connection: &mut Connection<TcpStream>,
+    caller: IpAddr,
+    head: RequestHead,
+    limits: Limits,
 ) -> Result<CallerRequest, BadRequest> {
-    let body = read_body(node, guard, req).await?;
-    let deadline_ms = number(req, DEADLINE_HEADER)?;
-    let level = number(req, LEVEL_HEADER)?.unwrap_or(0) as u32;
-    if level > MAX_LEVEL {
+    let names = &node.cfg.headers;
+    let body = read_body(connection, &head, limits).await?;
+    let deadline_ms = number(&head.headers, &names.deadline_ms)?;
+    let level = number(&head.headers, &names.level)?.unwrap_or_else(|| inner_level(node, caller));
+    if level > u64::from(MAX_LEVEL) {
         return Err(bad(508, format!("more than {MAX_LEVEL} levels of calls")));
     }
-    let key = single(req, KEY_HEADER)?;
+    let key = one(&head.headers, KEY_HEADER)?.map(str::to_string);
     if key.as_ref().is_some_and(|key| key.len() > MAX_KEY_BYTES) {
         let cause = format!("{KEY_HEADER} is longer than {MAX_KEY_BYTES} bytes");
         return Err(bad(400, cause));
     }
-    let path = req.url().path().to_string();
-    let target = match req.url().query() {
-        Some(query) => format!("{path}?{query}"),
-        None => path.clone(),
+    let id = match &names.request_id {
+        Some(name) => one(&head.headers, name)?.unwrap_or("-").to_string(),
+        None => "-".to_string(),
     };
+    let (target, target_host) = split_target(&head.target)?;
+    let host = match target_host {
+        Some(host) => Some(host),
+        None => one(&head.headers, "host")?,
+    };
+    let host = host.ok_or_else(|| bad(400, "no host".to_string()))?;
     Ok(CallerRequest {
-        method: req.method().to_string(),
-        host: req.url().host_str().unwrap_or("").to_lowercase(),
-        path,
-        target,
-        headers: end_to_end(req),
+        host: without_port(host).to_lowercase(),
+        path: target.split(['?', '#']).next().unwrap_or("/").to_string(),
+        target: target.to_string(),
+        method: head.method,
+        headers: end_to_end(head.headers),
         body,
         deadline_ms,
-        level,
+        level: level as u32,
         key,
+        id,
         caller: caller.to_string(),
     })
 }
 
-async fn read_body(
-    node: &Node,
-    guard: &Guard,
-    req: &mut http_types::Request,
-) -> Result<Vec<u8>, BadRequest> {
-    let chunked = match single(req, "transfer-encoding")?.as_deref() {
-        None => false,
-        Some("chunked") => true,
-        Some(other) => return Err(bad(501, format!("transfer encoding {other:?}"))),
-    };
-    let length = number(req, "content-length")?;
-    let most = node.cfg.max_body_bytes as u64;
-    if length.is_some_and(|length| length > most) {
-        return Err(bad(413, format!("the body is longer than {most} bytes")));
+/// A call that comes from this VM itself is made by the upstream beside this node, while it serves
+/// another.
+fn inner_level(node: &Node, caller: IpAddr) -> u64 {
+    u64::from(node.cfg.registrations.is_some() && caller == node.cfg.callers.ip())
+}
+
+/// Path with query, and the host of a target in absolute form.
+fn split_target(target: &str) -> Result<(&str, Option<&str>), BadRequest> {
+    if target.starts_with('/') || target == "*" {
+        return Ok((target, None));
     }
-    if chunked {
-        guard.expect_chunks();
+    let rest = target
+        .strip_prefix("http://")
+        .ok_or_else(|| bad(400, format!("the target {target:?} is no path")))?;
+    let slash = rest.find('/').unwrap_or(rest.len());
+    let path = if slash < rest.len() {
+        &rest[slash..]
     } else {
-        guard.expect_body(length.unwrap_or(0));
-    }
-    if !chunked && length.unwrap_or(0) == 0 {
-        return Ok(Vec::new());
-    }
-    let mut body = Vec::new();
-    let mut reader = req.take_body().take(most + 1);
-    match timeout(BODY_TIMEOUT, reader.read_to_end(&mut body)).await {
-        Ok(Ok(_)) => {}
-        Ok(Err(error)) => return Err(bad(400, format!("the body is malformed: {error}"))),
-        Err(_) => return Err(bad(408, "the body did not arrive in time".to_string())),
-    }
-    if body.len() as u64 > most {
-        return Err(bad(413, format!("the body is longer than {most} bytes")));
-    }
-    if length.is_some_and(|length| length != body.len() as u64) {
-        return Err(bad(400, "the body was cut off".to_string()));
+        "/"
+    };
+    Ok((path, Some(&rest[..slash])))
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
     }
-    Ok(body)
 }
 
-/// The value of a header that may be given once.
-fn single(req: &http_types::Request, name: &str) -> Result<Option<String>, BadRequest> {
-    let Some(values) = req.header(name) else {
-        return Ok(None);
-    };
-    if values.iter().count() > 1 {
-        return Err(bad(400, format!("{name} is given more than once")));
+async fn read_body(
+    connection: &mut Connection<TcpStream>,
+    head: &RequestHead,
+    limits: Limits,
+) -> Result<Vec<u8>, BadRequest> {
+    let framing = request_framing(&head.headers).map_err(|fault| BadRequest::from(&fault))?;
+    match timeout(BODY_TIMEOUT, connection.body(framing, limits.body_bytes)).await {
+        Ok(body) => body.map_err(|fault| BadRequest::from(&fault)),
+        Err(_) => Err(bad(408, "the body did not arrive in time".to_string())),
     }
-    Ok(Some(values.last().as_str().to_string()))
 }
 
-fn number(req: &http_types::Request, name: &str) -> Result<Option<u64>, BadRequest> {
-    let Some(text) = single(req, name)? else {
+fn one<'a>(headers: &'a [Header], name: &str) -> Result<Option<&'a str>, BadRequest> {
+    single(headers, name).map_err(|fault| BadRequest::from(&fault))
+}
+
+fn number(headers: &[Header], name: &str) -> Result<Option<u64>, BadRequest> {
+    let Some(text) = one(headers, name)? else {
         return Ok(None);
     };
     let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
@@ -152,14 +214,17 @@
     }
 }
 
-fn end_to_end(req: &http_types::Request) -> Vec<(String, String)> {
-    req.iter()
-        .filter(|(name, _)| !is_hop_header(name.as_str()) && name.as_str() != "expect")
-        .flat_map(|(name, values)| {
-            values
-                .iter()
-                .map(|value| (name.as_str().to_string(), value.as_str().to_string()))
-        })
+fn end_to_end(headers: Vec<Header>) -> Vec<Header> {
+    let named: Vec<String> = headers
+        .iter()
+        .filter(|(name, _)| name.eq_ignore_ascii_case("connection"))
+        .flat_map(|(_, value)| value.split(','))
+        .map(|token| token.trim().to_lowercase())
+        .collect();
+    headers
+        .into_iter()
+        .filter(|(name, _)| !http1::is_hop_header(name) && !name.eq_ignore_ascii_case("expect"))
+        .filter(|(name, _)| !named.contains(&name.to_lowercase()))
         .collect()
 }
 
--- a/components/daemon/src/callers/response.rs
+++ b/components/daemon/src/callers/response.rs
@@ -3,21 +3,82 @@
 use super::request::BadRequest;
 use crate::stats;
 use home::{Reason, Refusal};
-use http_types::{Body, Response, StatusCode};
+use http1::Header;
+use settings::Headers;
+use std::sync::Arc;
 use wire::{Answer, RelayOutcome};
 
 /// Says what became of the request: `answered`, `not-run` or `unknown`.
-pub const OUTCOME_HEADER: &str = "drumwheel-outcome";
+const OUTCOME_HEADER: &str = "drumwheel-outcome";
 /// Says why, when there is no answer.
-pub const REASON_HEADER: &str = "drumwheel-reason";
-/// When to come back, in milliseconds; `Retry-After` has the same in whole seconds, rounded up.
-pub const RETRY_AFTER_MS_HEADER: &str = "drumwheel-retry-after-ms";
+const REASON_HEADER: &str = "drumwheel-reason";
+/// When to come back, in milliseconds; `Retry-After` has the same in seconds.
+const RETRY_AFTER_MS_HEADER: &str = "drumwheel-retry-after-ms";
+
+/// What is written to a caller.
+#[derive(Debug)]
+pub enum Response {
+    /// The upstream's answer.
+    Answer(Arc<Answer>),
+    /// The node's own words.
+    Own {
+        /// Status.
+        status: u16,
+        /// Headers.
+        headers: Vec<Header>,
+        /// Body.
+        body: String,
+    },
+}
+
+impl Response {
+    /// The whole response to a request with `method`; `close` says that the connection ends.
+    pub fn bytes(&self, method: &str, close: bool) -> Vec<u8> {
+        let close = close.then(|| ("Connection".to_string(), "close".to_string()));
+        match self {
+            Response::Answer(answer) => {
+                let own = ["drumwheel-outcome", "drumwheel-reason"];
+                let mut headers: Vec<Header> = answer.headers.clone();
+                headers.retain(|(name, _)| !own.iter().any(|own| name.eq_ignore_ascii_case(own)));
+                headers.push(pair(OUTCOME_HEADER, "answered"));
+                headers.extend(close);
+                http1::response_bytes(
+                    answer.status,
+                    &answer.reason,
+                    &headers,
+                    &answer.body,
+                    answer.head_length,
+                )
+            }
+            Response::Own {
+                status,
+                headers,
+                body,
+            } => {
+                let mut headers = headers.clone();
+                headers.extend(close);
+                let shown = if method == "HEAD" { "" } else { body };
+                let declared = Some(body.len() as u64);
+                http1::response_bytes(
+                    *status,
+                    phrase(*status),
+                    &headers,
+                    shown.as_bytes(),
+                    declared,
+                )
+            }
+        }
+    }
+}
 
 /// The response for an outcome.
-pub fn outcome(outcome: RelayOutcome) -> Response {
+pub fn outcome(names: &Headers, outcome: RelayOutcome) -> Response {
     match outcome {
-        RelayOutcome::Answered(answer) => answered(&answer),
-        RelayOutcome::NotRun(refusal) => not_run(refusal),
+        RelayOutcome::Answered(answer) => {
+            stats::call_ended("answered", "-");
+            Response::Answer(answer)
+        }
+        RelayOutcome::NotRun(refusal) => not_run(names, refusal),
         RelayOutcome::Unknown(reason) => unknown(reason),
     }
 }
@@ -25,9 +86,7 @@
 /// The response for a request that could not be read.
 pub fn bad_request(bad: &BadRequest) -> Response {
     stats::call_ended("not-run", Reason::BadRequest.as_str());
-    let mut res = plain(bad.status, "not-run", Reason::BadRequest, &bad.cause);
-    res.insert_header("connection", "close");
-    res
+    own(bad.status, "not-run", Reason::BadRequest, &bad.cause)
 }
 
 /// A response as bytes, for a connection on which no request could be read.
@@ -41,41 +100,52 @@
     )
 }
 
-fn answered(answer: &Answer) -> Response {
-    stats::call_ended("answered", "-");
-    let mut res = Response::new(status(answer.status));
-    match answer.head_length {
-        Some(length) => res.set_body(Body::from_reader(
-            async_std::io::empty(),
-            Some(length as usize),
-        )),
-        None => res.set_body(Body::from_bytes(answer.body.clone())),
-    }
-    res.remove_header("content-type");
-    for (name, value) in &answer.headers {
-        res.append_header(name.as_str(), value.as_str());
+/// The usual phrase of a status that a node itself gives.
+pub fn phrase(status: u16) -> &'static str {
+    match status {
+        400 => "Bad Request",
+        403 => "Forbidden",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        508 => "Loop Detected",
+        _ => "Error",
     }
-    res.insert_header(OUTCOME_HEADER, "answered");
-    res
 }
 
-fn not_run(refusal: Refusal) -> Response {
+fn not_run(names: &Headers, refusal: Refusal) -> Response {
     stats::call_ended("not-run", refusal.reason.as_str());
     let code = match refusal.reason {
         Reason::NoService => 404,
         Reason::Policy => 403,
-        Reason::Deadline => 504,
+        Reason::Deadline if !names.not_run_is_503 => 504,
         _ => 503,
     };
-    let mut res = plain(code, "not-run", refusal.reason, "the request was not run");
-    if code == 503 || code == 504 {
-        let ms = refusal.retry_after_ms.max(1);
-        res.insert_header("retry-after", ms.div_ceil(1_000).to_string());
-        res.insert_header(RETRY_AFTER_MS_HEADER, ms.to_string());
+    let mut res = own(code, "not-run", refusal.reason, "the request was not run");
+    if let Response::Own { headers, .. } = &mut res {
+        if code == 503 || code == 504 {
+            let ms = refusal.retry_after_ms.max(1);
+            headers.push(pair("retry-after", &retry_after(names, ms)));
+            headers.push(pair(RETRY_AFTER_MS_HEADER, &ms.to_string()));
+        }
     }
     res
 }
 
+fn retry_after(names: &Headers, ms: u64) -> String {
+    if names.retry_after_fractions {
+        format!("{}.{:03}", ms / 1_000, ms % 1_000)
+    } else {
+        ms.div_ceil(1_000).to_string()
+    }
+}
+
 fn unknown(reason: Reason) -> Response {
     stats::call_ended("unknown", reason.as_str());
     let code = match reason {
@@ -83,17 +153,21 @@
         Reason::Deadline => 504,
         _ => 502,
     };
-    plain(code, "unknown", reason, "the request may have run")
+    own(code, "unknown", reason, "the request may have run")
 }
 
-fn plain(code: u16, outcome: &str, reason: Reason, cause: &str) -> Response {
-    let mut res = Response::new(status(code));
-    res.set_body(format!("{cause}: {}\n", reason.as_str()));
-    res.insert_header(OUTCOME_HEADER, outcome);
-    res.insert_header(REASON_HEADER, reason.as_str());
-    res
+fn own(status: u16, outcome: &str, reason: Reason, cause: &str) -> Response {
+    Response::Own {
+        status,
+        headers: vec![
+            pair("content-type", "text/plain;charset=utf-8"),
+            pair(OUTCOME_HEADER, outcome),
+            pair(REASON_HEADER, reason.as_str()),
+        ],
+        body: format!("{cause}: {}\n", reason.as_str()),
+    }
 }
 
-fn status(code: u16) -> StatusCode {
-    StatusCode::try_from(code).unwrap_or(StatusCode::BadGateway)
+fn pair(name: &str, value: &str) -> Header {
+    (name.to_string(), value.to_string())
 }
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -1,17 +1,18 @@
 //! From a request to its outcome: service, policy, attempts.
 
 use super::request::CallerRequest;
-use super::response;
+use super::response::{self, Response};
+use crate::audit;
 use crate::entry_driver::{run_call, Plan};
 use crate::node::Node;
 use crate::relay::{self, Relay};
 use crate::stats;
-use declarations::Service;
+use declarations::{Route, Service};
 use entry::{Outcome, Treatment};
 use futures_util::FutureExt;
 use home::{Reason, Refusal};
 use keys::KEY_DEADLINE_US;
-use names::{Moment, MILLISECOND};
+use names::{Moment, Name, MILLISECOND};
 use policy::Input;
 use rollout::InForce;
 use std::future::Future;
@@ -20,6 +21,8 @@
 use std::sync::Arc;
 use wire::{RelayOutcome, Request};
 
+/// Headers that begin so are this program's own and are not passed on.
+const PREFIX: &str = "drumwheel-";
 /// Told to callers of a node that can't serve yet or was paused, in milliseconds.
 const NOT_SERVING_RETRY_MS: u64 = 1_000;
 
@@ -28,13 +31,18 @@
     node: &Rc<Node>,
     call: CallerRequest,
     hung_up: impl Future<Output = ()>,
-) -> http_types::Response {
+) -> Response {
     let mut hung_up = pin!(hung_up);
+    let began = node.now();
+    let id = call.id.clone();
+    let names = &node.cfg.headers;
     if hung_up.as_mut().now_or_never().is_some() {
         // The request may have waited long in the buffers of a paused process.
-        return response::outcome(RelayOutcome::Unknown(Reason::Lost));
+        return response::outcome(names, RelayOutcome::Unknown(Reason::Lost));
     }
-    response::outcome(outcome(node, call, hung_up).await)
+    let outcome = outcome(node, call, hung_up).await;
+    audit::call_ended(&id, &outcome, node.now().since(began));
+    response::outcome(names, outcome)
 }
 
 async fn outcome(
@@ -45,29 +53,28 @@
     let Some(in_force) = node.in_force() else {
         return blank(&call);
     };
+    let fixed = in_force.declarations.fixed_route(&call.host, &call.path);
+    if let Some(route) = fixed.cloned() {
+        return by_route(node, &in_force, &route, call, hung_up).await;
+    }
     let Some(service) = in_force.declarations.route(&call.host, &call.path) else {
+        audit::no_route(&call, in_force.configuration.head.revision);
         return refused(Reason::NoService, 0);
     };
     let ruled = treat(node, service, &call);
     if ruled.refuse.is_some() {
         return refused(Reason::Policy, 0);
     }
-    let limit_ms = call
-        .deadline_ms
-        .unwrap_or(ruled.deadline_ms)
-        .min(ruled.deadline_ms);
-    let left_us = (limit_ms * MILLISECOND).saturating_sub(node.paused_for());
-    if left_us == 0 {
+    let Some(deadline) = deadline(node, &ruled, &call) else {
         return too_late(&call);
-    }
-    let deadline = node.now() + left_us;
+    };
     let treatment = Treatment {
         repeatable: ruled.repeatable,
         priority: ruled.priority,
         attempts: attempts(&ruled, call.level),
     };
     let key = call.key.clone().filter(|_| !ruled.repeatable);
-    let req = Arc::new(request(service, call));
+    let req = Arc::new(request(node, &service.name, call));
     if let Some(key) = key {
         return owned(node, &in_force, key, treatment.priority, req, deadline).await;
     }
@@ -77,10 +84,51 @@
         req,
         key: None,
         deadline,
+        objective_us: 0,
+    };
+    direct(node, plan, hung_up).await
+}
+
+/// Carries out a request whose route says how it is treated.
+async fn by_route(
+    node: &Rc<Node>,
+    in_force: &InForce,
+    route: &Route,
+    call: CallerRequest,
+    hung_up: impl Future<Output = ()>,
+) -> RelayOutcome {
+    let ruled = &route.treatment;
+    let Some(deadline) = deadline(node, ruled, &call) else {
+        return too_late(&call);
+    };
+    let service = node.share_of(route);
+    audit::routed(node, &call, route, &service, in_force);
+    let treatment = Treatment {
+        repeatable: ruled.repeatable,
+        priority: ruled.priority,
+        attempts: attempts(ruled, call.level),
+    };
+    let plan = Plan {
+        candidates: node.registered(&service),
+        treatment,
+        req: Arc::new(request(node, &service, call)),
+        key: None,
+        deadline,
+        objective_us: route.objective_ms * MILLISECOND,
     };
     direct(node, plan, hung_up).await
 }
 
+/// When the request must have its answer; none when that has passed already.
+fn deadline(node: &Node, ruled: &policy::Treatment, call: &CallerRequest) -> Option<Moment> {
+    let limit_ms = call
+        .deadline_ms
+        .unwrap_or(ruled.deadline_ms)
+        .min(ruled.deadline_ms);
+    let left_us = (limit_ms * MILLISECOND).saturating_sub(node.paused_for());
+    (left_us > 0).then(|| node.now() + left_us)
+}
+
 /// The caller's time passed while this process was paused.
 fn too_late(call: &CallerRequest) -> RelayOutcome {
     if call.key.is_some() {
@@ -110,8 +158,8 @@
     let headers = call
         .headers
         .iter()
+        .map(|(name, value)| (name.to_lowercase(), value.clone()))
         .filter(|(name, _)| service.inputs.contains(name))
-        .cloned()
         .collect();
     let input = Input {
         method: call.method.clone(),
@@ -128,19 +176,25 @@
     })
 }
 
-fn request(service: &Service, call: CallerRequest) -> Request {
-    let headers = call
-        .headers
-        .into_iter()
-        .filter(|(name, _)| !name.starts_with("drumwheel-"))
-        .collect();
+fn request(node: &Node, service: &Name, call: CallerRequest) -> Request {
+    let names = &node.cfg.headers;
+    let own =
+        |name: &str| name.len() > PREFIX.len() && name[..PREFIX.len()].eq_ignore_ascii_case(PREFIX);
+    let mut headers = call.headers;
+    headers.retain(|(name, _)| !own(name));
+    if let Some(name) = &names.caller_service {
+        headers.retain(|(other, _)| !other.eq_ignore_ascii_case(name));
+        let caller = node.caller_service();
+        headers.extend(caller.map(|service| (name.clone(), service.to_string())));
+    }
     Request {
-        service: service.name.clone(),
+        service: service.clone(),
         method: call.method,
         target: call.target,
         headers,
         body: call.body,
         level: call.level,
+        id: call.id,
     }
 }
 
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -28,7 +28,17 @@
     let offered = node.rollout.borrow_mut().offer(configuration);
     match &offered {
         Offered::Taken => {
-            tracing::info!(revision, "a revision is in force");
+            let routes = node
+                .in_force()
+                .map_or(0, |in_force| in_force.declarations.routes.len());
+            tracing::info!(
+                revision,
+                before = before
+                    .as_ref()
+                    .map_or(0, |before| before.configuration.head.revision),
+                hosts = routes,
+                "a revision is in force"
+            );
             if let Some(after) = node.in_force() {
                 coordinator::groups_changed(node, before.as_deref(), &after);
             }
@@ -95,17 +105,10 @@
 }
 
 fn pick(node: &Rc<Node>, any_hall: bool, count: usize) -> Vec<Name> {
-    let view = node.view.borrow();
-    let peers: Vec<&Name> = view
-        .list()
-        .vms
-        .iter()
-        .filter(|vm| vm.name != node.cfg.vm)
-        .filter(|vm| any_hall || vm.hall == node.cfg.hall)
-        .map(|vm| &vm.name)
-        .collect();
+    let mut peers = node.others();
+    peers.retain(|(_, same_hall)| any_hall || *same_hall);
     peers
         .choose_multiple(&mut rand::rng(), count)
-        .map(|name| (*name).clone())
+        .map(|(name, _)| name.clone())
         .collect()
 }
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -223,6 +223,7 @@
             req: self.relay.req.clone(),
             key: Some(self.key),
             deadline: self.deadline,
+            objective_us: 0,
         };
         let finished = run_call(node, plan, pending()).await;
         let outcome = outcome(finished);
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -1,5 +1,6 @@
 //! Carries out the decisions of the entry duty.
 
+use crate::audit;
 use crate::home_driver;
 use crate::links::{self, Reply};
 use crate::node::{Node, Waiter, Whole};
@@ -26,6 +27,8 @@
     req: Arc<Request>,
     treatment: Treatment,
     key: Option<KeyHash>,
+    began: Moment,
+    objective_us: u64,
     call: Call<Whole>,
     tx: Sender<Event<Whole>>,
     attempts: Vec<AttemptId>,
@@ -51,6 +54,8 @@
     pub key: Option<KeyHash>,
     /// The caller's deadline.
     pub deadline: Moment,
+    /// Time within which an answer has its full worth, in microseconds; 0 when nothing is known.
+    pub objective_us: u64,
 }
 
 /// Takes a request to its outcome.
@@ -67,6 +72,8 @@
         req: plan.req,
         treatment: plan.treatment,
         key: plan.key,
+        began: node.now(),
+        objective_us: plan.objective_us,
         call,
         tx,
         attempts: Vec::new(),
@@ -145,6 +152,7 @@
             id,
             service: self.req.service.clone(),
             remaining_us: left.saturating_sub(home_driver::WAY_BACK_US),
+            objective_us: self.objective_left_us(),
             priority: self.treatment.priority,
             level: self.req.level,
             repeatable: self.treatment.repeatable,
@@ -152,6 +160,9 @@
         };
         let local = to == node.cfg.vm;
         stats::attempt_offered(local);
+        let view = node.entry.borrow().view(&to);
+        let age_us = node.now().since(view.reported);
+        audit::offered(&self.req.id, id, &to, may_queue, &view, age_us);
         self.attempts.push(id);
         let waiter = Waiter {
             tx: self.tx.clone(),
@@ -166,6 +177,12 @@
         }
     }
 
+    /// What is left of the objective; 0 when there is none or it has passed.
+    fn objective_left_us(&self) -> u64 {
+        let spent = self.node.now().since(self.began);
+        self.objective_us.saturating_sub(spent)
+    }
+
     fn cancel(&mut self, id: AttemptId, to: &Name) {
         if *to == self.node.cfg.vm {
             home_driver::cancel(self.node, id);
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -1,11 +1,13 @@
 //! Carries out the decisions of the home duty.
 
+use crate::audit;
 use crate::boot_record;
 use crate::links::Reply;
 use crate::local;
 use crate::node::{Job, Node, Whole};
+use crate::registration::{self, Registration};
 use crate::stats;
-use crate::upstream::Failure;
+use crate::upstream::{Failure, Terms};
 use async_std::future::timeout;
 use async_std::task;
 use budget::Act;
@@ -19,8 +21,10 @@
 use std::time::Duration;
 use wire::{Answer, Frame, Request};
 
-/// An upstream that has not answered so long after the caller's deadline is given up.
-const OVERRUN: Duration = Duration::from_secs(30);
+/// Names the attempt to an upstream whose platform lists the VMs.
+const ATTEMPT_HEADER: &str = "drumwheel-attempt";
+/// Status by which an upstream says that another run of it was meant; it has not run the request.
+const WRONG_INSTANCE: u16 = 421;
 /// Told to callers whose attempt is refused before the home duty sees it, in milliseconds.
 const DOOR_RETRY_AFTER_MS: u64 = 1_000;
 /// Time between two tries to reach the successor of an upstream that was leaving.
@@ -55,6 +59,10 @@
     let id = offer.id;
     node.jobs.borrow_mut().entry(id).or_insert(job);
     with_home(node, |home| home.offer(now, &offer));
+    let waits = |home: &Home<Whole>| home.is_queued(id);
+    if node.home.borrow().as_ref().is_some_and(waits) {
+        audit_home(node, id, "queued", None);
+    }
     let taken_in = node
         .home
         .borrow()
@@ -142,6 +150,22 @@
     }
 }
 
+/// Takes in that another run of the upstream stands beside this node.
+pub fn upstream_replaced(node: &Rc<Node>, run: &registry::Instance) {
+    match run.address.parse() {
+        Ok(address) => {
+            if let Some(pool) = &node.pool {
+                pool.replaced(address, run.slots as usize);
+            }
+        }
+        Err(error) => {
+            tracing::warn!(address = run.address, %error, "an upstream has no usable address");
+        }
+    }
+    let now = node.now();
+    with_home(node, |home| home.replaced(now, run.slots));
+}
+
 /// Brings the home duty in line with what the sources say of leaving, and tells connected peers.
 pub fn leaving_changed(node: &Rc<Node>) {
     let leaving = node.is_leaving();
@@ -224,19 +248,30 @@
 
 fn perform(node: &Rc<Node>, action: Action) {
     match action {
-        Action::Start(id) => start(node, id),
+        Action::Start(id) => {
+            audit_home(node, id, "started", None);
+            start(node, id);
+        }
         Action::Refuse(id, refusal) => {
             stats::attempt_refused(refusal.reason.as_str());
+            audit_home(node, id, "refused", Some(refusal.reason));
             let load = node.load();
             end_job(node, id, Frame::Refused { id, refusal, load });
         }
         Action::Revoke(id) => {
+            audit_home(node, id, "handed back", None);
             let load = node.load();
             end_job(node, id, Frame::Revoked { id, load });
         }
     }
 }
 
+fn audit_home(node: &Rc<Node>, id: AttemptId, decision: &str, reason: Option<Reason>) {
+    let jobs = node.jobs.borrow();
+    let caller_id = jobs.get(&id).map_or("-", |job| job.req.id.as_str());
+    audit::home(caller_id, id, decision, reason, node.load());
+}
+
 fn end_job(node: &Rc<Node>, id: AttemptId, frame: Frame) {
     let job = node.jobs.borrow_mut().remove(&id);
     if let Some(job) = job {
@@ -272,21 +307,18 @@
         return (Verdict::NotSent, None);
     };
     let left = node.clock.until(job.deadline);
-    let extra = [
-        ("drumwheel-deadline-ms", left.as_millis().to_string()),
-        ("drumwheel-level", (job.req.level + 1).to_string()),
-        ("drumwheel-attempt", id.to_string()),
-    ];
-    match timeout(left + OVERRUN, pool.exchange(&job.req, &extra)).await {
+    let overrun = Duration::from_millis(node.cfg.overrun_ms);
+    let terms = terms(node, id, job, left);
+    match timeout(left + overrun, pool.exchange(&job.req, &terms)).await {
         Ok(Ok(answer)) => judge(node, job, answer),
         Ok(Err(Failure::NotSent(error))) => {
             stats::upstream_failed("not-sent");
-            tracing::debug!(%error, "the upstream was not reached");
+            tracing::info!(id = %job.req.id, %error, "the upstream was not reached");
             (Verdict::NotSent, None)
         }
         Ok(Err(Failure::Broken(error))) => {
             stats::upstream_failed("broken");
-            tracing::debug!(%error, "the upstream broke off");
+            tracing::info!(id = %job.req.id, %error, "the upstream broke off");
             (Verdict::Broken, None)
         }
         Err(_) => {
@@ -296,8 +328,69 @@
     }
 }
 
+/// What the upstream is told beside the request.
+fn terms<'a>(node: &'a Node, id: AttemptId, job: &'a Job, left: Duration) -> Terms<'a> {
+    let names = &node.cfg.headers;
+    let mut headers = vec![(names.deadline_ms.as_str(), left.as_millis().to_string())];
+    match &node.registration {
+        Some(registration) => {
+            let instance = registration::current_id(registration);
+            let name = names.expected_instance.as_deref();
+            headers.extend(name.zip(instance).map(|(name, id)| (name, id.to_string())));
+        }
+        None => {
+            headers.push((names.level.as_str(), (job.req.level + 1).to_string()));
+            headers.push((ATTEMPT_HEADER, id.to_string()));
+        }
+    }
+    let name = names.request_id.as_deref();
+    Terms {
+        headers,
+        id: name
+            .map(|name| (name, job.req.id.as_str()))
+            .filter(|(_, id)| *id != "-"),
+        repeatable: job.repeatable,
+    }
+}
+
+/// Reads what a registered upstream says of itself in an answer.
+fn judge_registered(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    answer: Answer,
+) -> (Verdict, Option<Answer>) {
+    let names = &node.cfg.headers;
+    if answer.status == WRONG_INSTANCE {
+        let expected = registration::current_id(registration);
+        let other = names
+            .instance
+            .as_deref()
+            .and_then(|name| http1::value(&answer.headers, name));
+        tracing::info!(?expected, other, "another upstream stands at the address");
+        if let Some(expected) = expected {
+            if registration.local.borrow_mut().is_not(&expected) {
+                registration::local_changed(node, registration);
+            }
+        }
+        return (Verdict::Shed, None);
+    }
+    let not_run = names.not_run.as_deref();
+    if not_run.is_some_and(|name| http1::value(&answer.headers, name).is_some()) {
+        return (Verdict::Shed, None);
+    }
+    let verdict = if answer.is_error() {
+        Verdict::Error
+    } else {
+        Verdict::Good
+    };
+    (verdict, Some(answer))
+}
+
 /// Reads the headers by which an upstream says that it leaves or did not start the request.
 fn judge(node: &Rc<Node>, job: &Job, mut answer: Answer) -> (Verdict, Option<Answer>) {
+    if let Some(registration) = &node.registration {
+        return judge_registered(node, registration, answer);
+    }
     let in_force = node.in_force();
     let service = in_force
         .as_ref()
@@ -315,7 +408,7 @@
     }
     answer
         .headers
-        .retain(|(name, _)| !name.starts_with("drumwheel-"));
+        .retain(|(name, _)| !name.to_lowercase().starts_with("drumwheel-"));
     let verdict = if answer.is_error() {
         Verdict::Error
     } else {
@@ -329,13 +422,16 @@
         return false;
     };
     let before = answer.headers.len();
-    answer.headers.retain(|(other, _)| other != name);
+    answer
+        .headers
+        .retain(|(other, _)| !other.eq_ignore_ascii_case(name));
     answer.headers.len() < before
 }
 
 /// Records the end of a running attempt, then tells it.
 fn finish(node: &Rc<Node>, id: AttemptId, verdict: Verdict, answer: Option<Answer>) {
     let now = node.now();
+    audit_home(node, id, verdict.as_str(), None);
     if matches!(verdict, Verdict::Shed | Verdict::NotSent) {
         let jobs = node.jobs.borrow();
         if let Some(key) = jobs.get(&id).and_then(|job| job.key) {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,20 +4,22 @@
 //! more than they do (see `docs/DESIGN.md`). The operators' routes are joined to the duties by a
 //! bounded channel.
 
+mod audit;
 mod boot_record;
 mod callers;
 mod clock;
 mod configuration;
 mod coordinator;
 mod entry_driver;
-mod guard;
 mod home_driver;
 mod links;
 mod local;
 mod node;
 mod operators;
 mod platform_watch;
+mod ready;
 mod recovery;
+mod registration;
 mod relay;
 mod stats;
 mod stop;
@@ -27,12 +29,15 @@
 use errors::{Error, Result, Step};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use node::Node;
+use platform::Adapter;
+use registration::Registration;
 use settings::Settings;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Runs a node until a stop signal has been obeyed.
-pub fn run(cfg: Settings) -> Result<()> {
+/// Runs a node until a stop signal has been obeyed. `adapter` translates for a platform whose nodes
+/// register; without one the platform lists the VMs.
+pub fn run(cfg: Settings, adapter: Option<Box<dyn Adapter>>) -> Result<()> {
     // Only an `Expect: 100-continue` makes the HTTP library start its own executor.
     std::env::set_var("ASYNC_STD_THREAD_COUNT", "1");
     let prometheus = PrometheusBuilder::new()
@@ -45,8 +50,12 @@
         let peers = bind(cfg.peers).await?;
         let operators = bind(cfg.operators).await?;
         let served = operators::serve(operators, tx, prometheus, cfg.fleet_key.clone());
-        let node = Node::new(cfg);
+        let node = Node::new(cfg, adapter);
         tracing::info!(vm = %node.cfg.vm, hall = %node.cfg.hall, boot = %node.boot, "started");
+        match node.registration.clone() {
+            Some(registration) => spawn_registered(&node, &registration).await?,
+            None => spawn_listed(&node),
+        }
         spawn_duties(&node, callers, peers, rx);
         local::spawn(served);
         stop::run(node, signals).await;
@@ -64,15 +73,47 @@
     local::spawn(links::serve(node.clone(), peers));
     local::spawn(links::run_heartbeats(node.clone()));
     local::spawn(home_driver::run_ticks(node.clone()));
+    local::spawn(operators::run_commands(node.clone(), rx));
+    if let Some(pool) = node.pool.clone().filter(|_| node.registration.is_none()) {
+        local::spawn(async move { pool.warm_up().await });
+    }
+}
+
+/// What a node does where the platform lists the VMs and operators write heads.
+fn spawn_listed(node: &Rc<Node>) {
     local::spawn(home_driver::run_successor_watch(node.clone()));
     local::spawn(configuration::run_comparisons(node.clone()));
     local::spawn(boot_record::run(node.clone()));
     local::spawn(platform_watch::run_head(node.clone()));
     local::spawn(platform_watch::run_vms(node.clone()));
-    local::spawn(operators::run_commands(node.clone(), rx));
-    if let Some(pool) = node.pool.clone() {
-        local::spawn(async move { pool.warm_up().await });
+}
+
+/// What a node does where nodes and upstreams register.
+async fn spawn_registered(node: &Rc<Node>, registration: &Rc<Registration>) -> Result<()> {
+    if let Some(address) = node.cfg.ready {
+        let ready = bind(address).await?;
+        local::spawn(ready::serve(node.clone(), ready));
+    }
+    if let Some(address) = node.cfg.registrations {
+        let door = bind(address).await?;
+        local::spawn(registration::serve_door(
+            node.clone(),
+            registration.clone(),
+            door,
+        ));
     }
+    home_driver::leaving_changed(node);
+    node.fleet_changed();
+    local::spawn(registration::run_records(
+        node.clone(),
+        registration.clone(),
+    ));
+    local::spawn(registration::run_configuration(
+        node.clone(),
+        registration.clone(),
+    ));
+    local::spawn(registration::run_dials(node.clone(), registration.clone()));
+    Ok(())
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -44,6 +44,7 @@
             stats::link_changed("up");
             let tx = up.tx.clone();
             install(&node, &vm, up);
+            greet(&node, &vm);
             let reading = pin!(read(&node, &vm, &mut stream));
             let error = match select(reading, pin!(cut.recv())).await {
                 Either::Left((error, _)) => error,
@@ -64,13 +65,9 @@
 }
 
 async fn open(node: &Rc<Node>, vm: &Name) -> Result<Opened> {
-    let address = {
-        let view = node.view.borrow();
-        let listed = view.vm(vm);
-        listed
-            .map(|vm| vm.peers.clone())
-            .ok_or_else(|| Error::new(Step::Connect, vm, "not in the platform's list"))?
-    };
+    let address = node
+        .address_of(vm)
+        .ok_or_else(|| Error::new(Step::Connect, vm, "no address is known"))?;
     let stream = TcpStream::connect(&address)
         .await
         .map_err(|error| Error::new(Step::Connect, &address, error))?;
@@ -185,6 +182,16 @@
     }
 }
 
+/// Tells a registered fleet's node who this is and which revision is in force here.
+fn greet(node: &Rc<Node>, vm: &Name) {
+    let Some(registration) = &node.registration else {
+        return;
+    };
+    let own = registration.fleet.borrow().own().clone();
+    super::send(node, vm, &Frame::Registered(Box::new(own)));
+    super::send(node, vm, &Frame::Summary(node.summary()));
+}
+
 fn fail(node: &Rc<Node>, vm: &Name) {
     let until = node.now() + REDIAL_US;
     let before = node
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -3,7 +3,7 @@
 use super::Reply;
 use crate::entry_driver::{deliver, reported};
 use crate::node::Node;
-use crate::{configuration, coordinator, home_driver, recovery, relay};
+use crate::{configuration, coordinator, home_driver, recovery, registration, relay};
 use entry::Event;
 use home::AskReply;
 use names::Name;
@@ -76,6 +76,11 @@
         Frame::Relayed { id, outcome } => {
             relay::relayed(node, id, relay::Relayed::Outcome(outcome));
         }
+        Frame::Registered(record) => {
+            if let Some(registration) = node.registration.clone() {
+                registration::taken(node, &registration, *record, Some(reply));
+            }
+        }
         Frame::Summary(summary) => configuration::compare(node, &summary, reply),
         Frame::Configuration(configuration) => {
             configuration::take_in(node, (*configuration).clone());
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -109,6 +109,39 @@
     transmit(node, to, frame.clone());
 }
 
+/// Whether there is neither a connection to a node nor a try to open one.
+pub fn is_apart(node: &Node, vm: &Name) -> bool {
+    match node.links.borrow().get(vm) {
+        Some(Link::Up(_) | Link::Connecting(_)) => false,
+        Some(Link::Failed(until)) => node.now() >= *until,
+        None => true,
+    }
+}
+
+/// Opens a connection to a node, unless there is one or the last try has just failed.
+pub fn dial(node: &Rc<Node>, vm: &Name) {
+    if !is_apart(node, vm) {
+        return;
+    }
+    let mut links = node.links.borrow_mut();
+    links.insert(vm.clone(), Link::Connecting(Vec::new()));
+    drop(links);
+    crate::local::spawn(dial::run(node.clone(), vm.clone()));
+}
+
+/// Gives a connection up that leads to an earlier start of a node, or to an address it has left.
+pub fn renew(node: &Rc<Node>, vm: &Name) {
+    let links = node.links.borrow();
+    let Some(Link::Up(up)) = links.get(vm) else {
+        return;
+    };
+    let boot = node.boot_of(vm);
+    if boot.is_some_and(|boot| boot != up.boot) {
+        // A full channel means that the connection is being given up already.
+        up.cut.try_send(()).ok();
+    }
+}
+
 /// Takes an offer back that still waits for its connection. Returns whether it did.
 pub fn withdraw(node: &Rc<Node>, id: AttemptId) -> bool {
     let mut links = node.links.borrow_mut();
--- a/components/daemon/src/links/socket.rs
+++ b/components/daemon/src/links/socket.rs
@@ -10,12 +10,16 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
+/// Bytes that a connection reads at once. A node keeps one connection for each other node, so a
+/// large buffer would make up most of its memory.
+const SOCKET_BUFFER_BYTES: usize = 8 * 1024;
+
 /// A WebSocket to another node.
 pub type Socket = WebSocketStream<Compat<TcpStream>>;
 
 /// Opens a WebSocket over a connected stream.
 pub async fn open(stream: TcpStream, peer: &str, max_bytes: usize) -> Result<Socket> {
-    nodelay(&stream, peer)?;
+    prepare(&stream, peer)?;
     let url = format!("ws://{peer}/");
     tokio_tungstenite::client_async_with_config(url, stream.compat(), Some(config(max_bytes)))
         .await
@@ -25,7 +29,7 @@
 
 /// Accepts a WebSocket on a stream that a peer opened.
 pub async fn accept(stream: TcpStream, peer: &str, max_bytes: usize) -> Result<Socket> {
-    nodelay(&stream, peer)?;
+    prepare(&stream, peer)?;
     tokio_tungstenite::accept_async_with_config(stream.compat(), Some(config(max_bytes)))
         .await
         .map_err(|error| Error::new(Step::Connect, peer, error))
@@ -87,12 +91,13 @@
 
 fn config(max_bytes: usize) -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(SOCKET_BUFFER_BYTES)
+        .write_buffer_size(0)
         .max_message_size(Some(max_bytes))
         .max_frame_size(Some(max_bytes))
 }
 
-fn nodelay(stream: &TcpStream, peer: &str) -> Result<()> {
-    stream
-        .set_nodelay(true)
-        .map_err(|error| Error::new(Step::Connect, peer, error))
+/// Without delay for small frames; a VM that fell silent is noticed.
+fn prepare(stream: &TcpStream, peer: &str) -> Result<()> {
+    http1::notice_silence(stream).map_err(|error| Error::new(Step::Connect, peer, error))
 }
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -3,21 +3,23 @@
 use crate::clock::Clock;
 use crate::links::{Link, Reply};
 use crate::platform_watch::PlatformState;
+use crate::registration::Registration;
 use crate::relay::Relayed;
 use crate::upstream::Pool;
 use async_channel::Sender;
 use budget::{Gate, HallBudget};
-use declarations::Service;
-use entry::{Candidate, Entry, Event, Rule};
+use declarations::{Route, Service};
+use entry::{Candidate, Entry, Event, RetryRate, Rule, Split};
 use home::{Home, Load};
 use keys::{ClaimReply, Claims, KeyHash, Table, KEY_KEPT_US};
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
-use platform::Client;
+use platform::{Adapter, Client};
 use rollout::{InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use wire::{Answer, RelayOutcome, Request};
@@ -27,6 +29,10 @@
 /// Whole answers kept for repeated keys.
 const MAX_KEY_ANSWERS: usize = 256;
 
+/// Heartbeats to other nodes in a hall whose operators set no budget in this product's own form: a
+/// node at which something waits is asked a few times a second.
+const REGISTERED_MESSAGES_PER_S: f64 = 400.0;
+
 /// Regular work that is late by so much means that the process was paused, in microseconds.
 const PAUSE_US: u64 = 1_000 * MILLISECOND;
 
@@ -117,6 +123,10 @@
     pub view: RefCell<View>,
     /// Platform's object API.
     pub platform: Rc<Client>,
+    /// The registered fleet; none where the platform lists the VMs.
+    pub registration: Option<Rc<Registration>>,
+    /// Turns of the services among which routes are split.
+    pub splits: RefCell<HashMap<Name, Split>>,
     /// What the platform last said of itself.
     pub platform_state: RefCell<PlatformState>,
     /// Whether a planned stop has begun.
@@ -141,9 +151,10 @@
 
 impl Node {
     /// A node that has just started.
-    pub fn new(cfg: Settings) -> Rc<Node> {
+    pub fn new(cfg: Settings, adapter: Option<Box<dyn Adapter>>) -> Rc<Node> {
         let clock = Clock::start();
         let boot = BootId::draw();
+        let registration = adapter.map(|adapter| Rc::new(Registration::new(&cfg, boot, adapter)));
         let home = cfg.upstream.map(|_| {
             let limits = home::Config {
                 slots: cfg.slots,
@@ -152,9 +163,7 @@
             };
             Home::new(boot, limits)
         });
-        let pool = cfg
-            .upstream
-            .map(|address| Rc::new(Pool::new(address, cfg.warm_connections, cfg.max_body_bytes)));
+        let pool = cfg.upstream.map(|address| Rc::new(pool(&cfg, address)));
         Rc::new(Node {
             home: RefCell::new(home),
             jobs: RefCell::default(),
@@ -175,6 +184,8 @@
             moved: RefCell::default(),
             view: RefCell::default(),
             platform: Rc::new(Client::new(cfg.platform.clone())),
+            registration,
+            splits: RefCell::default(),
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
             drained: Cell::new(false),
@@ -216,6 +227,38 @@
         self.rollout.borrow().in_force()
     }
 
+    /// Where another node serves peers, if it is known.
+    pub fn address_of(&self, vm: &Name) -> Option<String> {
+        if let Some(registration) = &self.registration {
+            let fleet = registration.fleet.borrow();
+            return fleet.record(vm).map(|record| record.peers.clone());
+        }
+        self.view.borrow().vm(vm).map(|vm| vm.peers.clone())
+    }
+
+    /// The start of another node that is known from its record.
+    pub fn boot_of(&self, vm: &Name) -> Option<BootId> {
+        let registration = self.registration.as_ref()?;
+        let fleet = registration.fleet.borrow();
+        fleet.record(vm).map(|record| record.boot)
+    }
+
+    /// The other nodes, with whether each is in this node's hall.
+    pub fn others(&self) -> Vec<(Name, bool)> {
+        if let Some(registration) = &self.registration {
+            let fleet = registration.fleet.borrow();
+            let others = fleet.others();
+            return others
+                .map(|record| (record.vm.clone(), record.hall == self.cfg.hall))
+                .collect();
+        }
+        let view = self.view.borrow();
+        let others = view.list().vms.iter().filter(|vm| vm.name != self.cfg.vm);
+        others
+            .map(|vm| (vm.name.clone(), vm.hall == self.cfg.hall))
+            .collect()
+    }
+
     /// What this node knows, for its peers.
     pub fn summary(&self) -> Summary {
         Summary {
@@ -239,7 +282,56 @@
         self.stopping.get()
             || self.drained.get()
             || self.upstream_leaving.get()
-            || self.view.borrow().is_leaving(&self.cfg.vm)
+            || match &self.registration {
+                Some(registration) => !registration.is_ready(),
+                None => self.view.borrow().is_leaving(&self.cfg.vm),
+            }
+    }
+
+    /// The service under whose name calls from this VM are made.
+    pub fn caller_service(&self) -> Option<Name> {
+        let registered = self.registration.as_ref().and_then(|registration| {
+            let local = registration.local.borrow();
+            local.current().map(|run| run.service.clone())
+        });
+        registered.or_else(|| self.cfg.service.clone())
+    }
+
+    /// The service whose turn it is on a route.
+    pub fn share_of(&self, route: &Route) -> Name {
+        let mut splits = self.splits.borrow_mut();
+        let split = splits.entry(route.name.clone()).or_default();
+        let weights = route.shares.iter().map(|share| share.weight);
+        let share = split.next(weights).unwrap_or(0);
+        route.shares[share].service.clone()
+    }
+
+    /// The upstreams that registered for `service` and take new work.
+    pub fn registered(&self, service: &Name) -> Vec<Candidate> {
+        let Some(registration) = &self.registration else {
+            return Vec::new();
+        };
+        let fleet = registration.fleet.borrow();
+        let ready = fleet.ready(service.as_str());
+        ready
+            .map(|record| Candidate {
+                vm: record.vm.clone(),
+                same_hall: record.hall == self.cfg.hall,
+                own: record.vm == self.cfg.vm,
+            })
+            .collect()
+    }
+
+    /// Takes in that the number of known nodes may have changed.
+    pub fn fleet_changed(&self) {
+        let Some(registration) = &self.registration else {
+            return;
+        };
+        let nodes = registration.fleet.borrow().len();
+        let limit = self.cfg.retries;
+        let rate = RetryRate::share(limit.ratio, limit.slack, nodes);
+        self.entry.borrow_mut().set_retry_rate(rate);
+        self.refresh_budget();
     }
 
     /// The upstreams that may serve `service`: declared, known to the platform and not leaving.
@@ -295,15 +387,25 @@
             .in_force()
             .and_then(|in_force| in_force.declarations.halls.get(&self.cfg.hall).copied());
         let measuring = measuring.unwrap_or_default();
-        let hall = HallBudget {
+        let mut hall = HallBudget {
             messages_per_s: measuring.messages_per_s,
             slot_us_per_s: measuring.slot_us_per_s,
         };
-        let nodes = self.view.borrow().in_hall(&self.cfg.hall).count() as u32;
+        let mut nodes = self.view.borrow().in_hall(&self.cfg.hall).count() as u32;
+        if let Some(registration) = &self.registration {
+            let fleet = registration.fleet.borrow();
+            nodes = fleet.hall(&self.cfg.hall).count() as u32;
+            hall.messages_per_s = hall.messages_per_s.max(REGISTERED_MESSAGES_PER_S);
+        }
         self.gate.borrow_mut().set(self.now(), hall, nodes);
     }
 }
 
+fn pool(cfg: &Settings, address: SocketAddr) -> Pool {
+    let warm = cfg.warm_connections;
+    Pool::new(address, warm, cfg.max_body_bytes, cfg.end_by_close)
+}
+
 fn rule(name: &str) -> Rule {
     match name {
         "random" => Rule::Random,
--- a/components/daemon/src/platform_watch.rs
+++ b/components/daemon/src/platform_watch.rs
@@ -191,7 +191,8 @@
     local::spawn(async move { links::ask_seeds(&node).await });
 }
 
-fn set_reachable(node: &Rc<Node>, reachable: bool) {
+/// Notes whether the platform answered.
+pub fn set_reachable(node: &Rc<Node>, reachable: bool) {
     let mut state = node.platform_state.borrow_mut();
     if state.reachable != reachable {
         state.reachable = reachable;
--- /dev/null
+++ b/components/daemon/src/ready.rs
@@ -0,0 +1,54 @@
+//! The door at which readiness is asked.
+
+use crate::local;
+use crate::node::Node;
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::prelude::*;
+use async_std::task;
+use http1::{Connection, Fault};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Largest head, in bytes.
+const MAX_HEAD_BYTES: usize = 8_000;
+/// A connection on which nothing comes for so long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after the listener failed, for example because descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers for as long as the node runs.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let node = node.clone();
+        local::spawn(async move {
+            let mut connection = Connection::new(stream);
+            while let Ok(Ok(true)) = timeout(IDLE_TIMEOUT, exchange(&node, &mut connection)).await {
+            }
+        });
+    }
+}
+
+async fn exchange(node: &Node, connection: &mut Connection<TcpStream>) -> Result<bool, Fault> {
+    let Some(head) = connection.request_head(MAX_HEAD_BYTES).await? else {
+        return Ok(false);
+    };
+    let path = head.target.split('?').next().unwrap_or_default();
+    let (status, phrase, text) = if path != node.cfg.ready_path {
+        (404, "Not Found", "no such path\n")
+    } else if node.stopping.get() {
+        (503, "Service Unavailable", "stopping\n")
+    } else if node.in_force().is_none() {
+        (503, "Service Unavailable", "no configuration yet\n")
+    } else {
+        (200, "OK", "ready\n")
+    };
+    let bytes = http1::response_bytes(status, phrase, &[], text.as_bytes(), None);
+    let mut stream = connection.stream().clone();
+    stream.write_all(&bytes).await.map_err(Fault::Io)?;
+    Ok(true)
+}
--- /dev/null
+++ b/components/daemon/src/registration/health.rs
@@ -0,0 +1,85 @@
+//! A look at the upstream beside a node that has just started: the upstream runs on while its node
+//! is restarted, and its next registration may be seconds away.
+
+use super::{local_changed, Registration};
+use crate::audit;
+use crate::node::Node;
+use async_std::future::timeout;
+use async_std::task;
+use errors::{Error, Result, Step};
+use registry::{Instance, State};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest wait for the answer; it waits for a slot like a request.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024;
+/// Looks for a configuration that names the health check's path, and the pause between them.
+const CONFIGURATION_LOOKS: u32 = 50;
+const CONFIGURATION_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes the run that an earlier start of this node knew, if it still runs and takes work.
+pub async fn find(node: Rc<Node>, registration: Rc<Registration>, earlier: Instance) {
+    if registration.local.borrow().current().is_some() {
+        return;
+    }
+    if earlier.state != State::Ready {
+        if registration.local.borrow_mut().remembered(&earlier) {
+            local_changed(&node, &registration);
+        }
+        return;
+    }
+    let path = health_path(&node, &earlier).await;
+    let found = match path {
+        Some(path) => ask(&node, &earlier, &path).await,
+        None => Err(Error::new(
+            Step::Upstream,
+            &earlier.id,
+            "no health check is declared",
+        )),
+    };
+    match found {
+        Ok(()) => {
+            let taken = registration.local.borrow_mut().found(earlier.clone());
+            audit::found(&earlier, taken);
+            if taken {
+                local_changed(&node, &registration);
+            }
+        }
+        Err(error) => tracing::info!(%error, "the upstream of an earlier start was not found"),
+    }
+}
+
+async fn health_path(node: &Rc<Node>, earlier: &Instance) -> Option<String> {
+    for _ in 0..CONFIGURATION_LOOKS {
+        if let Some(in_force) = node.in_force() {
+            let registered = in_force.declarations.registered.get(&earlier.service)?;
+            return Some(registered.health_path.clone());
+        }
+        task::sleep(CONFIGURATION_PAUSE).await;
+    }
+    None
+}
+
+async fn ask(node: &Rc<Node>, earlier: &Instance, path: &str) -> Result<()> {
+    let fail = |cause: String| Error::new(Step::Upstream, &earlier.address, cause);
+    let address: SocketAddr = earlier
+        .address
+        .parse()
+        .map_err(|_| fail("not an address".to_string()))?;
+    let call = http1::call(address, "GET", path, &[], &[], MAX_ANSWER_BYTES);
+    let (head, _) = timeout(ANSWER_TIMEOUT, call)
+        .await
+        .map_err(|_| fail("no answer in time".to_string()))?
+        .map_err(|fault| fail(fault.to_string()))?;
+    if head.status != 200 {
+        return Err(fail(format!("status {}", head.status)));
+    }
+    let name = node.cfg.headers.instance.as_deref().unwrap_or_default();
+    match http1::value(&head.headers, name) {
+        Some(id) if id == earlier.id.as_str() => Ok(()),
+        other => Err(fail(format!("{other:?} answers instead of {}", earlier.id))),
+    }
+}
--- /dev/null
+++ b/components/daemon/src/registration/mod.rs
@@ -0,0 +1,107 @@
+//! Registered fleets: the upstream beside this node, the records of all nodes, and what is told to
+//! the store and to the other nodes.
+
+mod configuration;
+mod door;
+mod health;
+mod peers;
+mod records;
+
+pub use configuration::run as run_configuration;
+pub use door::serve as serve_door;
+pub use peers::{run_dials, taken};
+pub use records::run as run_records;
+
+use crate::audit;
+use crate::home_driver;
+use crate::node::Node;
+use async_channel::{Receiver, Sender};
+use names::{BootId, Name};
+use platform::Adapter;
+use registry::{Fleet, Instance, Local, Record, Version};
+use settings::Settings;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// What a node keeps of a registered fleet.
+pub struct Registration {
+    /// Translates the platform's words.
+    pub adapter: Box<dyn Adapter>,
+    /// The upstream beside this node.
+    pub local: RefCell<Local>,
+    /// All nodes.
+    pub fleet: RefCell<Fleet>,
+    /// Says that this node's record has changed and has to be stored.
+    changed: (Sender<()>, Receiver<()>),
+}
+
+impl Registration {
+    /// A node that knows only itself.
+    pub fn new(cfg: &Settings, boot: BootId, adapter: Box<dyn Adapter>) -> Registration {
+        let own = Record {
+            vm: cfg.vm.clone(),
+            hall: cfg.hall.clone(),
+            peers: cfg.peers.to_string(),
+            boot,
+            version: Version {
+                generation: 1,
+                change: 0,
+            },
+            serving: true,
+            upstream: None,
+        };
+        Registration {
+            adapter,
+            local: RefCell::default(),
+            fleet: RefCell::new(Fleet::new(own)),
+            changed: async_channel::bounded(1),
+        }
+    }
+
+    /// Whether the upstream beside this node takes new work.
+    pub fn is_ready(&self) -> bool {
+        let ready = |upstream: &Instance| upstream.state == registry::State::Ready;
+        self.local.borrow().current().is_some_and(ready)
+    }
+
+    fn store_soon(&self) {
+        // A full channel means that the write is asked for already.
+        self.changed.0.try_send(()).ok();
+    }
+}
+
+/// Brings the home duty and this node's record in line with what is known of the upstream beside
+/// it, and tells the others.
+pub fn local_changed(node: &Rc<Node>, registration: &Registration) {
+    let current = registration.local.borrow().current().cloned();
+    let before = registration.fleet.borrow().own().upstream.clone();
+    let is_new = current.as_ref().map(|run| &run.id) != before.as_ref().map(|run| &run.id);
+    if let Some(current) = current.as_ref().filter(|_| is_new) {
+        home_driver::upstream_replaced(node, current);
+    }
+    home_driver::leaving_changed(node);
+    publish(node, registration);
+}
+
+/// Tells the store and the other nodes what this node's record says, if it has changed.
+pub fn publish(node: &Rc<Node>, registration: &Registration) {
+    let upstream = registration.local.borrow().current().cloned();
+    let serving = !node.stopping.get() && !node.drained.get();
+    let own = registration.fleet.borrow().own().clone();
+    if own.upstream == upstream && own.serving == serving {
+        return;
+    }
+    let own = registration.fleet.borrow_mut().change_own(|own| {
+        own.upstream = upstream;
+        own.serving = serving;
+    });
+    audit::own_record(&own);
+    peers::tell_all(node, registration, &own);
+    registration.store_soon();
+}
+
+/// The run of the upstream beside this node, by its identity.
+pub fn current_id(registration: &Registration) -> Option<Name> {
+    let local = registration.local.borrow();
+    local.current().map(|run| run.id.clone())
+}
--- /dev/null
+++ b/components/daemon/src/registration/records.rs
@@ -0,0 +1,104 @@
+//! This node's record in the store, and the records that the others left there.
+
+use super::{health, peers, Registration};
+use crate::audit;
+use crate::local;
+use crate::node::Node;
+use crate::platform_watch::{rest, set_reachable, LEAST_PAUSE_MS};
+use errors::{Error, Result, Step};
+use platform::{Put, Stored};
+use registry::Record;
+use std::rc::Rc;
+
+/// Writes this node's record whenever it changes. The first time it also reads the others': of two
+/// nodes that start together, the one that lists last sees the other's record.
+pub async fn run(node: Rc<Node>, registration: Rc<Registration>) {
+    let mut revision = None;
+    let mut listed = false;
+    let mut pause = LEAST_PAUSE_MS;
+    loop {
+        match keep(&node, &registration, &mut revision, &mut listed).await {
+            Ok(()) => {
+                set_reachable(&node, true);
+                pause = LEAST_PAUSE_MS;
+                if registration.changed.1.recv().await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                set_reachable(&node, false);
+                tracing::info!(%error, "the store did not take this node's record");
+                pause = rest(pause).await;
+            }
+        }
+    }
+}
+
+async fn keep(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    revision: &mut Option<u64>,
+    listed: &mut bool,
+) -> Result<()> {
+    write(node, registration, revision).await?;
+    if *listed {
+        return Ok(());
+    }
+    let kind = registration.adapter.records();
+    let listing = registration.adapter.store().list(kind).await?;
+    for object in &listing.objects {
+        peers::taken(node, registration, decode(object)?, None);
+    }
+    audit::listed(listing.objects.len(), listing.at);
+    *listed = true;
+    Ok(())
+}
+
+/// Writes the record until what stands in the store is what this node says now.
+async fn write(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    revision: &mut Option<u64>,
+) -> Result<()> {
+    let kind = registration.adapter.records();
+    let store = registration.adapter.store();
+    loop {
+        let own = registration.fleet.borrow().own().clone();
+        let value =
+            serde_json::to_vec(&own).map_err(|error| Error::new(Step::Platform, &own.vm, error))?;
+        match store.put(kind, own.vm.as_str(), *revision, &value).await? {
+            Put::Done(at) => {
+                *revision = Some(at);
+                if registration.fleet.borrow().own().version == own.version {
+                    return Ok(());
+                }
+            }
+            Put::Conflict(None) => *revision = None,
+            Put::Conflict(Some(object)) => {
+                *revision = Some(object.revision);
+                let stands = decode(&object)?;
+                if stands.boot != own.boot {
+                    succeed(node, registration, stands);
+                }
+            }
+        }
+    }
+}
+
+/// Takes over from an earlier start of this node.
+fn succeed(node: &Rc<Node>, registration: &Rc<Registration>, earlier: Record) {
+    let own = registration.fleet.borrow().own().version;
+    if earlier.version >= own {
+        let own = registration.fleet.borrow_mut().rise_above(earlier.version);
+        audit::own_record(&own);
+        peers::tell_all(node, registration, &own);
+    }
+    if let Some(upstream) = earlier.upstream {
+        local::spawn(health::find(node.clone(), registration.clone(), upstream));
+    }
+}
+
+fn decode(object: &Stored) -> Result<Record> {
+    serde_json::from_slice(&object.value)
+        .map_err(|error| Error::new(Step::Platform, &object.name, error))
+}
--- a/components/daemon/src/stats.rs
+++ b/components/daemon/src/stats.rs
@@ -53,6 +53,11 @@
     counter!("drumwheel_control_bytes_total").increment(bytes as u64);
 }
 
+/// A log line was left out because too many of its kind came.
+pub fn line_left_out() {
+    counter!("drumwheel_log_lines_left_out_total").increment(1);
+}
+
 /// Sets a gauge.
 pub fn set(name: &'static str, value: f64) {
     gauge!(name).set(value);
--- a/components/daemon/src/upstream.rs
+++ b/components/daemon/src/upstream.rs
@@ -1,37 +1,31 @@
 //! Exchanges with the upstream beside this node, over connections kept open.
 
-use crate::guard::Guard;
 use async_std::future::timeout;
+use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use errors::{Error, Result, Step};
-use http_types::{Body, Method, Response, Url};
-use std::cell::RefCell;
+use futures_util::future::{select, Either};
+use http1::{response_framing, Connection, EndByClose, Fault, Framing, ResponseHead};
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::str::FromStr;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 use wire::{Answer, Request};
 
-/// Longest wait for a new connection to the upstream.
+/// Longest wait for a new connection to the upstream, which is on this VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle connections older than this are closed rather than used.
+/// Idle connections older than this are closed rather than used, unless the upstream names a time.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
-/// Connection-level headers, which end at this node.
-const HOP_HEADERS: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "date",
-];
-
-/// Whether a header belongs to one connection and is not passed on.
-pub fn is_hop_header(name: &str) -> bool {
-    HOP_HEADERS.contains(&name)
-}
+/// Part of the time named by `Keep-Alive` for which a connection is used: the upstream's clock for
+/// it starts a little earlier than ours.
+const KEEP_ALIVE_PART: f64 = 0.7;
+/// A request that may run only once is not sent over a connection idle for longer: the upstream may
+/// have dropped it without a word, and what became of the request could not be known.
+const UNREPEATABLE_IDLE: Duration = Duration::from_millis(1_500);
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 32_000;
+/// Answers to earlier requests that are skipped on one connection before it is given up.
+const MAX_SURPLUS: usize = 4;
 
 /// How an exchange failed.
 #[derive(Debug)]
@@ -42,52 +36,108 @@
     Broken(Error),
 }
 
+/// What an exchange needs beside the request.
+#[derive(Debug, Default)]
+pub struct Terms<'a> {
+    /// Headers set by this node, in place of the caller's.
+    pub headers: Vec<(&'a str, String)>,
+    /// Header by which an answer repeats the request's identity, and the identity.
+    pub id: Option<(&'a str, &'a str)>,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+}
+
+#[derive(Debug)]
+struct Idle {
+    since: Instant,
+    usable_for: Duration,
+    connection: Connection<TcpStream>,
+}
+
 /// Connections to one upstream.
 #[derive(Debug)]
 pub struct Pool {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     max_body_bytes: usize,
-    warm: usize,
-    idle: RefCell<Vec<(Instant, Guard)>>,
+    warm: Cell<usize>,
+    end_by_close: EndByClose,
+    idle: RefCell<Vec<Idle>>,
 }
 
 impl Pool {
     /// A pool with no connection yet, which keeps up to `warm` idle ones.
-    pub fn new(address: SocketAddr, warm: usize, max_body_bytes: usize) -> Pool {
+    pub fn new(
+        address: SocketAddr,
+        warm: usize,
+        max_body_bytes: usize,
+        end_by_close: bool,
+    ) -> Pool {
+        let end_by_close = if end_by_close {
+            EndByClose::Whole
+        } else {
+            EndByClose::Fault
+        };
         Pool {
-            address,
+            address: Cell::new(address),
             max_body_bytes,
-            warm,
+            warm: Cell::new(warm),
+            end_by_close,
             idle: RefCell::new(Vec::new()),
         }
     }
 
-    /// Sends a request and reads its whole answer. `extra` are headers set by this node.
+    /// Takes in that another run of the upstream stands beside this node.
+    pub fn replaced(&self, address: SocketAddr, warm: usize) {
+        self.address.set(address);
+        self.warm.set(warm);
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Sends a request and reads its whole answer.
     pub async fn exchange(
         &self,
         req: &Request,
-        extra: &[(&str, String)],
+        terms: &Terms<'_>,
     ) -> std::result::Result<Answer, Failure> {
-        let message = self.build(req, extra).map_err(Failure::NotSent)?;
-        let guard = self.take().await.map_err(Failure::NotSent)?;
-        guard.expect_head();
-        let res = async_h1::client::connect(guard.clone(), message)
+        let bytes = request_bytes(req, terms);
+        let mut connection = self
+            .take(terms.repeatable)
             .await
-            .map_err(|error| self.broken(error))?;
-        let answer = self.read_answer(&guard, req, res).await?;
-        if guard.is_clean() {
-            self.put_back(guard);
+            .map_err(Failure::NotSent)?;
+        let writer = connection.stream().clone();
+        let answered = {
+            let writing = pin!(write_all(writer, &bytes));
+            let reading = pin!(self.read_answer(&mut connection, req, terms));
+            match select(writing, reading).await {
+                Either::Left((Ok(()), reading)) => (reading.await, true),
+                Either::Left((Err((0, error)), _)) => {
+                    let error = Error::new(Step::Upstream, self.address.get(), error);
+                    return Err(Failure::NotSent(error));
+                }
+                // What was sent may have run; an answer may be there all the same.
+                Either::Left((Err(_), reading)) => (reading.await, false),
+                // An answer before the whole request was sent: what follows on the connection would
+                // be taken for the rest of the body.
+                Either::Right((answered, _)) => (answered, false),
+            }
+        };
+        let (answered, whole) = answered;
+        let (answer, reusable) = answered.map_err(|error| self.broken(error))?;
+        if whole && !connection.has_bytes() {
+            if let Some(usable_for) = reusable {
+                self.put_back(connection, usable_for);
+            }
         }
         Ok(answer)
     }
 
     /// Opens connections until as many are idle as should be kept.
     pub async fn warm_up(&self) {
-        while self.idle.borrow().len() < self.warm {
+        while self.idle.borrow().len() < self.warm.get() {
             let Ok(stream) = self.connect().await else {
                 return;
             };
-            self.put_back(Guard::new(stream));
+            self.put_back(Connection::new(stream), IDLE_LIMIT);
         }
     }
 
@@ -96,97 +146,63 @@
         self.connect().await.is_ok()
     }
 
-    fn build(&self, req: &Request, extra: &[(&str, String)]) -> Result<http_types::Request> {
-        let fail = |error: String| Error::new(Step::Upstream, self.address, error);
-        let url = Url::parse(&format!("http://upstream{}", req.target))
-            .map_err(|error| fail(error.to_string()))?;
-        let method = Method::from_str(&req.method).map_err(|error| fail(error.to_string()))?;
-        let mut message = http_types::Request::new(method, url);
-        for (name, value) in &req.headers {
-            message.append_header(name.as_str(), value.as_str());
-        }
-        for (name, value) in extra {
-            message.insert_header(*name, value.as_str());
-        }
-        message.set_body(Body::from_bytes(req.body.clone()));
-        if !req.headers.iter().any(|(name, _)| name == "content-type") {
-            message.remove_header("content-type");
-        }
-        Ok(message)
-    }
-
+    /// The answer to this request, and for how long the connection may be used again. Answers that
+    /// name another request are surplus ones of earlier requests and belong to nobody.
     async fn read_answer(
         &self,
-        guard: &Guard,
+        connection: &mut Connection<TcpStream>,
         req: &Request,
-        mut res: Response,
-    ) -> std::result::Result<Answer, Failure> {
-        let framing = framing(&req.method, &res).map_err(|error| self.broken(error))?;
-        let body = match framing {
-            Framing::Empty(_) => Vec::new(),
-            Framing::Length(length) if length > self.max_body_bytes as u64 => {
-                return Err(self.broken("the answer is longer than the body limit"))
-            }
-            Framing::Length(length) => {
-                guard.expect_body(length);
-                let body = self.read_limited(&mut res).await?;
-                if body.len() as u64 != length {
-                    return Err(self.broken("the answer was cut off"));
-                }
-                body
+        terms: &Terms<'_>,
+    ) -> std::result::Result<(Answer, Option<Duration>), Fault> {
+        for _ in 0..=MAX_SURPLUS {
+            let head = connection.response_head(MAX_HEAD_BYTES).await?;
+            let framing = response_framing(&req.method, &head, self.end_by_close)?;
+            let body = connection.body(framing, self.max_body_bytes as u64).await?;
+            if is_foreign(&head, terms) {
+                tracing::info!(status = head.status, "skipped a surplus answer");
+                continue;
             }
-            Framing::Chunked => {
-                guard.expect_chunks();
-                self.read_limited(&mut res).await?
-            }
-        };
-        let head_length = match framing {
-            Framing::Empty(length) => length,
-            _ => None,
-        };
-        Ok(Answer {
-            status: res.status().into(),
-            headers: end_to_end_headers(&res),
-            body,
-            head_length,
-        })
-    }
-
-    async fn read_limited(&self, res: &mut Response) -> std::result::Result<Vec<u8>, Failure> {
-        let mut body = Vec::new();
-        let most = self.max_body_bytes as u64 + 1;
-        let mut reader = async_std::io::ReadExt::take(res.take_body(), most);
-        async_std::io::ReadExt::read_to_end(&mut reader, &mut body)
-            .await
-            .map_err(|error| self.broken(error))?;
-        if body.len() > self.max_body_bytes {
-            return Err(self.broken("the answer is longer than the body limit"));
+            let reusable = usable_for(&head, framing);
+            return Ok((answer(head, framing, body), reusable));
         }
-        Ok(body)
+        Err(Fault::Malformed(
+            "only answers to other requests".to_string(),
+        ))
     }
 
-    async fn take(&self) -> Result<Guard> {
+    /// An idle connection that is open and clean, or a new one.
+    async fn take(&self, repeatable: bool) -> Result<Connection<TcpStream>> {
         loop {
             let idle = self.idle.borrow_mut().pop();
-            let Some((since, guard)) = idle else {
-                return Ok(Guard::new(self.connect().await?));
+            let Some(idle) = idle else {
+                return Ok(Connection::new(self.connect().await?));
             };
-            if since.elapsed() < IDLE_LIMIT && is_quiet(&guard) {
-                return Ok(guard);
+            let most = if repeatable {
+                idle.usable_for
+            } else {
+                idle.usable_for.min(UNREPEATABLE_IDLE)
+            };
+            if idle.since.elapsed() < most && is_quiet(&idle.connection) {
+                return Ok(idle.connection);
             }
         }
     }
 
-    fn put_back(&self, guard: Guard) {
+    fn put_back(&self, connection: Connection<TcpStream>, usable_for: Duration) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < self.warm.max(1) {
-            idle.push((Instant::now(), guard));
+        if idle.len() < self.warm.get().max(1) {
+            idle.push(Idle {
+                since: Instant::now(),
+                usable_for,
+                connection,
+            });
         }
     }
 
     async fn connect(&self) -> Result<TcpStream> {
-        let fail = |error: String| Error::new(Step::Connect, self.address, error);
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
+        let address = self.address.get();
+        let fail = |error: String| Error::new(Step::Connect, address, error);
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| fail("no connection in time".to_string()))?
             .map_err(|error| fail(error.to_string()))?;
@@ -197,17 +213,106 @@
     }
 
     fn broken(&self, error: impl std::fmt::Display) -> Failure {
-        Failure::Broken(Error::new(Step::Upstream, self.address, error))
+        Failure::Broken(Error::new(Step::Upstream, self.address.get(), error))
+    }
+}
+
+/// Writes all of `bytes`; an error comes with the number of bytes that were taken before it.
+async fn write_all(
+    mut stream: TcpStream,
+    bytes: &[u8],
+) -> std::result::Result<(), (usize, std::io::Error)> {
+    let mut written = 0;
+    while written < bytes.len() {
+        match stream.write(&bytes[written..]).await {
+            Ok(count) => written += count,
+            Err(error) => return Err((written, error)),
+        }
+    }
+    Ok(())
+}
+
+fn request_bytes(req: &Request, terms: &Terms<'_>) -> Vec<u8> {
+    let is_set = |name: &str| {
+        let mut set = terms.headers.iter();
+        set.any(|(other, _)| name.eq_ignore_ascii_case(other))
+    };
+    let passed = req
+        .headers
+        .iter()
+        .filter(|(name, _)| !is_set(name))
+        .map(|(name, value)| (name.as_str(), value.as_str()));
+    let set = terms
+        .headers
+        .iter()
+        .map(|(name, value)| (*name, value.as_str()));
+    let empty = matches!(req.method.as_str(), "POST" | "PUT" | "PATCH");
+    http1::request_bytes(
+        &req.method,
+        &req.target,
+        passed.chain(set),
+        &req.body,
+        empty,
+    )
+}
+
+/// Whether an answer names another request. One that names none can't be told apart.
+fn is_foreign(head: &ResponseHead, terms: &Terms<'_>) -> bool {
+    let Some((name, id)) = terms.id else {
+        return false;
+    };
+    http1::value(&head.headers, name).is_some_and(|given| given != id)
+}
+
+fn answer(head: ResponseHead, framing: Framing, body: Vec<u8>) -> Answer {
+    let headers = head
+        .headers
+        .into_iter()
+        .filter(|(name, _)| !http1::is_hop_header(name))
+        .collect();
+    let head_length = match framing {
+        Framing::Empty(length) => length,
+        _ => None,
+    };
+    Answer {
+        status: head.status,
+        reason: head.reason,
+        headers,
+        body,
+        head_length,
+    }
+}
+
+/// For how long the connection may carry another request; none when it may not.
+fn usable_for(head: &ResponseHead, framing: Framing) -> Option<Duration> {
+    let connection = http1::value(&head.headers, "connection").unwrap_or_default();
+    let closes = connection
+        .split(',')
+        .any(|token| token.trim().eq_ignore_ascii_case("close"));
+    if closes || framing == Framing::UntilClose {
+        return None;
     }
+    let named = http1::value(&head.headers, "keep-alive").and_then(keep_alive_seconds);
+    Some(named.map_or(IDLE_LIMIT, |seconds| {
+        Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_PART)
+    }))
+}
+
+/// The time in `Keep-Alive`: `timeout=10` or just `10`.
+fn keep_alive_seconds(text: &str) -> Option<u64> {
+    text.split(',').find_map(|part| {
+        let part = part.trim();
+        part.strip_prefix("timeout=").unwrap_or(part).parse().ok()
+    })
 }
 
 /// Whether an idle connection is open and has nothing to read.
-fn is_quiet(guard: &Guard) -> bool {
+fn is_quiet(connection: &Connection<TcpStream>) -> bool {
     use std::os::fd::{AsRawFd, BorrowedFd};
-    if guard.has_bytes() {
+    if connection.has_bytes() {
         return false;
     }
-    let stream = guard.stream();
+    let stream = connection.stream();
     // SAFETY: the descriptor stays open as long as `stream`, which outlives the borrow.
     let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
     let Ok(copy) = fd.try_clone_to_owned() else {
@@ -217,61 +322,3 @@
     let mut byte = [0];
     matches!(socket.peek(&mut byte), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
 }
-
-/// How the end of an answer is known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Framing {
-    /// No body; with the length that a `HEAD` answer declares.
-    Empty(Option<u64>),
-    /// A body of so many bytes.
-    Length(u64),
-    /// A chunked body.
-    Chunked,
-}
-
-/// An answer that ends only when the connection does can't be told from one that was cut off, so
-/// it is a failure here.
-fn framing(method: &str, res: &Response) -> std::result::Result<Framing, &'static str> {
-    let status: u16 = res.status().into();
-    if status < 200 {
-        return Err("an interim answer in place of the answer");
-    }
-    let length = match res.header("content-length") {
-        Some(values) if values.iter().any(|value| value != values.last()) => {
-            return Err("two different lengths");
-        }
-        Some(values) => Some(
-            values
-                .last()
-                .as_str()
-                .parse()
-                .map_err(|_| "the length is not a number")?,
-        ),
-        None => None,
-    };
-    if method == "HEAD" || status == 204 || status == 304 {
-        return Ok(Framing::Empty(length));
-    }
-    if let Some(encoding) = res.header("transfer-encoding") {
-        let chunked = encoding.iter().count() == 1 && encoding.last().as_str() == "chunked";
-        return if chunked {
-            Ok(Framing::Chunked)
-        } else {
-            Err("a transfer encoding other than chunked")
-        };
-    }
-    length
-        .map(Framing::Length)
-        .ok_or("neither a length nor chunks")
-}
-
-fn end_to_end_headers(res: &Response) -> Vec<(String, String)> {
-    res.iter()
-        .filter(|(name, _)| !is_hop_header(name.as_str()))
-        .flat_map(|(name, values)| {
-            values
-                .iter()
-                .map(|value| (name.as_str().to_string(), value.as_str().to_string()))
-        })
-        .collect()
-}
--- a/components/declarations/src/check.rs
+++ b/components/declarations/src/check.rs
@@ -1,6 +1,7 @@
 //! The check of a whole set of declarations.
 
 use crate::bundle::{Bundle, SERVICES_FILE};
+use crate::check_routes;
 use crate::examples;
 use crate::model::{Declarations, Group, HallMeasuring, Service};
 use errors::{Problem, Problems};
@@ -30,10 +31,13 @@
     read_groups(&mut reader, &mut declarations);
     read_halls(&mut reader, &mut declarations);
     read_services(&mut reader, bundle, &mut declarations, &mut problems);
+    check_routes::read(&mut reader, &mut declarations);
     declarations
         .prefixes
         .sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
-    if let Err(found) = reader.finish(&["service", "group", "hall"]) {
+    if let Err(found) =
+        reader.finish(&["service", "group", "hall", "registered", "route", "limits"])
+    {
         problems.splice(0..0, found.0);
     }
     if problems.is_empty() {
--- a/components/declarations/src/lib.rs
+++ b/components/declarations/src/lib.rs
@@ -5,9 +5,12 @@
 
 mod bundle;
 mod check;
+mod check_routes;
 mod examples;
 mod model;
+mod route;
 
 pub use bundle::{Bundle, MAX_BUNDLE_BYTES, SERVICES_FILE};
 pub use check::check;
 pub use model::{Declarations, Group, HallMeasuring, Service};
+pub use route::{CallerLimits, Registered, Route, Share};
--- a/components/declarations/src/model.rs
+++ b/components/declarations/src/model.rs
@@ -1,8 +1,10 @@
 //! Checked declarations, ready for use.
 
+use crate::route::{CallerLimits, Registered, Route};
 use names::Name;
 use policy::Policy;
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 /// One service.
 #[derive(Debug, Clone)]
@@ -52,6 +54,12 @@
     pub hosts: HashMap<String, Name>,
     /// Services by path prefix, the longest first.
     pub prefixes: Vec<(String, Name)>,
+    /// Services whose upstreams register themselves.
+    pub registered: BTreeMap<Name, Registered>,
+    /// Routes by host, the longest path first.
+    pub routes: HashMap<String, Vec<Arc<Route>>>,
+    /// Bounds on what callers send; none where the node's own settings hold.
+    pub limits: Option<CallerLimits>,
 }
 
 impl Declarations {
@@ -61,6 +69,12 @@
         self.services.get(name)
     }
 
+    /// The route with the longest path that begins `path`.
+    pub fn fixed_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.path))
+    }
+
     /// The upstreams of a service.
     pub fn upstreams(&self, service: &Service) -> &[Name] {
         self.groups
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -300,7 +300,7 @@
         };
         self.runs += 1;
         if !error {
-            entry.budget(&self.service).earn();
+            entry.earn_retry(&self.service);
             return self.finish(Outcome::Answered(answer));
         }
         if !self.may_retry(entry) {
@@ -415,7 +415,7 @@
     fn may_retry(&self, entry: &mut Entry) -> bool {
         self.treatment.repeatable
             && self.runs < self.treatment.attempts
-            && entry.budget(&self.service).spend()
+            && entry.spend_retry(&self.service)
     }
 
     fn retry_elsewhere(&mut self, now: Moment, vm: Name, entry: &mut Entry) -> Vec<Action<A>> {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -8,8 +8,10 @@
 mod choice;
 mod retry;
 mod shared;
+mod split;
 
 pub use call::{Action, Call, Event, Outcome, Treatment};
 pub use choice::{Candidate, Rule, View};
-pub use retry::RetryBudget;
+pub use retry::{RetryBudget, RetryRate};
 pub use shared::Entry;
+pub use split::Split;
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! What all calls of one node share.
 
 use crate::choice::{choose, Candidate, Rule, View};
-use crate::retry::RetryBudget;
+use crate::retry::{RetryBudget, RetryRate};
 use home::Load;
 use names::{AttemptId, BootId, Moment, Name, SECOND};
 use rand::rngs::SmallRng;
@@ -19,6 +19,7 @@
     rule: Rule,
     views: HashMap<Name, View>,
     budgets: HashMap<Name, RetryBudget>,
+    retry_rate: RetryRate,
     rng: SmallRng,
 }
 
@@ -31,6 +32,7 @@
             rule,
             views: HashMap::new(),
             budgets: HashMap::new(),
+            retry_rate: RetryRate::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -112,8 +114,26 @@
         view.outstanding = view.outstanding.saturating_sub(1);
     }
 
-    pub(crate) fn budget(&mut self, service: &Name) -> &mut RetryBudget {
-        self.budgets.entry(service.clone()).or_default()
+    /// Sets how retries are earned from now on.
+    pub fn set_retry_rate(&mut self, rate: RetryRate) {
+        self.retry_rate = rate;
+    }
+
+    pub(crate) fn earn_retry(&mut self, service: &Name) {
+        let rate = self.retry_rate;
+        self.budget(service).earn(rate);
+    }
+
+    pub(crate) fn spend_retry(&mut self, service: &Name) -> bool {
+        self.budget(service).spend()
+    }
+
+    fn budget(&mut self, service: &Name) -> &mut RetryBudget {
+        let rate = self.retry_rate;
+        let budgets = &mut self.budgets;
+        budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(rate))
     }
 
     fn view_mut(&mut self, vm: &Name) -> &mut View {
--- a/components/errors/src/lib.rs
+++ b/components/errors/src/lib.rs
@@ -30,6 +30,8 @@
     Declarations,
     /// Serving the operators' address.
     Operators,
+    /// Reading what an upstream sends to the node beside it.
+    Registration,
 }
 
 impl Step {
@@ -45,6 +47,7 @@
             Step::Platform => "platform",
             Step::Declarations => "declarations",
             Step::Operators => "operators",
+            Step::Registration => "registration",
         }
     }
 }
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -432,6 +432,22 @@
             .collect()
     }
 
+    /// Takes in that another run of the upstream stands here, with `slots` slots. What runs at the
+    /// one before goes on and keeps its slot until it ends.
+    pub fn replaced(&mut self, now: Moment, slots: u32) -> Vec<Action> {
+        self.cfg.slots = slots.max(1);
+        self.limit = Limit::new(self.cfg.slots);
+        self.down_since = None;
+        let mut actions = Vec::new();
+        self.fill(now, &mut actions);
+        actions
+    }
+
+    /// Whether the attempt waits.
+    pub fn is_queued(&self, id: AttemptId) -> bool {
+        self.queue.contains(id)
+    }
+
     /// Whether the attempt runs or waits.
     pub fn is_active(&self, id: AttemptId) -> bool {
         self.running.contains_key(&id) || self.queue.contains(id)
--- a/components/home/src/limit.rs
+++ b/components/home/src/limit.rs
@@ -49,6 +49,20 @@
     Cancelled,
 }
 
+impl Verdict {
+    /// A fixed lower-case name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::Good => "good",
+            Verdict::Error => "error",
+            Verdict::Shed => "shed",
+            Verdict::Broken => "broken",
+            Verdict::NotSent => "not sent",
+            Verdict::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// Requests whose service times are alike: an outer call takes as long as the calls below it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Class {
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -12,6 +12,8 @@
     pub service: Name,
     /// Time left until the caller's deadline, in microseconds, when the offer was sent.
     pub remaining_us: u64,
+    /// Time left until an answer loses most of its worth, in microseconds; 0 when nothing is known.
+    pub objective_us: u64,
     /// Priority from the policy; a higher number is served first.
     pub priority: u8,
     /// How many services the call has passed; deeper calls are served first.
--- /dev/null
+++ b/components/http1/src/head.rs
@@ -0,0 +1,122 @@
+//! Heads of requests and answers.
+
+use crate::Fault;
+
+/// Headers that a head may have.
+const MAX_HEADERS: usize = 128;
+
+/// Headers that concern one connection only and are not passed on, in lower case.
+const HOP_HEADERS: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// A header's name and value, as they came.
+pub type Header = (String, String);
+
+/// The head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method, as it came.
+    pub method: String,
+    /// Request target, as it came.
+    pub target: String,
+    /// All headers in their order.
+    pub headers: Vec<Header>,
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: u16,
+    /// Reason phrase, as it came.
+    pub reason: String,
+    /// All headers in their order.
+    pub headers: Vec<Header>,
+}
+
+/// Whether a header belongs to one connection.
+pub fn is_hop_header(name: &str) -> bool {
+    HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+/// The last value of a header.
+pub fn value<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    headers
+        .iter()
+        .rev()
+        .find(|(other, _)| other.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.as_str())
+}
+
+/// The value of a header that may be given once.
+pub fn single<'a>(headers: &'a [Header], name: &str) -> Result<Option<&'a str>, Fault> {
+    let mut values = headers
+        .iter()
+        .filter(|(other, _)| other.eq_ignore_ascii_case(name));
+    let first = values.next();
+    if values.next().is_some() {
+        return Err(Fault::Malformed(format!("{name} is given more than once")));
+    }
+    Ok(first.map(|(_, value)| value.as_str()))
+}
+
+/// Parses a request head; none while `bytes` holds no whole one. Gives its length too.
+pub(crate) fn parse_request(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, Fault> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut req = httparse::Request::new(&mut headers);
+    let httparse::Status::Complete(length) = req.parse(bytes).map_err(fault)? else {
+        return Ok(None);
+    };
+    if req.version != Some(1) {
+        return Err(Fault::Malformed("not HTTP/1.1".to_string()));
+    }
+    let head = RequestHead {
+        method: req.method.unwrap_or_default().to_string(),
+        target: req.path.unwrap_or_default().to_string(),
+        headers: copy(req.headers)?,
+    };
+    Ok(Some((head, length)))
+}
+
+/// Parses the head of an answer; none while `bytes` holds no whole one. Gives its length too.
+pub(crate) fn parse_response(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, Fault> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut res = httparse::Response::new(&mut headers);
+    let httparse::Status::Complete(length) = res.parse(bytes).map_err(fault)? else {
+        return Ok(None);
+    };
+    let head = ResponseHead {
+        status: res.code.unwrap_or_default(),
+        reason: res.reason.unwrap_or_default().to_string(),
+        headers: copy(res.headers)?,
+    };
+    Ok(Some((head, length)))
+}
+
+fn copy(headers: &[httparse::Header<'_>]) -> Result<Vec<Header>, Fault> {
+    let mut copied = Vec::with_capacity(headers.len());
+    for header in headers {
+        if !header.value.is_ascii() {
+            let cause = format!("{} holds bytes that are not ASCII", header.name);
+            return Err(Fault::Malformed(cause));
+        }
+        let value = String::from_utf8_lossy(header.value).into_owned();
+        copied.push((header.name.to_string(), value));
+    }
+    Ok(copied)
+}
+
+fn fault(error: httparse::Error) -> Fault {
+    match error {
+        httparse::Error::TooManyHeaders => Fault::HeadTooLong,
+        other => Fault::Malformed(other.to_string()),
+    }
+}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -6,5 +6,7 @@
 //! condition does not hold). `GET /v1/vms` gives the list as JSON, with the same two parameters.
 
 mod client;
+mod store;
 
 pub use client::{Client, Object, Write};
+pub use store::{Adapter, Call, Listing, Put, Registration, Store, Stored, Watched, Written};
--- /dev/null
+++ b/components/platform/src/store.rs
@@ -0,0 +1,108 @@
+//! The store of a platform whose nodes register: objects by kind and name, with revisions,
+//! conditional writes and watches. An adapter speaks the platform's own words behind it.
+
+use declarations::Bundle;
+use errors::Result;
+use names::Name;
+use registry::Heartbeat;
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// The end of a call to the store.
+pub type Call<'a, T> = Pin<Box<dyn Future<Output = Result<T>> + 'a>>;
+
+/// An object as it stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stored {
+    /// Its name within its kind.
+    pub name: Name,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// All objects of a kind.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// The store's revision when they were listed.
+    pub at: u64,
+    /// The objects.
+    pub objects: Vec<Stored>,
+}
+
+/// What came of a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watched {
+    /// Changes, in their order; none when the wait is over.
+    Changes {
+        /// Where the next watch begins.
+        at: u64,
+        /// Objects that were written.
+        changed: Vec<Stored>,
+    },
+    /// The store no longer knows what changed since; all objects have to be listed again.
+    Forgotten,
+}
+
+/// What came of a write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Put {
+    /// It took effect, at this revision.
+    Done(u64),
+    /// The condition did not hold: the object as it stands, or none when it doesn't exist.
+    Conflict(Option<Stored>),
+}
+
+/// A store. Every call has a time limit of its own.
+pub trait Store {
+    /// Lists all objects of a kind.
+    fn list<'a>(&'a self, kind: &'a str) -> Call<'a, Listing>;
+    /// Waits up to `wait` for changes of a kind after the revision `after`.
+    fn watch<'a>(&'a self, kind: &'a str, after: u64, wait: Duration) -> Call<'a, Watched>;
+    /// Creates an object (`revision` none), or replaces the one that has `revision`.
+    fn put<'a>(
+        &'a self,
+        kind: &'a str,
+        name: &'a str,
+        revision: Option<u64>,
+        value: &'a [u8],
+    ) -> Call<'a, Put>;
+    /// Removes an object.
+    fn remove<'a>(&'a self, kind: &'a str, name: &'a str) -> Call<'a, ()>;
+    /// Calls made so far.
+    fn calls(&self) -> u64;
+}
+
+/// What an upstream tells the node beside it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Registration {
+    /// It runs.
+    Heartbeat(Heartbeat),
+    /// The run with this identity ends soon.
+    Leaves(Name),
+}
+
+/// Declarations as the platform's operators write them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Written {
+    /// Rises with each change.
+    pub version: u64,
+    /// The same in this product's own form.
+    pub bundle: Bundle,
+}
+
+/// Translates between a platform's words and the product's. Decides nothing.
+pub trait Adapter {
+    /// The platform's store.
+    fn store(&self) -> &dyn Store;
+    /// Kind and name of the object that holds the operators' declarations.
+    fn declarations(&self) -> (&str, &str);
+    /// Translates that object; an error names what is wrong with it.
+    fn translate(&self, value: &[u8]) -> Result<Written>;
+    /// Kind of the objects in which nodes keep their records.
+    fn records(&self) -> &str;
+    /// Reads what an upstream sent to its node; an error names what is wrong with it.
+    fn registration(&self, method: &str, target: &str, body: &[u8]) -> Result<Registration>;
+}
--- /dev/null
+++ b/components/registry/src/fleet.rs
@@ -0,0 +1,142 @@
+//! All records that a node knows.
+
+use crate::record::{Record, Version};
+use names::Name;
+use std::collections::{BTreeMap, HashMap};
+
+/// What became of a record that was offered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Merged {
+    /// Newer than what was known; the record before it, if there was one.
+    Taken(Option<Record>),
+    /// As known.
+    Same,
+    /// Older than what is known.
+    Older,
+    /// Another start of this node's own VM claims a version that isn't below this node's.
+    Own(Version),
+}
+
+/// The fleet as one node knows it.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    me: Name,
+    records: BTreeMap<Name, Record>,
+    by_service: HashMap<Name, Vec<Name>>,
+}
+
+impl Fleet {
+    /// A fleet that consists of the node that keeps it.
+    pub fn new(own: Record) -> Fleet {
+        let me = own.vm.clone();
+        let mut fleet = Fleet {
+            me,
+            records: BTreeMap::new(),
+            by_service: HashMap::new(),
+        };
+        fleet.put(own);
+        fleet
+    }
+
+    /// This node's own record.
+    pub fn own(&self) -> &Record {
+        &self.records[&self.me]
+    }
+
+    /// Changes this node's own record; its version rises. Returns the new record.
+    pub fn change_own(&mut self, change: impl FnOnce(&mut Record)) -> Record {
+        let mut own = self.own().clone();
+        change(&mut own);
+        own.version.change += 1;
+        self.put(own.clone());
+        own
+    }
+
+    /// Starts a new generation of this node's own record above `seen`. Returns the new record.
+    pub fn rise_above(&mut self, seen: Version) -> Record {
+        self.change_own(|own| own.version.generation = seen.generation + 1)
+    }
+
+    /// Takes in a record from the store or from another node.
+    pub fn merge(&mut self, record: Record) -> Merged {
+        let known = self.records.get(&record.vm);
+        if record.vm == self.me {
+            let own = self.own();
+            let foreign = record.boot != own.boot && record.version >= own.version;
+            return if foreign {
+                Merged::Own(record.version)
+            } else {
+                Merged::Older
+            };
+        }
+        match known {
+            Some(known) if record.version < known.version => Merged::Older,
+            Some(known) if record.version == known.version => Merged::Same,
+            _ => Merged::Taken(self.put(record)),
+        }
+    }
+
+    /// The record of a VM.
+    pub fn record(&self, vm: &Name) -> Option<&Record> {
+        self.records.get(vm)
+    }
+
+    /// The other nodes.
+    pub fn others(&self) -> impl Iterator<Item = &Record> {
+        self.records.values().filter(|record| record.vm != self.me)
+    }
+
+    /// The nodes of a hall, this one included when it is in it.
+    pub fn hall<'a>(&'a self, hall: &'a Name) -> impl Iterator<Item = &'a Record> {
+        self.records
+            .values()
+            .filter(move |record| record.hall == *hall)
+    }
+
+    /// Number of nodes known, this one included.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Never: a node always knows itself.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// VMs whose upstream takes new work for `service`.
+    pub fn ready(&self, service: &str) -> impl Iterator<Item = &Record> {
+        self.by_service
+            .get(service)
+            .into_iter()
+            .flatten()
+            .map(|vm| &self.records[vm])
+    }
+
+    /// Forgets a VM that is gone for good.
+    pub fn forget(&mut self, vm: &Name) {
+        if *vm != self.me {
+            self.unlist(vm);
+            self.records.remove(vm);
+        }
+    }
+
+    fn put(&mut self, record: Record) -> Option<Record> {
+        self.unlist(&record.vm);
+        if let Some(upstream) = record.upstream.as_ref().filter(|_| record.is_ready()) {
+            let listed = self.by_service.entry(upstream.service.clone()).or_default();
+            listed.push(record.vm.clone());
+        }
+        self.records.insert(record.vm.clone(), record)
+    }
+
+    fn unlist(&mut self, vm: &Name) {
+        let service = self
+            .records
+            .get(vm)
+            .and_then(|record| record.upstream.as_ref())
+            .map(|upstream| upstream.service.clone());
+        if let Some(listed) = service.and_then(|service| self.by_service.get_mut(&service)) {
+            listed.retain(|other| other != vm);
+        }
+    }
+}
--- /dev/null
+++ b/components/registry/src/record.rs
@@ -0,0 +1,80 @@
+//! What a node says of itself and of the upstream beside it.
+
+use names::{BootId, Name};
+use serde::{Deserialize, Serialize};
+
+/// Life of one run of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum State {
+    /// Takes new work.
+    Ready,
+    /// Finishes what it has and takes no new work.
+    Draining,
+    /// Has ended, or is about to; never comes back under this identity.
+    Gone,
+}
+
+impl State {
+    /// A fixed lower-case name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            State::Ready => "ready",
+            State::Draining => "draining",
+            State::Gone => "gone",
+        }
+    }
+}
+
+/// One run of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its identity; each run has another.
+    pub id: Name,
+    /// Service that it belongs to.
+    pub service: Name,
+    /// Where it serves, as address and port.
+    pub address: String,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Its state.
+    pub state: State,
+}
+
+/// Orders the records of one VM: the generation rises with each start of its node, the change with
+/// each change of the record.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Version {
+    /// Start of the node.
+    pub generation: u64,
+    /// Change within that start.
+    pub change: u64,
+}
+
+/// What a node tells the others of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The VM.
+    pub vm: Name,
+    /// Its data hall.
+    pub hall: Name,
+    /// Where its node serves peers, as address and port.
+    pub peers: String,
+    /// The run of its node.
+    pub boot: BootId,
+    /// Which record of the VM is the newer one.
+    pub version: Version,
+    /// Whether the node takes work for its upstream; false during a planned stop.
+    pub serving: bool,
+    /// The upstream beside the node, once one has registered.
+    pub upstream: Option<Instance>,
+}
+
+impl Record {
+    /// Whether the upstream takes new work through its node.
+    pub fn is_ready(&self) -> bool {
+        let ready = |upstream: &Instance| upstream.state == State::Ready;
+        self.serving && self.upstream.as_ref().is_some_and(ready)
+    }
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,5 +1,9 @@
 //! Settings of a node: one INI file, checked whole at start.
 
+mod headers;
+mod millis;
 mod node;
 
-pub use node::{LogFormat, Settings};
+pub use headers::Headers;
+pub use millis::{Millis, MILLIS};
+pub use node::{Fleet, LogFormat, RetryLimit, Settings};
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -1,5 +1,7 @@
 //! The settings and their check.
 
+use crate::headers::{self, Headers};
+use crate::millis::{Millis, MILLIS};
 use errors::{Problem, Problems};
 use names::Name;
 use sections::Reader;
@@ -12,6 +14,19 @@
 const MOST_BODY_BYTES: u64 = 16 * 1024 * 1024;
 /// Body limit when none is set, in bytes.
 const DEFAULT_BODY_BYTES: u64 = 1024 * 1024;
+/// How long after the deadline an answer is waited for when nothing is set, in milliseconds: an
+/// upstream that ignores deadlines may take this long.
+const DEFAULT_OVERRUN_MS: u64 = 30_000;
+/// Time between two registrations when nothing is set, in milliseconds.
+const DEFAULT_HEARTBEAT_MS: u64 = 1_500;
+/// Longest wait of a planned stop when nothing is set, in milliseconds.
+const DEFAULT_STOP_WAIT_MS: u64 = 10_000;
+/// Bound on retries when nothing is set: one in ten calls, and ten at a time.
+const DEFAULT_RETRIES: RetryLimit = RetryLimit {
+    ratio: 0.2,
+    slack: 100.0,
+    window_ms: 10_000,
+};
 /// Shortest fleet key, in characters.
 const LEAST_KEY_LENGTH: usize = 16;
 
@@ -35,8 +50,40 @@
     }
 }
 
+/// Where a node learns of the other nodes and of the declarations.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fleet {
+    /// From the platform's list of VMs and the head that operators write.
+    Listed,
+    /// From records that the nodes keep in the platform's store and tell one another; upstreams
+    /// register themselves at the node beside them.
+    Registered,
+}
+
+impl std::str::FromStr for Fleet {
+    type Err = ();
+    fn from_str(text: &str) -> Result<Fleet, ()> {
+        match text {
+            "listed" => Ok(Fleet::Listed),
+            "registered" => Ok(Fleet::Registered),
+            _ => Err(()),
+        }
+    }
+}
+
+/// Bound on the runs of a service's requests beyond the first of each, for the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryLimit {
+    /// Retries for each request within the window.
+    pub ratio: f64,
+    /// Retries beyond that in any window.
+    pub slack: f64,
+    /// The window, in milliseconds.
+    pub window_ms: u64,
+}
+
 /// Everything a node is told at start.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Name of the VM, as in the platform's list.
     pub vm: Name,
@@ -74,6 +121,28 @@
     pub log_level: String,
     /// Rule of choice: expected, two-choices or random; the last two are baselines of the benchmark.
     pub rule: String,
+    /// Where the fleet and the declarations are learned.
+    pub fleet: Fleet,
+    /// Service that runs on the VM; the name under which its calls are made.
+    pub service: Option<Name>,
+    /// All halls of the deployment.
+    pub halls: Vec<Name>,
+    /// Where readiness is asked.
+    pub ready: Option<SocketAddr>,
+    /// Path at which readiness is asked.
+    pub ready_path: String,
+    /// Where the upstream beside this node registers.
+    pub registrations: Option<SocketAddr>,
+    /// Header names.
+    pub headers: Headers,
+    /// How long after the deadline an answer of the upstream is still waited for, in milliseconds.
+    pub overrun_ms: u64,
+    /// Whether an answer may end with its connection.
+    pub end_by_close: bool,
+    /// Time between two registrations of an upstream, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Fleet-wide bound on retries.
+    pub retries: RetryLimit,
 }
 
 impl Settings {
@@ -99,6 +168,7 @@
         let settings = read(&mut reader);
         reader.finish(&[
             "node", "listen", "upstream", "platform", "peers", "limits", "log", "choice",
+            "headers", "retries",
         ])?;
         settings.ok_or_else(Problems::default)
     }
@@ -124,7 +194,7 @@
         DEFAULT_BODY_BYTES,
     ) as usize;
     let max_callers = reader.number_or("limits", "callers", 1..=100_000, 1_000) as usize;
-    let stop_wait_ms = reader.number_or("limits", "stop_wait_ms", 0..=600_000, 10_000);
+    let stop_wait_ms = millis(reader, "limits", "stop_wait_ms", DEFAULT_STOP_WAIT_MS);
     let log_format = reader.value_or("log", "format", "text or json", LogFormat::Text);
     let log_level = one_of(
         reader,
@@ -140,7 +210,35 @@
         &["expected", "two-choices", "random"],
         "expected",
     );
+    let fleet = reader.value_or("platform", "fleet", "listed or registered", Fleet::Listed);
+    let service = reader
+        .text("node", "service")
+        .filter(|name| !name.is_empty());
+    let halls = reader.text("node", "halls").unwrap_or_default();
+    let ready = optional_address(reader, "listen", "ready");
+    let ready_path = reader.text("listen", "ready_path");
+    let registrations = optional_address(reader, "listen", "registrations");
+    let headers = headers::read(reader);
+    let overrun_ms = millis(reader, "upstream", "overrun", DEFAULT_OVERRUN_MS);
+    let end_by_close = reader.value_or("upstream", "end_by_close", "true or false", false);
+    let heartbeat_ms = millis(reader, "upstream", "heartbeat", DEFAULT_HEARTBEAT_MS);
+    let retries = retries(reader);
     Some(Settings {
+        fleet,
+        service: service.map(Name::from),
+        halls: halls
+            .split([',', ' '])
+            .filter(|hall| !hall.is_empty())
+            .map(Name::from)
+            .collect(),
+        ready,
+        ready_path: ready_path.unwrap_or_else(|| "/readyz".to_string()),
+        registrations,
+        headers,
+        overrun_ms,
+        end_by_close,
+        heartbeat_ms,
+        retries,
         vm: Name::from(vm?),
         hall: Name::from(hall?),
         callers: callers?,
@@ -162,6 +260,19 @@
     })
 }
 
+fn millis(reader: &mut Reader, section: &str, key: &str, default: u64) -> u64 {
+    reader.value_or(section, key, MILLIS, Millis(default)).0
+}
+
+fn retries(reader: &mut Reader) -> RetryLimit {
+    let number = "a number, 0 or more";
+    RetryLimit {
+        ratio: reader.value_or("retries", "ratio", number, DEFAULT_RETRIES.ratio),
+        slack: reader.value_or("retries", "slack", number, DEFAULT_RETRIES.slack),
+        window_ms: millis(reader, "retries", "window", DEFAULT_RETRIES.window_ms),
+    }
+}
+
 const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:8080";
 
 fn address(reader: &mut Reader, section: &str, key: &str) -> Option<SocketAddr> {
@@ -169,7 +280,7 @@
 }
 
 fn optional_address(reader: &mut Reader, section: &str, key: &str) -> Option<SocketAddr> {
-    reader.text(section, key)?;
+    reader.text(section, key).filter(|text| !text.is_empty())?;
     reader.required_as(section, key, ADDRESS)
 }
 
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -6,6 +6,7 @@
 use keys::{ClaimReply, KeyHash};
 use membership::VmList;
 use names::{AttemptId, BootId};
+use registry::Record;
 use rollout::{Configuration, Summary};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -159,6 +160,8 @@
         /// The outcome.
         outcome: RelayOutcome,
     },
+    /// A node's record of itself and of the upstream beside it.
+    Registered(Box<Record>),
     /// What the sender knows; the receiver answers with what is newer.
     Summary(Summary),
     /// A revision with its content.
--- a/components/wire/src/http.rs
+++ b/components/wire/src/http.rs
@@ -8,7 +8,7 @@
 pub struct Request {
     /// Service it is for.
     pub service: Name,
-    /// HTTP method in capitals.
+    /// HTTP method, as it came.
     pub method: String,
     /// Path and query.
     pub target: String,
@@ -19,6 +19,8 @@
     pub body: Vec<u8>,
     /// How many services the call has passed, 0 for an outside caller.
     pub level: u32,
+    /// Identity that the caller gave its try; `-` for none.
+    pub id: String,
 }
 
 /// A whole answer of an upstream.
@@ -26,6 +28,8 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
+    /// Reason phrase, as the upstream gave it.
+    pub reason: String,
     /// End-to-end headers.
     pub headers: Vec<(String, String)>,
     /// The whole body.
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -17,6 +17,7 @@
             },
             service: "prices".into(),
             remaining_us: 1_000,
+            objective_us: 0,
             priority: 3,
             level: 0,
             repeatable: true,
@@ -30,6 +31,7 @@
             headers: vec![("accept".to_string(), "*/*".to_string())],
             body,
             level: 0,
+            id: "-".to_string(),
         }),
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,10 +1,10 @@
 //! `drumwheel-node`: one beside each upstream VM, with entry and home duty.
 
 use bpaf::Bpaf;
-use settings::{LogFormat, Settings};
+use platform::Adapter;
+use settings::{Fleet, LogFormat, Settings};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tracing_subscriber::EnvFilter;
 
 /// A node of drumwheel: takes callers' requests and guards the upstream beside it.
 #[derive(Debug, Clone, Bpaf)]
@@ -12,17 +12,26 @@
 struct Args {
     /// Check the settings, report every problem, and exit: 0 when there is none, 2 otherwise
     check: bool,
-    /// The settings file
+    /// The settings file; without it, the file that the variable DRUMWHEEL_CONFIG names
     #[bpaf(positional("SETTINGS"))]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
 }
 
+/// Names the settings file when the command line does not.
+const SETTINGS_VARIABLE: &str = "DRUMWHEEL_CONFIG";
 /// Exit code for settings that do not pass the check.
 const BAD_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
     let args = args().run();
-    let cfg = match Settings::load(&args.settings) {
+    let named = args
+        .settings
+        .or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+    let Some(file) = named else {
+        eprintln!("drumwheel-node: no settings file: give it, or name it in {SETTINGS_VARIABLE}");
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    let cfg = match Settings::load(&file) {
         Ok(cfg) => cfg,
         Err(problems) => {
             eprintln!("{problems}");
@@ -30,11 +39,13 @@
         }
     };
     if args.check {
-        println!("{}: no problems", args.settings.display());
+        println!("{}: no problems", file.display());
         return ExitCode::SUCCESS;
     }
-    start_log(&cfg);
-    match daemon::run(cfg) {
+    let log = logs::start(&cfg.log_level, cfg.log_format == LogFormat::Json);
+    let ended = daemon::run(cfg.clone(), adapter(&cfg));
+    log.close();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("drumwheel-node: {error}");
@@ -43,14 +54,13 @@
     }
 }
 
-fn start_log(cfg: &Settings) {
-    let filter = EnvFilter::new(&cfg.log_level);
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_ansi(false)
-        .with_writer(std::io::stderr);
-    match cfg.log_format {
-        LogFormat::Text => builder.init(),
-        LogFormat::Json => builder.json().init(),
+/// The adapter for the platform that the settings name.
+fn adapter(cfg: &Settings) -> Option<Box<dyn Adapter>> {
+    match cfg.fleet {
+        Fleet::Listed => None,
+        Fleet::Registered => {
+            let address = *cfg.platform.first()?;
+            Some(Box::new(adapter::Platform::new(address)))
+        }
     }
 }
