--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -21,6 +21,8 @@
 use std::sync::Arc;
 use wire::{RelayOutcome, Request};
 
+/// Told to callers of a node that ends, in milliseconds: a restart takes about this long.
+const CLOSING_RETRY_MS: u64 = 300;
 /// Headers that begin so are this program's own and are not passed on.
 const PREFIX: &str = "drumwheel-";
 /// Told to callers of a node that can't serve yet or was paused, in milliseconds.
@@ -50,6 +52,9 @@
     call: CallerRequest,
     hung_up: impl Future<Output = ()>,
 ) -> RelayOutcome {
+    if node.closing.get() {
+        return closing(&call);
+    }
     let Some(in_force) = node.in_force() else {
         return blank(&call);
     };
@@ -137,6 +142,14 @@
     refused(Reason::Deadline, NOT_SERVING_RETRY_MS)
 }
 
+/// A node that is about to end takes no request any more; its successor, or another node, will.
+fn closing(call: &CallerRequest) -> RelayOutcome {
+    if call.key.is_some() {
+        return RelayOutcome::Unknown(Reason::Leaving);
+    }
+    refused(Reason::Leaving, CLOSING_RETRY_MS)
+}
+
 /// A node without configuration can't tell whether an earlier try with the same key ran.
 fn blank(call: &CallerRequest) -> RelayOutcome {
     if call.key.is_some() {
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -134,6 +134,8 @@
     pub platform_state: RefCell<PlatformState>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
+    /// Whether a planned stop has come so far that callers are refused.
+    pub closing: Cell<bool>,
     /// Whether a planned stop has come so far that the upstream gets no new work.
     pub upstream_left: Cell<bool>,
     /// Whether an operator drains the upstream.
@@ -195,6 +197,7 @@
             splits: RefCell::default(),
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
+            closing: Cell::new(false),
             upstream_left: Cell::new(false),
             drained: Cell::new(false),
             upstream_leaving: Cell::new(false),
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -50,6 +50,12 @@
         registration::publish(node, registration);
     }
     task::sleep(GRACE).await;
+    // Callers that have not noticed by now would keep the stop from ever ending.
+    node.closing.set(true);
+    tracing::info!(
+        open = node.open_calls.get(),
+        "no further requests are taken"
+    );
     while !is_idle(node) && began.elapsed() < limit {
         task::sleep(LOOK).await;
     }
