--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -41,8 +41,6 @@
 ///
 /// `source` reads the settings again.
 pub fn run(cfg: Settings, adapter: Option<Box<dyn Adapter>>, source: reload::Source) -> Result<()> {
-    // Only an `Expect: 100-continue` makes the HTTP library start its own executor.
-    std::env::set_var("ASYNC_STD_THREAD_COUNT", "1");
     let prometheus = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|error| Error::new(Step::Operators, "metrics", error))?;
--- a/components/declarations/tests/declarations.rs
+++ b/components/declarations/tests/declarations.rs
@@ -124,3 +124,57 @@
         assert_eq!(upstreams, 13);
     }
 }
+
+const ROUTES: &str = "\
+[registered prices]
+health_path = /health
+
+[registered bids]
+health_path = /health
+max_connections = 60
+
+[route split]
+host = Market.example
+path = /bids/
+services = bids:90 prices:10
+deadline_ms = 1000
+objective_ms = 250
+priority = 9
+attempts = 2
+
+[route rest]
+host = market.example
+path = /
+services = prices
+repeatable = true
+
+[limits]
+header_bytes = 4096
+";
+
+fn routes(text: &str) -> Bundle {
+    Bundle {
+        files: BTreeMap::from([("services.ini".to_string(), text.to_string())]),
+    }
+}
+
+#[test]
+fn the_route_with_the_longest_path_of_a_host_is_taken() {
+    let found = check(&routes(ROUTES)).expect("good declarations");
+    let name = |host, path| {
+        let route = found.fixed_route(host, path);
+        route.map(|route| route.name.to_string())
+    };
+    assert_eq!(name("market.example", "/bids/7").as_deref(), Some("split"));
+    assert_eq!(name("market.example", "/bids").as_deref(), Some("rest"));
+    assert_eq!(name("other.example", "/bids/7"), None);
+}
+
+#[test]
+fn routes_to_unknown_services_or_with_equal_paths_are_refused() {
+    let bad = ROUTES
+        .replace("bids:90 prices:10", "bits:90 prices:many")
+        .replace("path = /\n", "path = /bids/\n")
+        .replace("services = prices\n", "services = bids\n");
+    insta::assert_snapshot!(problems(&routes(&bad)));
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -23,6 +23,9 @@
 const BAD_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
+    // Only an `Expect: 100-continue` to the operators' door makes the HTTP library start its own
+    // executor. The environment may be changed only while there is no other thread.
+    std::env::set_var("ASYNC_STD_THREAD_COUNT", "1");
     let args = args().run();
     let named = args
         .settings
