Calls made for a running request wait until their deadline and go first

Change: a call whose identity extends that of a request running beside the node is taken for a call of it: level one deeper, priority above all outer requests, no bound on its wait but the deadline.

--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -1,6 +1,6 @@
 //! Reading a caller's request.
 
-use crate::node::Node;
+use crate::node::{Node, Parent};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use http1::{request_framing, single, Connection, Fault, Header, RequestHead};
@@ -74,6 +74,8 @@
     pub deadline_ms: Option<u64>,
     /// How many services the call has passed.
     pub level: u32,
+    /// The request for which the upstream beside this node makes this call.
+    pub parent: Option<Parent>,
     /// Idempotency key.
     pub key: Option<String>,
     /// Identity that the caller gave its try; `-` for none.
@@ -123,7 +125,13 @@
     let names = &node.cfg.headers;
     let body = read_body(connection, &head, limits).await?;
     let deadline_ms = number(&head.headers, &names.deadline_ms)?;
-    let level = number(&head.headers, &names.level)?.unwrap_or_else(|| inner_level(node, caller));
+    let id = match &names.request_id {
+        Some(name) => one(&head.headers, name)?.unwrap_or("-").to_string(),
+        None => "-".to_string(),
+    };
+    let parent = node.parent_of(&id);
+    let told = number(&head.headers, &names.level)?;
+    let level = told.unwrap_or_else(|| parent.map_or(0, |parent| u64::from(parent.level) + 1));
     if level > u64::from(MAX_LEVEL) {
         return Err(bad(508, format!("more than {MAX_LEVEL} levels of calls")));
     }
@@ -132,10 +140,6 @@
         let cause = format!("{KEY_HEADER} is longer than {MAX_KEY_BYTES} bytes");
         return Err(bad(400, cause));
     }
-    let id = match &names.request_id {
-        Some(name) => one(&head.headers, name)?.unwrap_or("-").to_string(),
-        None => "-".to_string(),
-    };
     let (target, target_host) = split_target(&head.target)?;
     let host = match target_host {
         Some(host) => Some(host),
@@ -151,18 +155,13 @@
         body,
         deadline_ms,
         level: level as u32,
+        parent,
         key,
         id,
         caller: caller.to_string(),
     })
 }
 
-/// A call that comes from this VM itself is made by the upstream beside this node, while it serves
-/// another.
-fn inner_level(node: &Node, caller: IpAddr) -> u64 {
-    u64::from(node.cfg.registrations.is_some() && caller == node.cfg.callers.ip())
-}
-
 /// Path with query, and the host of a target in absolute form.
 fn split_target(target: &str) -> Result<(&str, Option<&str>), BadRequest> {
     if target.starts_with('/') || target == "*" {
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -23,6 +23,9 @@
 
 /// Told to callers of a node that ends, in milliseconds: a restart takes about this long.
 const CLOSING_RETRY_MS: u64 = 300;
+/// Added to the priority of a request for the calls that are made for it, which puts them above all
+/// outer requests: when one is refused, the slot time that its request has used is lost.
+const INNER_PRIORITY: u8 = 10;
 /// Headers that begin so are this program's own and are not passed on.
 const PREFIX: &str = "drumwheel-";
 /// Told to callers of a node that can't serve yet or was paused, in milliseconds.
@@ -90,6 +93,7 @@
         key: None,
         deadline,
         objective_us: 0,
+        patient: true,
     };
     direct(node, plan, hung_up).await
 }
@@ -108,9 +112,17 @@
     };
     let service = node.share_of(route);
     audit::routed(node, &call, route, &service, in_force);
+    let is_inner = call.parent.is_some();
+    let priority = call.parent.map_or(ruled.priority, |parent| {
+        parent.priority.saturating_add(INNER_PRIORITY)
+    });
     let treatment = Treatment {
         repeatable: ruled.repeatable,
-        priority: ruled.priority,
+        priority: if is_inner {
+            INNER_PRIORITY
+        } else {
+            ruled.priority
+        },
         attempts: attempts(ruled, call.level),
     };
     let plan = Plan {
@@ -120,6 +132,7 @@
         key: None,
         deadline,
         objective_us: route.objective_ms * MILLISECOND,
+        patient: is_inner,
     };
     direct(node, plan, hung_up).await
 }
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -224,6 +224,7 @@
             key: Some(self.key),
             deadline: self.deadline,
             objective_us: 0,
+            patient: true,
         };
         let finished = run_call(node, plan, pending()).await;
         let outcome = outcome(finished);
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -47,6 +47,7 @@
     key: Option<KeyHash>,
     began: Moment,
     objective_us: u64,
+    patient: bool,
     call: Call<Whole>,
     tx: Sender<Event<Whole>>,
     attempts: Vec<AttemptId>,
@@ -74,6 +75,8 @@
     pub deadline: Moment,
     /// Time within which an answer has its full worth, in microseconds; 0 when nothing is known.
     pub objective_us: u64,
+    /// Whether offers may wait for a slot until the deadline.
+    pub patient: bool,
 }
 
 /// Takes a request to its outcome.
@@ -93,6 +96,7 @@
         key: plan.key,
         began: node.now(),
         objective_us: plan.objective_us,
+        patient: plan.patient,
         call,
         tx,
         attempts: Vec::new(),
@@ -199,7 +203,7 @@
     /// How long the next offer may wait for a slot. All offers together wait no longer than a part
     /// of the objective: a caller that is refused early enough can come back in time.
     fn patience_us(&self) -> Option<u64> {
-        if self.objective_us == 0 {
+        if self.patient {
             return None;
         }
         let spent = self.node.now().since(self.began);
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -54,6 +54,7 @@
         reply: reply.clone(),
         deadline: now + offer.remaining_us,
         key,
+        priority: offer.priority,
         repeatable: offer.repeatable,
         cancel: None,
     };
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -60,12 +60,26 @@
     pub deadline: Moment,
     /// Idempotency key, hashed.
     pub key: Option<KeyHash>,
+    /// Priority at the home duty.
+    pub priority: u8,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// Tells the running exchange that nobody waits for it.
     pub cancel: Option<Sender<()>>,
 }
 
+/// A request that the upstream beside this node is serving, as a call made for it sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Parent {
+    /// How many services it has passed.
+    pub level: u32,
+    /// Its priority.
+    pub priority: u8,
+}
+
+/// Between the identity of a request and what a call made for it adds.
+const CHILD_SEPARATOR: char = '.';
+
 /// An entry-side attempt that has not ended.
 #[derive(Debug, Clone)]
 pub struct Waiter {
@@ -300,6 +314,18 @@
             }
     }
 
+    /// The request for which the upstream beside this node makes the call with this identity: its
+    /// identity is the request's, with something added.
+    pub fn parent_of(&self, id: &str) -> Option<Parent> {
+        let (parent, _) = id.rsplit_once(CHILD_SEPARATOR)?;
+        let jobs = self.jobs.borrow();
+        let job = jobs.values().find(|job| job.req.id == parent)?;
+        Some(Parent {
+            level: job.req.level,
+            priority: job.priority,
+        })
+    }
+
     /// The service under whose name calls from this VM are made.
     pub fn caller_service(&self) -> Option<Name> {
         let registered = self.registration.as_ref().and_then(|registration| {
