--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -118,11 +118,7 @@
     });
     let treatment = Treatment {
         repeatable: ruled.repeatable,
-        priority: if is_inner {
-            INNER_PRIORITY
-        } else {
-            ruled.priority
-        },
+        priority,
         attempts: attempts(ruled, call.level),
     };
     let plan = Plan {
