--- a/src/cli.rs
+++ b/src/cli.rs
@@ -31,6 +31,16 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version, generate(command), footer(EXIT_CODES))]
 pub enum Command {
+    /// Print the path of one request, from the log lines of all nodes
+    #[bpaf(command)]
+    Explain {
+        /// The request's identity
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Files with log lines; standard input without any
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Check a directory of declarations and run its examples
     #[bpaf(command)]
     Check {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod drain;
+mod explain;
 mod history;
 mod plan;
 mod status;
@@ -49,6 +50,7 @@
             most,
             diff,
         } => history::run(platform, format, most, diff).await,
+        Command::Explain { id, files } => explain::run(&id, &files),
         Command::Drain {
             node,
             key_file,
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -21,6 +21,18 @@
     ExitCode::from(FAILED)
 }
 
+/// Prints that a file could not be read.
+pub fn unreadable(error: &str) -> ExitCode {
+    eprintln!("drumwheel: {error}");
+    ExitCode::from(BAD_INPUT)
+}
+
+/// Prints that no line names a request.
+pub fn nothing_found(id: &str) -> ExitCode {
+    eprintln!("drumwheel: no line names the request {id}");
+    ExitCode::from(FAILED)
+}
+
 /// Prints the problems of a set of declarations.
 pub fn problems(problems: &Problems) -> ExitCode {
     eprintln!("{problems}");
