Crossing halls: short frames, no offer to an upstream known to be full, a price for inner calls

Change: field names of one letter in frames (an exchange without bodies: 763 bytes before), no offer to another hall's upstream whose last report still says that a slot comes free too late, inner calls cross at the full price, no slots kept where inner calls go first by priority.

--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -7,7 +7,7 @@
 use crate::stats;
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
-use entry::{Action, Call, Candidate, Event, Outcome, Treatment};
+use entry::{Action, Call, Candidate, Event, Outcome, Price, Treatment};
 use futures_util::future::{select, Either};
 use home::{Load, Offer};
 use keys::KeyHash;
@@ -26,6 +26,8 @@
 /// Price of crossing to another hall, in terms of the objective, for the most urgent requests and
 /// for the least urgent ones. Bytes between halls are scarce.
 const CROSSING_PART: (f64, f64) = (0.3, 1.0);
+/// The same for calls that are made for a running request: they wait at home as long as they can.
+const INNER_CROSSING_PART: f64 = 1.0;
 /// Highest priority.
 const HIGHEST_PRIORITY: u8 = 9;
 /// Priorities over which the price of crossing rises.
@@ -33,12 +35,27 @@
 
 /// The price of crossing to another hall, in microseconds of waiting.
 fn crossing_us(priority: u8, objective_us: u64) -> u64 {
+    if priority > HIGHEST_PRIORITY {
+        return (objective_us as f64 * INNER_CROSSING_PART) as u64;
+    }
     let steps = f64::from(HIGHEST_PRIORITY.saturating_sub(priority));
     let (least, most) = CROSSING_PART;
     let part = least + (most - least) * (steps / CROSSING_STEPS).min(1.0);
     (objective_us as f64 * part) as u64
 }
 
+fn price(plan: &Plan) -> Price {
+    let patience_us = if plan.patient {
+        u64::MAX
+    } else {
+        (plan.objective_us as f64 * PATIENCE_PART) as u64
+    };
+    Price {
+        crossing_us: crossing_us(plan.treatment.priority, plan.objective_us),
+        patience_us,
+    }
+}
+
 /// One request on its way to an outcome.
 struct Running<'a> {
     node: &'a Rc<Node>,
@@ -82,13 +99,14 @@
 /// Takes a request to its outcome.
 pub async fn run_call(node: &Rc<Node>, plan: Plan, hung_up: impl Future<Output = ()>) -> Finished {
     let (tx, rx) = async_channel::bounded(EVENTS);
+    let price = price(&plan);
     let call = Call::new(
         plan.req.service.clone(),
         plan.treatment.clone(),
         plan.deadline,
         plan.candidates,
     )
-    .with_crossing(crossing_us(plan.treatment.priority, plan.objective_us));
+    .with_price(price);
     let mut running = Running {
         node,
         req: plan.req,
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -1,6 +1,6 @@
 //! The life of one request at its entry node.
 
-use crate::choice::{Candidate, Rule};
+use crate::choice::{Candidate, Price, Rule};
 use crate::shared::Entry;
 use home::{AskReply, Reason, Refusal};
 use names::{AttemptId, Moment, Name};
@@ -129,7 +129,7 @@
     last_refusal: Option<Refusal>,
     contacted: bool,
     late: u64,
-    crossing_us: u64,
+    price: Price,
 }
 
 impl<A: Clone> Call<A> {
@@ -157,13 +157,13 @@
             last_refusal: None,
             contacted: false,
             late: 0,
-            crossing_us: 0,
+            price: Price::default(),
         }
     }
 
-    /// Sets the price of crossing to another hall, in microseconds of waiting.
-    pub fn with_crossing(mut self, crossing_us: u64) -> Call<A> {
-        self.crossing_us = crossing_us;
+    /// Sets what offers may cost.
+    pub fn with_price(mut self, price: Price) -> Call<A> {
+        self.price = price;
         self
     }
 
@@ -256,7 +256,7 @@
 
     fn pick(&self, now: Moment, may_queue: bool, entry: &mut Entry) -> Option<Name> {
         let open = self.open(may_queue, now, entry);
-        entry.choose(now, &open, self.crossing_us)
+        entry.choose(now, &open, self.price)
     }
 
     fn refused(
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -45,6 +45,16 @@
     Random,
 }
 
+/// What a call allows an offer to cost; for [`Rule::Priced`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Price {
+    /// Price of crossing to another hall, in microseconds of waiting.
+    pub crossing_us: u64,
+    /// Longest wait for a slot at an upstream of another hall, in microseconds. One that is known to
+    /// need longer is not asked: the request itself would cross in vain.
+    pub patience_us: u64,
+}
+
 /// An upstream that may serve a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -113,7 +123,7 @@
     }
 
     /// Expected time to an answer by the upstream's own word on how slow it is, in microseconds.
-    fn priced_us(&self, now: Moment, candidate: &Candidate, crossing_us: u64) -> f64 {
+    fn priced_us(&self, now: Moment, candidate: &Candidate, price: Price) -> f64 {
         let age = now.since(self.reported);
         let load = self.load.unwrap_or_default();
         let service = match load.service_us {
@@ -129,11 +139,24 @@
         let crossing = if candidate.same_hall {
             0.0
         } else {
-            crossing_us as f64
+            price.crossing_us as f64
         };
         service * slow + wait + errors * ERROR_COST_US + way_us(candidate) + crossing
     }
 
+    /// Whether a report that still holds says that a slot comes free only after `patience_us`.
+    fn is_beyond(&self, now: Moment, patience_us: u64) -> bool {
+        let age = now.since(self.reported) as f64;
+        let Some(load) = self.load.filter(|_| age < self.fullness_kept_us()) else {
+            return false;
+        };
+        let limit = load.limit.max(1);
+        let ahead = (load.in_flight + load.queued + 1).saturating_sub(limit);
+        let slow = 1.0 + self.extra_slowness(age as u64);
+        let wait = f64::from(ahead) * load.service_us as f64 * slow / f64::from(limit);
+        wait > patience_us as f64
+    }
+
     /// Time that slowness adds to a request, in terms of its usual time.
     fn extra_slowness(&self, age: u64) -> f64 {
         let percent = self.load.map_or(0, |load| load.slow_percent).max(100);
@@ -171,9 +194,16 @@
     candidates: &[&Candidate],
     views: &HashMap<Name, View>,
     rng: &mut SmallRng,
-    crossing_us: u64,
+    price: Price,
 ) -> Option<Name> {
-    let usable: Vec<&Candidate> = sample(usable(now, candidates, views), rng);
+    let mut usable = usable(now, candidates, views);
+    if rule == Rule::Priced {
+        usable.retain(|candidate| {
+            let far = !candidate.same_hall;
+            !far || !view(views, candidate).is_beyond(now, price.patience_us)
+        });
+    }
+    let usable = sample(usable, rng);
     let picked = match rule {
         Rule::Random => usable.first(),
         Rule::TwoChoices => usable
@@ -184,7 +214,7 @@
             view(views, candidate).expected_us(now, candidate)
         }),
         Rule::Priced => least(&usable, rng, |candidate| {
-            view(views, candidate).priced_us(now, candidate, crossing_us)
+            view(views, candidate).priced_us(now, candidate, price)
         }),
     };
     picked.map(|candidate| candidate.vm.clone())
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,7 +11,7 @@
 mod split;
 
 pub use call::{Action, Call, Event, Outcome, Treatment};
-pub use choice::{Candidate, Rule, View};
+pub use choice::{Candidate, Price, Rule, View};
 pub use retry::{RetryBudget, RetryRate};
 pub use shared::Entry;
 pub use split::Split;
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! What all calls of one node share.
 
-use crate::choice::{choose, Candidate, Rule, View};
+use crate::choice::{choose, Candidate, Price, Rule, View};
 use crate::retry::{RetryBudget, RetryRate};
 use home::Load;
 use names::{AttemptId, BootId, Moment, Name, SECOND};
@@ -103,10 +103,10 @@
         &mut self,
         now: Moment,
         candidates: &[&Candidate],
-        crossing_us: u64,
+        price: Price,
     ) -> Option<Name> {
         let rng = &mut self.rng;
-        choose(self.rule, now, candidates, &self.views, rng, crossing_us)
+        choose(self.rule, now, candidates, &self.views, rng, price)
     }
 
     pub(crate) fn offered(&mut self, vm: &Name) {
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -289,7 +289,7 @@
         let limit = self.current_limit(now, &running);
         self.limit.offered(now);
         self.depth.observe(now, offer.level);
-        let allowed = self.depth.limit(now, offer.level, limit);
+        let allowed = self.allowed(now, offer.level, limit);
         if self.running.len() < allowed as usize && self.queue.is_empty() {
             self.start(attempt.start(now), &mut actions);
             return actions;
@@ -378,9 +378,21 @@
     /// Takes the first queued attempt for whose level a slot is free.
     fn next_queued(&mut self, now: Moment, limit: u32) -> Option<Attempt<Queued>> {
         let busy = self.running.len() as u32;
-        let depth = &self.depth;
-        self.queue
-            .take_first(|attempt| busy < depth.limit(now, attempt.class().level, limit))
+        let kept = self.cfg.adaptive.then_some(&self.depth);
+        self.queue.take_first(|attempt| {
+            let level = attempt.class().level;
+            busy < kept.map_or(limit, |depth| depth.limit(now, level, limit))
+        })
+    }
+
+    /// The limit for a call of `level`. Where deeper calls go before all others by their priority, no
+    /// slots are kept for them besides.
+    fn allowed(&self, now: Moment, level: u32, limit: u32) -> u32 {
+        if self.cfg.adaptive {
+            self.depth.limit(now, level, limit)
+        } else {
+            limit
+        }
     }
 
     fn expire(&mut self, now: Moment, actions: &mut Vec<Action>) {
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -9,18 +9,25 @@
     /// Identity of the attempt, never reused.
     pub id: AttemptId,
     /// Service the request is for.
+    #[serde(rename = "s")]
     pub service: Name,
     /// Time left until the caller's deadline, in microseconds, when the offer was sent.
+    #[serde(rename = "t")]
     pub remaining_us: u64,
     /// How long the attempt may wait for a slot, in microseconds; none: until its deadline.
+    #[serde(rename = "w")]
     pub patience_us: Option<u64>,
     /// Priority from the policy; a higher number is served first.
+    #[serde(rename = "p")]
     pub priority: u8,
     /// How many services the call has passed; deeper calls are served first.
+    #[serde(rename = "l")]
     pub level: u32,
     /// Whether the request may run more than once.
+    #[serde(rename = "r")]
     pub repeatable: bool,
     /// Whether the home duty may queue the attempt when no slot is free.
+    #[serde(rename = "q")]
     pub may_queue: bool,
 }
 
@@ -28,19 +35,26 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Load {
     /// Attempts running.
+    #[serde(rename = "i")]
     pub in_flight: u32,
     /// Attempts queued.
+    #[serde(rename = "q")]
     pub queued: u32,
     /// Attempts that may run at once now; at most the number of slots.
+    #[serde(rename = "l")]
     pub limit: u32,
     /// Recent service time in microseconds.
+    #[serde(rename = "s")]
     pub service_us: u64,
     /// Share of recent answers that were errors, in thousandths.
+    #[serde(rename = "e")]
     pub errors_permille: u32,
     /// How long work takes at the upstream now, in hundredths of the usual, as it says itself; 0 when
     /// it doesn't say.
+    #[serde(rename = "n")]
     pub slow_percent: u32,
     /// Whether the upstream or its node is leaving.
+    #[serde(rename = "g")]
     pub leaving: bool,
 }
 
--- a/components/names/src/lib.rs
+++ b/components/names/src/lib.rs
@@ -65,8 +65,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AttemptId {
     /// Boot of the entry node that made the attempt.
+    #[serde(rename = "b")]
     pub boot: BootId,
     /// Counter within that boot, rising by one with each attempt.
+    #[serde(rename = "s")]
     pub seq: u64,
 }
 
--- a/components/wire/src/http.rs
+++ b/components/wire/src/http.rs
@@ -7,17 +7,23 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
     /// Service it is for.
+    #[serde(rename = "s")]
     pub service: Name,
     /// HTTP method, as it came.
+    #[serde(rename = "m")]
     pub method: String,
     /// Path and query.
+    #[serde(rename = "t")]
     pub target: String,
     /// End-to-end headers.
+    #[serde(rename = "h")]
     pub headers: Vec<(String, String)>,
     /// The whole body.
+    #[serde(rename = "b")]
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
     /// How many services the call has passed, 0 for an outside caller.
+    #[serde(rename = "l")]
     pub level: u32,
     /// Identity that the caller gave its try; `-` for none.
     pub id: String,
@@ -27,15 +33,20 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     /// HTTP status.
+    #[serde(rename = "s")]
     pub status: u16,
     /// Reason phrase, as the upstream gave it.
+    #[serde(rename = "r")]
     pub reason: String,
     /// End-to-end headers.
+    #[serde(rename = "h")]
     pub headers: Vec<(String, String)>,
     /// The whole body.
+    #[serde(rename = "b")]
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
     /// Length that a `HEAD` answer declares for the body it leaves out.
+    #[serde(rename = "l")]
     pub head_length: Option<u64>,
 }
 
