--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -131,15 +131,29 @@
     if !allowed(Kind::Ended) {
         return;
     }
-    let (outcome, reason, detail) = match outcome {
-        RelayOutcome::Answered(answer) => ("answered", "-", u64::from(answer.status)),
+    let took_ms = took_us / 1_000;
+    match outcome {
+        RelayOutcome::Answered(answer) => {
+            let status = answer.status;
+            tracing::info!(id, outcome = "answered", status, took_ms, "request ended");
+        }
         RelayOutcome::NotRun(refusal) => {
-            ("not-run", refusal.reason.as_str(), refusal.retry_after_ms)
+            let reason = refusal.reason.as_str();
+            let retry_after_ms = refusal.retry_after_ms;
+            tracing::info!(
+                id,
+                outcome = "not-run",
+                reason,
+                retry_after_ms,
+                took_ms,
+                "request ended"
+            );
         }
-        RelayOutcome::Unknown(reason) => ("unknown", reason.as_str(), 0),
-    };
-    let took_ms = took_us / 1_000;
-    tracing::info!(id, outcome, reason, detail, took_ms, "request ended");
+        RelayOutcome::Unknown(reason) => {
+            let reason = reason.as_str();
+            tracing::info!(id, outcome = "unknown", reason, took_ms, "request ended");
+        }
+    }
 }
 
 /// The upstream beside this node registered something new.
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -6,7 +6,7 @@
 use crate::entry_driver::{run_call, Plan};
 use crate::node::Node;
 use crate::relay::{self, Relay};
-use crate::stats;
+use crate::stats::{self, Stage};
 use declarations::{Route, Service};
 use entry::{Outcome, Treatment};
 use futures_util::FutureExt;
@@ -46,7 +46,8 @@
         return response::outcome(names, RelayOutcome::Unknown(Reason::Lost));
     }
     let outcome = outcome(node, call, hung_up).await;
-    audit::call_ended(&id, &outcome, node.now().since(began));
+    let took_us = node.now().since(began);
+    audit::call_ended(&id, &outcome, took_us);
     response::outcome(names, outcome)
 }
 
@@ -241,11 +242,24 @@
 }
 
 async fn direct(node: &Rc<Node>, plan: Plan, hung_up: impl Future<Output = ()>) -> RelayOutcome {
-    match run_call(node, plan, hung_up).await.outcome {
+    let began = node.now();
+    let service = plan.req.service.clone();
+    let outcome = match run_call(node, plan, hung_up).await.outcome {
         Some(Outcome::Answered(answer)) => RelayOutcome::Answered(answer),
         Some(Outcome::NotRun(refusal)) => RelayOutcome::NotRun(refusal),
         Some(Outcome::Unknown(reason)) => RelayOutcome::Unknown(reason),
         None => RelayOutcome::Unknown(Reason::Lost),
+    };
+    let told = outcome_name(&outcome);
+    stats::took(Stage::Whole, &service, told, node.now().since(began));
+    outcome
+}
+
+fn outcome_name(outcome: &RelayOutcome) -> &'static str {
+    match outcome {
+        RelayOutcome::Answered(_) => "answered",
+        RelayOutcome::NotRun(_) => "not-run",
+        RelayOutcome::Unknown(_) => "unknown",
     }
 }
 
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -4,7 +4,7 @@
 use crate::home_driver;
 use crate::links::{self, Reply};
 use crate::node::{Node, Waiter, Whole};
-use crate::stats;
+use crate::stats::{self, Stage};
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
 use entry::{Action, Call, Candidate, Event, Outcome, Price, Treatment};
@@ -208,6 +208,8 @@
         let waiter = Waiter {
             tx: self.tx.clone(),
             vm: to.clone(),
+            offered: node.now(),
+            service: self.req.service.clone(),
             sent_to: local.then_some(node.boot),
         };
         node.waiters.borrow_mut().insert(id, waiter);
@@ -255,6 +257,10 @@
 /// Hands an event to the call that waits for the attempt; counts it as late when there is none.
 pub fn deliver(node: &Rc<Node>, id: AttemptId, event: Event<Whole>) {
     let waiters = node.waiters.borrow();
+    if let Some(waiter) = waiters.get(&id) {
+        let took_us = node.now().since(waiter.offered);
+        stats::took(Stage::Offer, &waiter.service, event.as_str(), took_us);
+    }
     let delivered = waiters
         .get(&id)
         .is_some_and(|waiter| waiter.tx.try_send(event).is_ok());
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -7,7 +7,7 @@
 use crate::local;
 use crate::node::{Job, Node, Whole};
 use crate::registration::{self, Registration};
-use crate::stats;
+use crate::stats::{self, Stage};
 use crate::upstream::{Failure, Terms};
 use async_std::future::timeout;
 use async_std::task;
@@ -55,6 +55,8 @@
         deadline: now + offer.remaining_us,
         key,
         priority: offer.priority,
+        taken_in: now,
+        started: None,
         repeatable: offer.repeatable,
         cancel: None,
     };
@@ -268,6 +270,27 @@
     }
 }
 
+/// How long the attempt waited for a slot, and how long it took at the upstream.
+fn measure(node: &Node, job: &Job, frame: &Frame) {
+    let outcome = match frame {
+        Frame::Answered { .. } => "answered",
+        Frame::Broken { .. } => "broken",
+        _ => "not-run",
+    };
+    let service = &job.req.service;
+    let now = node.now();
+    let waited_until = job.started.unwrap_or(now);
+    stats::took(
+        Stage::Queue,
+        service,
+        outcome,
+        waited_until.since(job.taken_in),
+    );
+    if let Some(started) = job.started {
+        stats::took(Stage::Upstream, service, outcome, now.since(started));
+    }
+}
+
 fn audit_home(node: &Rc<Node>, id: AttemptId, decision: &str, reason: Option<Reason>) {
     let jobs = node.jobs.borrow();
     let caller_id = jobs.get(&id).map_or("-", |job| job.req.id.as_str());
@@ -277,16 +300,19 @@
 fn end_job(node: &Rc<Node>, id: AttemptId, frame: Frame) {
     let job = node.jobs.borrow_mut().remove(&id);
     if let Some(job) = job {
+        measure(node, &job, &frame);
         job.reply.send(node, frame);
     }
 }
 
 fn start(node: &Rc<Node>, id: AttemptId) {
     let (tx, rx) = async_channel::bounded(1);
+    let now = node.now();
     let job = {
         let mut jobs = node.jobs.borrow_mut();
         let job = jobs.get_mut(&id).expect("a started attempt has a job");
         job.cancel = Some(tx);
+        job.started = Some(now);
         job.clone()
     };
     if let Some(key) = job.key {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -42,6 +42,8 @@
 /// `source` reads the settings again.
 pub fn run(cfg: Settings, adapter: Option<Box<dyn Adapter>>, source: reload::Source) -> Result<()> {
     let prometheus = PrometheusBuilder::new()
+        .set_buckets(stats::LATENCY_BUCKETS)
+        .map_err(|error| Error::new(Step::Operators, "metrics", error))?
         .install_recorder()
         .map_err(|error| Error::new(Step::Operators, "metrics", error))?;
     let signals = stop::signals().map_err(|error| Error::new(Step::Settings, "signals", error))?;
@@ -50,6 +52,7 @@
         let callers = bind(cfg.callers).await?;
         let peers = bind(cfg.peers).await?;
         let operators = bind(cfg.operators).await?;
+        local::spawn(operators::run_upkeep(prometheus.clone()));
         let served = operators::serve(operators, tx, prometheus, cfg.fleet_key.clone());
         let node = Node::new(cfg, adapter);
         tracing::info!(vm = %node.cfg.vm, hall = %node.cfg.hall, boot = %node.boot, "started");
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -62,6 +62,10 @@
     pub key: Option<KeyHash>,
     /// Priority at the home duty.
     pub priority: u8,
+    /// When it was taken in.
+    pub taken_in: Moment,
+    /// When it got a slot.
+    pub started: Option<Moment>,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// Tells the running exchange that nobody waits for it.
@@ -87,6 +91,10 @@
     pub tx: Sender<Event<Whole>>,
     /// The VM it was offered to.
     pub vm: Name,
+    /// When it was offered.
+    pub offered: Moment,
+    /// Service that it is for.
+    pub service: Name,
     /// Boot of the home node once any byte of the offer may have left this node.
     pub sent_to: Option<BootId>,
 }
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -24,6 +24,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for the node's thread.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two rounds of [`run_upkeep`].
+const UPKEEP_EVERY: Duration = Duration::from_secs(5);
 /// Largest pushed revision, in bytes.
 const MAX_PUSH_BYTES: usize = 16 * 1024 * 1024;
 
@@ -140,6 +142,15 @@
     }
 }
 
+/// Folds what histograms have taken in into their buckets. Without it they would grow for as long as
+/// nobody reads them.
+pub async fn run_upkeep(prometheus: PrometheusHandle) {
+    loop {
+        task::sleep(UPKEEP_EVERY).await;
+        prometheus.run_upkeep();
+    }
+}
+
 /// Carries out commands on the node's thread.
 pub async fn run_commands(node: Rc<Node>, rx: Receiver<Command>) {
     while let Ok(command) = rx.recv().await {
--- a/components/daemon/src/stats.rs
+++ b/components/daemon/src/stats.rs
@@ -1,6 +1,7 @@
 //! Counters for the operators. Every name the node exports stands here.
 
-use metrics::{counter, gauge};
+use metrics::{counter, gauge, histogram};
+use names::{Name, SECOND};
 
 /// A caller's request ended with this outcome and reason.
 pub fn call_ended(outcome: &'static str, reason: &'static str) {
@@ -58,6 +59,46 @@
     counter!("drumwheel_log_lines_left_out_total").increment(1);
 }
 
+/// Name of the histograms of [`took`].
+pub const LATENCY: &str = "drumwheel_latency_seconds";
+/// Upper bounds of the buckets of latency histograms, in seconds: a factor of about two apart, from
+/// what a hop takes to the longest deadline seen at the users' sites.
+pub const LATENCY_BUCKETS: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2,
+];
+
+/// The parts of a request's time that are measured apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// From the whole request to its outcome, at the node that took it.
+    Whole,
+    /// From the offer to its refusal or answer, as the node that made it saw it.
+    Offer,
+    /// Waiting for a slot beside the upstream.
+    Queue,
+    /// At the upstream.
+    Upstream,
+}
+
+impl Stage {
+    fn as_str(self) -> &'static str {
+        match self {
+            Stage::Whole => "whole",
+            Stage::Offer => "offer",
+            Stage::Queue => "queue",
+            Stage::Upstream => "upstream",
+        }
+    }
+}
+
+/// A stage of a request for `service` took so long, in microseconds, and came out as `outcome`.
+pub fn took(stage: Stage, service: &Name, outcome: &'static str, us: u64) {
+    let seconds = us as f64 / SECOND as f64;
+    let service = service.to_string();
+    histogram!(LATENCY, "stage" => stage.as_str(), "service" => service, "outcome" => outcome)
+        .record(seconds);
+}
+
 /// Sets a gauge.
 pub fn set(name: &'static str, value: f64) {
     gauge!(name).set(value);
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -13,6 +13,9 @@
 const MOST_QUEUE_OFFERS: u32 = 3;
 /// Told to callers when no home duty named a time, in milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+/// The same when every upstream is known to be full, in milliseconds: about the time in which one
+/// request of the users' sites ends.
+const BUSY_RETRY_AFTER_MS: u64 = 100;
 
 /// What the policy says of one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -61,6 +64,26 @@
     HungUp,
 }
 
+impl<A> Event<A> {
+    /// A fixed lower-case name, used as a metric label.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Event::Begin => "begin",
+            Event::Refused(..) => "refused",
+            Event::Revoked(_) => "handed-back",
+            Event::Answered { .. } => "answered",
+            Event::Broken(_) => "broken",
+            Event::NotSent(_) => "not-sent",
+            Event::Lost(_) => "lost",
+            Event::Told(..) => "told",
+            Event::Gone(_) => "gone",
+            Event::Silent(_) => "silent",
+            Event::Expired => "expired",
+            Event::HungUp => "hung-up",
+        }
+    }
+}
+
 /// Something the daemon has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action<A> {
@@ -224,7 +247,12 @@
         }
         let may_queue = entry.rule() != Rule::Expected || self.queue_next(now, entry);
         let Some(to) = self.pick(now, may_queue, entry) else {
-            return self.give_up(Reason::NoUpstream, entry);
+            let reason = if self.candidates.is_empty() {
+                Reason::NoUpstream
+            } else {
+                Reason::Busy
+            };
+            return self.give_up(reason, entry);
         };
         self.asked_to_queue = may_queue;
         self.queue_offers += u32::from(may_queue);
@@ -441,9 +469,13 @@
         if self.maybe_ran {
             return self.finish(Outcome::Unknown(reason));
         }
+        let retry_after_ms = match reason {
+            Reason::Busy => BUSY_RETRY_AFTER_MS,
+            _ => DEFAULT_RETRY_AFTER_MS,
+        };
         let refusal = self.last_refusal.unwrap_or(Refusal {
             reason,
-            retry_after_ms: DEFAULT_RETRY_AFTER_MS,
+            retry_after_ms,
         });
         self.finish(Outcome::NotRun(refusal))
     }
--- /dev/null
+++ b/components/entry/tests/priced.rs
@@ -0,0 +1,90 @@
+//! The choice by expected time with a price for crossing to another hall.
+
+use entry::{Action, Call, Candidate, Entry, Event, Outcome, Price, Rule, Treatment};
+use home::{Load, Reason};
+use names::{BootId, Moment, Name, MILLISECOND};
+
+const NOW: Moment = Moment(10_000_000);
+
+fn candidate(vm: &str, same_hall: bool) -> Candidate {
+    Candidate {
+        vm: Name::from(vm),
+        same_hall,
+        own: false,
+    }
+}
+
+fn load(in_flight: u32, queued: u32, slow_percent: u32) -> Load {
+    Load {
+        in_flight,
+        queued,
+        limit: 4,
+        service_us: 60 * MILLISECOND,
+        slow_percent,
+        ..Load::default()
+    }
+}
+
+/// Where the first offer of a call goes, given reports of the upstreams `near` and `far`.
+fn first_offer(near: Load, far: Load, crossing_ms: u64) -> Vec<Action<u64>> {
+    let mut entry = Entry::new(BootId(1), Rule::Priced, 7);
+    entry.reported(NOW, &Name::from("near"), near);
+    entry.reported(NOW, &Name::from("far"), far);
+    let candidates = vec![candidate("near", true), candidate("far", false)];
+    let treatment = Treatment {
+        repeatable: true,
+        priority: 5,
+        attempts: 2,
+    };
+    let price = Price {
+        crossing_us: crossing_ms * MILLISECOND,
+        patience_us: 40 * MILLISECOND,
+    };
+    let mut call = Call::new("s".into(), treatment, NOW + 9_000_000, candidates).with_price(price);
+    call.step(NOW, Event::Begin, &mut entry)
+}
+
+fn goes_to(actions: &[Action<u64>], vm: &str) -> bool {
+    matches!(actions, [Action::Offer { to, .. }] if to.as_str() == vm)
+}
+
+#[test]
+fn an_upstream_of_the_own_hall_is_taken_while_it_is_about_as_good() {
+    assert!(goes_to(
+        &first_offer(load(3, 0, 100), load(0, 0, 100), 60),
+        "near"
+    ));
+}
+
+#[test]
+fn a_slow_upstream_is_left_when_the_way_costs_less_than_the_wait() {
+    let slow = load(4, 3, 400);
+    assert!(goes_to(&first_offer(slow, load(0, 0, 100), 60), "far"));
+    assert!(goes_to(&first_offer(slow, load(0, 0, 100), 2_000), "near"));
+}
+
+#[test]
+fn a_request_never_crosses_to_an_upstream_that_is_known_to_be_full() {
+    let full = load(4, 9, 100);
+    assert!(goes_to(&first_offer(load(4, 9, 400), full, 0), "near"));
+}
+
+#[test]
+fn when_every_upstream_is_known_to_be_full_the_caller_is_told_to_come_back_soon() {
+    let mut entry = Entry::new(BootId(1), Rule::Priced, 7);
+    entry.reported(NOW, &Name::from("far"), load(4, 9, 100));
+    let treatment = Treatment {
+        repeatable: true,
+        priority: 5,
+        attempts: 2,
+    };
+    let candidates = vec![candidate("far", false)];
+    let mut call: Call<u64> =
+        Call::new("s".into(), treatment, NOW + 9_000_000, candidates).with_price(Price::default());
+    let actions = call.step(NOW, Event::Begin, &mut entry);
+    let [Action::Finish(Outcome::NotRun(refusal))] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(refusal.reason, Reason::Busy);
+    assert!(refusal.retry_after_ms < 500);
+}
--- a/components/home/tests/home.rs
+++ b/components/home/tests/home.rs
@@ -223,3 +223,43 @@
     assert_eq!(delay.observe(1_001_000, Moment(6_250)), 0);
     assert_eq!(delay.observe(1_002_000, Moment(3_007_250)), 3_000_000);
 }
+
+#[test]
+fn an_attempt_waits_no_longer_for_a_slot_than_its_patience() {
+    let mut home: Home<u64> = Home::new(BootId(1), Config::default());
+    let mut now = Moment(1_000);
+    for seq in 0..6 {
+        home.offer(now, &offer(seq));
+    }
+    let mut patient = offer(6);
+    patient.patience_us = Some(40 * MILLISECOND);
+    assert_eq!(home.offer(now, &patient), []);
+    now = now + 39 * MILLISECOND;
+    assert_eq!(home.tick(now), []);
+    now = now + 2 * MILLISECOND;
+    let actions = home.tick(now);
+    let [Action::Refuse(refused, refusal)] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((*refused, refusal.reason), (id(6), Reason::Busy));
+    assert_eq!(home.ask(now, id(6), BootId(1)), AskReply::Revoked);
+}
+
+#[test]
+fn only_the_usable_part_of_the_slots_is_used() {
+    let cfg = Config {
+        slots: 6,
+        usable: 0.8,
+        adaptive: false,
+        ..Config::default()
+    };
+    let mut home: Home<u64> = Home::new(BootId(1), cfg);
+    let now = Moment(1_000);
+    let started = (0..6)
+        .flat_map(|seq| home.offer(now, &offer(seq)))
+        .filter(|action| matches!(action, Action::Start(_)))
+        .count();
+    assert_eq!(started, 4);
+    let more = home.replaced(now, 12);
+    assert_eq!(more.len(), 2);
+}
