--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -41,7 +41,7 @@
         let own = Record {
             vm: cfg.vm.clone(),
             hall: cfg.hall.clone(),
-            peers: cfg.peers.to_string(),
+            peers: cfg.peers_told.unwrap_or(cfg.peers).to_string(),
             boot,
             version: Version {
                 generation: 1,
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -93,6 +93,8 @@
     pub callers: SocketAddr,
     /// Where other nodes connect.
     pub peers: SocketAddr,
+    /// Where other nodes are told to connect, when that is another address.
+    pub peers_told: Option<SocketAddr>,
     /// Where operators connect.
     pub operators: SocketAddr,
     /// The upstream beside this node; none on a node with entry duty only.
@@ -184,6 +186,7 @@
     let hall = reader.required("node", "hall", "the name of the data hall");
     let callers = address(reader, "listen", "callers");
     let peers = address(reader, "listen", "peers");
+    let peers_told = optional_address(reader, "listen", "peers_told");
     let operators = address(reader, "listen", "operators");
     let upstream = optional_address(reader, "upstream", "address");
     let slots = reader.number_or("upstream", "slots", 1..=MOST_SLOTS, 1) as u32;
@@ -250,6 +253,7 @@
         hall: Name::from(hall?),
         callers: callers?,
         peers: peers?,
+        peers_told,
         operators: operators?,
         upstream,
         slots,
