Fewer calls to the platform; a choice among hundreds costs what one among a dozen does

Candidates were copied for every upstream of a service.

Change: watches of 25 s, one write at the very first start once the upstream has registered, at most 8 candidates of the own hall and 3 of each other.

Ruled out: few watchers (a node cut from its peers would miss a change).

--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -16,6 +16,7 @@
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
+use rand::seq::IndexedRandom;
 use rollout::{InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -30,6 +31,11 @@
 /// Whole answers kept for repeated keys.
 const MAX_KEY_ANSWERS: usize = 256;
 
+/// Upstreams of the own hall among which one request chooses at most; more are drawn at random, so
+/// that the choice costs the same among hundreds.
+const NEAR_CANDIDATES: usize = 8;
+/// The same of each other hall.
+const FAR_CANDIDATES: usize = 3;
 /// Heartbeats to other nodes in a hall whose operators set no budget in this product's own form: a
 /// node at which something waits is asked a few times a second.
 const REGISTERED_MESSAGES_PER_S: f64 = 400.0;
@@ -358,14 +364,22 @@
             return Vec::new();
         };
         let fleet = registration.fleet.borrow();
-        let ready = fleet.ready(service.as_str());
-        ready
-            .map(|record| Candidate {
-                vm: record.vm.clone(),
-                same_hall: record.hall == self.cfg.hall,
-                own: record.vm == self.cfg.vm,
-            })
-            .collect()
+        let mut rng = rand::rng();
+        let mut candidates = Vec::with_capacity(NEAR_CANDIDATES + FAR_CANDIDATES);
+        for (hall, vms) in fleet.ready(service.as_str()) {
+            let same_hall = *hall == self.cfg.hall;
+            let most = if same_hall {
+                NEAR_CANDIDATES
+            } else {
+                FAR_CANDIDATES
+            };
+            candidates.extend(vms.choose_multiple(&mut rng, most).map(|vm| Candidate {
+                vm: vm.clone(),
+                same_hall,
+                own: *vm == self.cfg.vm,
+            }));
+        }
+        candidates
     }
 
     /// Takes in that the number of known nodes may have changed.
--- a/components/daemon/src/registration/configuration.rs
+++ b/components/daemon/src/registration/configuration.rs
@@ -14,7 +14,7 @@
 
 /// How long one watch waits. A watch whose answer is lost on the way is noticed when it should have
 /// ended; until then the other nodes tell of changes.
-const WATCH: Duration = Duration::from_secs(12);
+const WATCH: Duration = Duration::from_secs(25);
 /// Pause after each change: changes in quick succession come together. Far below the time within
 /// which a change has to be in force.
 const PAUSE: Duration = Duration::from_millis(250);
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -5,10 +5,17 @@
 use crate::local;
 use crate::node::Node;
 use crate::platform_watch::{rest, set_reachable, LEAST_PAUSE_MS};
+use async_std::task;
 use errors::{Error, Result, Step};
 use platform::{Put, Stored};
 use registry::Record;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Looks for the first registration of the upstream before the record is written without one, and the
+/// pause between them: together longer than the time between two registrations.
+const UPSTREAM_LOOKS: u32 = 40;
+const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
 
 /// Writes this node's record whenever it changes. The first time it also reads the others': of two
 /// nodes that start together, the one that lists last sees the other's record.
@@ -16,6 +23,9 @@
     let mut revision = None;
     let mut listed = false;
     let mut pause = LEAST_PAUSE_MS;
+    if node.cfg.first_start {
+        wait_for_upstream(&registration).await;
+    }
     loop {
         match keep(&node, &registration, &mut revision, &mut listed).await {
             Ok(()) => {
@@ -34,6 +44,17 @@
     }
 }
 
+/// At the very first start there is no earlier record to take over, so one write that names the
+/// upstream is enough.
+async fn wait_for_upstream(registration: &Registration) {
+    for _ in 0..UPSTREAM_LOOKS {
+        if registration.local.borrow().current().is_some() {
+            return;
+        }
+        task::sleep(UPSTREAM_PAUSE).await;
+    }
+}
+
 async fn keep(
     node: &Rc<Node>,
     registration: &Rc<Registration>,
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -203,7 +203,11 @@
             !far || !view(views, candidate).is_beyond(now, price.patience_us)
         });
     }
-    let usable = sample(usable, rng);
+    let usable = if rule == Rule::Priced {
+        usable
+    } else {
+        sample(usable, rng)
+    };
     let picked = match rule {
         Rule::Random => usable.first(),
         Rule::TwoChoices => usable
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -22,7 +22,8 @@
 pub struct Fleet {
     me: Name,
     records: BTreeMap<Name, Record>,
-    by_service: HashMap<Name, Vec<Name>>,
+    /// VMs with a ready upstream, by service and hall.
+    ready: HashMap<Name, BTreeMap<Name, Vec<Name>>>,
 }
 
 impl Fleet {
@@ -32,7 +33,7 @@
         let mut fleet = Fleet {
             me,
             records: BTreeMap::new(),
-            by_service: HashMap::new(),
+            ready: HashMap::new(),
         };
         fleet.put(own);
         fleet
@@ -103,13 +104,10 @@
         self.records.is_empty()
     }
 
-    /// VMs whose upstream takes new work for `service`.
-    pub fn ready(&self, service: &str) -> impl Iterator<Item = &Record> {
-        self.by_service
-            .get(service)
-            .into_iter()
-            .flatten()
-            .map(|vm| &self.records[vm])
+    /// VMs whose upstream takes new work for `service`, by hall.
+    pub fn ready(&self, service: &str) -> impl Iterator<Item = (&Name, &[Name])> {
+        let halls = self.ready.get(service).into_iter().flatten();
+        halls.map(|(hall, vms)| (hall, vms.as_slice()))
     }
 
     /// Forgets a VM that is gone for good.
@@ -123,20 +121,23 @@
     fn put(&mut self, record: Record) -> Option<Record> {
         self.unlist(&record.vm);
         if let Some(upstream) = record.upstream.as_ref().filter(|_| record.is_ready()) {
-            let listed = self.by_service.entry(upstream.service.clone()).or_default();
-            listed.push(record.vm.clone());
+            let halls = self.ready.entry(upstream.service.clone()).or_default();
+            let vms = halls.entry(record.hall.clone()).or_default();
+            vms.push(record.vm.clone());
         }
         self.records.insert(record.vm.clone(), record)
     }
 
     fn unlist(&mut self, vm: &Name) {
-        let service = self
-            .records
-            .get(vm)
-            .and_then(|record| record.upstream.as_ref())
-            .map(|upstream| upstream.service.clone());
-        if let Some(listed) = service.and_then(|service| self.by_service.get_mut(&service)) {
-            listed.retain(|other| other != vm);
+        let Some(record) = self.records.get(vm) else {
+            return;
+        };
+        let Some(upstream) = &record.upstream else {
+            return;
+        };
+        let halls = self.ready.get_mut(&upstream.service);
+        if let Some(vms) = halls.and_then(|halls| halls.get_mut(&record.hall)) {
+            vms.retain(|other| other != vm);
         }
     }
 }
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -35,6 +35,11 @@
     }
 }
 
+fn listed(fleet: &Fleet) -> Vec<&str> {
+    let halls = fleet.ready("prices");
+    halls.flat_map(|(_, vms)| vms).map(Name::as_str).collect()
+}
+
 #[test]
 fn a_registration_that_comes_late_changes_nothing() {
     let mut local = Local::default();
@@ -92,10 +97,10 @@
     assert_eq!(fleet.merge(ready.clone()), Merged::Taken(None));
     assert_eq!(fleet.merge(ready.clone()), Merged::Same);
     assert_eq!(fleet.merge(record("b", 1, 9, None)), Merged::Older);
-    assert_eq!(fleet.ready("prices").count(), 1);
+    assert_eq!(listed(&fleet), ["b"]);
     let drains = record("b", 2, 2, Some(instance("x", State::Draining)));
     assert_eq!(fleet.merge(drains), Merged::Taken(Some(ready)));
-    assert_eq!(fleet.ready("prices").count(), 0);
+    assert!(listed(&fleet).is_empty());
 }
 
 #[test]
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -132,6 +132,8 @@
     pub fleet: Fleet,
     /// Service that runs on the VM; the name under which its calls are made.
     pub service: Option<Name>,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// All halls of the deployment.
     pub halls: Vec<Name>,
     /// Where readiness is asked.
@@ -224,6 +226,7 @@
     let service = reader
         .text("node", "service")
         .filter(|name| !name.is_empty());
+    let first_start = reader.value_or("node", "first_start", "true or false", false);
     let halls = reader.text("node", "halls").unwrap_or_default();
     let ready = optional_address(reader, "listen", "ready");
     let ready_path = reader.text("listen", "ready_path");
@@ -236,6 +239,7 @@
     Some(Settings {
         fleet,
         service: service.map(Name::from),
+        first_start,
         halls: halls
             .split([',', ' '])
             .filter(|hall| !hall.is_empty())
