--- /dev/null
+++ b/components/daemon/src/exchange.rs
@@ -0,0 +1,170 @@
+//! One request at the upstream beside this node: what the upstream is told, and what its answer means.
+
+use crate::entry_driver::reported;
+use crate::home_driver::leaving_changed;
+use crate::links;
+use crate::node::{Job, Node, Whole};
+use crate::registration::{self, Registration};
+use crate::stats;
+use crate::upstream::{Failure, Terms};
+use async_std::future::timeout;
+use home::{Home, Verdict};
+use names::AttemptId;
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{Answer, Frame};
+
+/// Names the attempt to an upstream whose platform lists the VMs.
+const ATTEMPT_HEADER: &str = "drumwheel-attempt";
+/// Status by which an upstream says that another run of it was meant; it has not run the request.
+const WRONG_INSTANCE: u16 = 421;
+
+/// One exchange with the upstream, and what it means for the attempt.
+pub async fn run(node: &Rc<Node>, id: AttemptId, job: &Job) -> (Verdict, Option<Answer>) {
+    let Some(pool) = node.pool.clone() else {
+        return (Verdict::NotSent, None);
+    };
+    let left = node.clock.until(job.deadline);
+    let overrun = Duration::from_millis(node.cfg.overrun_ms);
+    let terms = terms(node, id, job, left);
+    match timeout(left + overrun, pool.exchange(&job.req, &terms)).await {
+        Ok(Ok(answer)) => judge(node, job, answer),
+        Ok(Err(Failure::NotSent(error))) => {
+            stats::upstream_failed("not-sent");
+            tracing::info!(id = %job.req.id, %error, "the upstream was not reached");
+            (Verdict::NotSent, None)
+        }
+        Ok(Err(Failure::Broken(error))) => {
+            stats::upstream_failed("broken");
+            tracing::info!(id = %job.req.id, %error, "the upstream broke off");
+            (Verdict::Broken, None)
+        }
+        Err(_) => {
+            stats::upstream_failed("overrun");
+            (Verdict::Broken, None)
+        }
+    }
+}
+
+/// What the upstream is told beside the request.
+fn terms<'a>(node: &'a Node, id: AttemptId, job: &'a Job, left: Duration) -> Terms<'a> {
+    let names = &node.cfg.headers;
+    let mut headers = vec![(names.deadline_ms.as_str(), left.as_millis().to_string())];
+    match &node.registration {
+        Some(registration) => {
+            let instance = registration::current_id(registration);
+            let name = names.expected_instance.as_deref();
+            headers.extend(name.zip(instance).map(|(name, id)| (name, id.to_string())));
+        }
+        None => {
+            headers.push((names.level.as_str(), (job.req.level + 1).to_string()));
+            headers.push((ATTEMPT_HEADER, id.to_string()));
+        }
+    }
+    let name = names.request_id.as_deref();
+    Terms {
+        headers,
+        id: name
+            .map(|name| (name, job.req.id.as_str()))
+            .filter(|(_, id)| *id != "-"),
+        repeatable: job.repeatable,
+    }
+}
+
+/// Reads what a registered upstream says of itself in an answer.
+fn judge_registered(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    answer: Answer,
+) -> (Verdict, Option<Answer>) {
+    let names = &node.cfg.headers;
+    if answer.status == WRONG_INSTANCE {
+        let expected = registration::current_id(registration);
+        let other = names
+            .instance
+            .as_deref()
+            .and_then(|name| http1::value(&answer.headers, name));
+        tracing::info!(?expected, other, "another upstream stands at the address");
+        if let Some(expected) = expected {
+            if registration.local.borrow_mut().is_not(&expected) {
+                registration::local_changed(node, registration);
+            }
+        }
+        return (Verdict::Shed, None);
+    }
+    let load = names
+        .load
+        .as_deref()
+        .and_then(|name| http1::value(&answer.headers, name));
+    if let Some(percent) = load.and_then(slow_percent) {
+        slowness(node, percent);
+    }
+    let not_run = names.not_run.as_deref();
+    if not_run.is_some_and(|name| http1::value(&answer.headers, name).is_some()) {
+        return (Verdict::Shed, None);
+    }
+    let verdict = if answer.is_error() {
+        Verdict::Error
+    } else {
+        Verdict::Good
+    };
+    (verdict, Some(answer))
+}
+
+/// The fourth figure of a load header: how long work takes, in hundredths of the usual.
+fn slow_percent(load: &str) -> Option<u32> {
+    load.split(',').nth(3)?.trim().parse().ok()
+}
+
+/// Takes in how slow the upstream says that it is, and tells the nodes of this hall when it changed.
+fn slowness(node: &Rc<Node>, percent: u32) {
+    let told = |home: &mut Home<Whole>| home.told_slowness(percent);
+    let changed = node.home.borrow_mut().as_mut().is_some_and(told);
+    if changed {
+        let load = node.load();
+        reported(node, &node.cfg.vm, load);
+        links::tell_hall(node, &Frame::Alive { load });
+    }
+}
+
+/// Reads the headers by which an upstream says that it leaves or did not start the request.
+fn judge(node: &Rc<Node>, job: &Job, mut answer: Answer) -> (Verdict, Option<Answer>) {
+    if let Some(registration) = &node.registration {
+        return judge_registered(node, registration, answer);
+    }
+    let in_force = node.in_force();
+    let service = in_force
+        .as_ref()
+        .and_then(|in_force| in_force.declarations.services.get(&job.req.service));
+    let Some(service) = service else {
+        return (Verdict::Good, Some(answer));
+    };
+    let drains = take_header(&mut answer, service.drain_header.as_deref());
+    if drains != node.upstream_leaving.get() {
+        node.upstream_leaving.set(drains);
+        leaving_changed(node);
+    }
+    if take_header(&mut answer, service.shed_header.as_deref()) {
+        return (Verdict::Shed, None);
+    }
+    answer
+        .headers
+        .retain(|(name, _)| !name.to_lowercase().starts_with("drumwheel-"));
+    let verdict = if answer.is_error() {
+        Verdict::Error
+    } else {
+        Verdict::Good
+    };
+    (verdict, Some(answer))
+}
+
+fn take_header(answer: &mut Answer, name: Option<&str>) -> bool {
+    let Some(name) = name else {
+        return false;
+    };
+    let before = answer.headers.len();
+    answer
+        .headers
+        .retain(|(other, _)| !other.eq_ignore_ascii_case(name));
+    answer.headers.len() < before
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod coordinator;
 mod entry_driver;
+mod exchange;
 mod home_driver;
 mod links;
 mod local;
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -1,6 +1,7 @@
 //! The life of one request at its entry node.
 
 use crate::choice::{Candidate, Price, Rule};
+use crate::event::{Action, Event, Outcome, Treatment};
 use crate::shared::Entry;
 use home::{AskReply, Reason, Refusal};
 use names::{AttemptId, Moment, Name};
@@ -17,114 +18,6 @@
 /// request of the users' sites ends.
 const BUSY_RETRY_AFTER_MS: u64 = 100;
 
-/// What the policy says of one request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Treatment {
-    /// Whether the request may run more than once.
-    pub repeatable: bool,
-    /// Priority; a higher number is served first.
-    pub priority: u8,
-    /// Runs of a repeatable request at most, counting the first.
-    pub attempts: u32,
-}
-
-/// Something that happened to a call.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Event<A> {
-    /// The call starts.
-    Begin,
-    /// The home duty refused the attempt.
-    Refused(AttemptId, Refusal),
-    /// The home duty handed the queued attempt back.
-    Revoked(AttemptId),
-    /// A whole answer; `error` when it reports an error of the upstream.
-    Answered {
-        /// The attempt that ran.
-        id: AttemptId,
-        /// The whole answer.
-        answer: A,
-        /// Whether the upstream reports an error of its own.
-        error: bool,
-    },
-    /// The upstream broke off: the attempt ran, and there is no whole answer.
-    Broken(AttemptId),
-    /// No byte of the offer left this node.
-    NotSent(AttemptId),
-    /// The connection to the home node broke after the offer was sent.
-    Lost(AttemptId),
-    /// The home duty's answer to a question.
-    Told(AttemptId, AskReply<A>),
-    /// The home duty that had the attempt is gone or can't be reached.
-    Gone(AttemptId),
-    /// The home node does not answer heartbeats.
-    Silent(AttemptId),
-    /// The caller's deadline passed.
-    Expired,
-    /// The caller closed its connection.
-    HungUp,
-}
-
-impl<A> Event<A> {
-    /// A fixed lower-case name, used as a metric label.
-    pub fn as_str(&self) -> &'static str {
-        match self {
-            Event::Begin => "begin",
-            Event::Refused(..) => "refused",
-            Event::Revoked(_) => "handed-back",
-            Event::Answered { .. } => "answered",
-            Event::Broken(_) => "broken",
-            Event::NotSent(_) => "not-sent",
-            Event::Lost(_) => "lost",
-            Event::Told(..) => "told",
-            Event::Gone(_) => "gone",
-            Event::Silent(_) => "silent",
-            Event::Expired => "expired",
-            Event::HungUp => "hung-up",
-        }
-    }
-}
-
-/// Something the daemon has to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action<A> {
-    /// Offer the request to the home duty beside `to`.
-    Offer {
-        /// The new attempt.
-        id: AttemptId,
-        /// The VM.
-        to: Name,
-        /// Whether it may be queued there.
-        may_queue: bool,
-    },
-    /// Ask the home duty beside `to` about the attempt.
-    Ask {
-        /// The attempt.
-        id: AttemptId,
-        /// The VM.
-        to: Name,
-    },
-    /// Tell the home duty beside `to` that nobody waits for the attempt.
-    Cancel {
-        /// The attempt.
-        id: AttemptId,
-        /// The VM.
-        to: Name,
-    },
-    /// Give the caller its outcome.
-    Finish(Outcome<A>),
-}
-
-/// What the caller is told.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Outcome<A> {
-    /// The whole answer.
-    Answered(A),
-    /// Not run anywhere, and never will be.
-    NotRun(Refusal),
-    /// It may have run.
-    Unknown(Reason),
-}
-
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum State {
     Idle,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod call;
 mod choice;
+mod event;
 mod retry;
 mod shared;
 mod split;
 
-pub use call::{Action, Call, Event, Outcome, Treatment};
+pub use call::Call;
 pub use choice::{Candidate, Price, Rule, View};
+pub use event::{Action, Event, Outcome, Treatment};
 pub use retry::{RetryBudget, RetryRate};
 pub use shared::Entry;
 pub use split::Split;
--- /dev/null
+++ b/components/home/src/config.rs
@@ -0,0 +1,69 @@
+//! Fixed limits of a home duty, what the daemon has to do for it, and what it counts.
+
+use crate::message::Refusal;
+use names::{AttemptId, SECOND};
+
+/// Fixed limits of a home duty.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Requests the upstream serves at once.
+    pub slots: u32,
+    /// Ends of attempts kept.
+    pub max_records: usize,
+    /// Whole answers kept for replay.
+    pub max_answers: usize,
+    /// How long an end is kept, in microseconds.
+    pub keep_us: u64,
+    /// Part of the slots that is used: many upstreams slow down when they are nearly full.
+    pub usable: f64,
+    /// Whether slowness that is measured here lowers the limit, and a cold upstream is opened slowly.
+    pub adaptive: bool,
+    /// Seed of the generator that spreads returning callers.
+    pub seed: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            slots: 6,
+            max_records: 65_536,
+            max_answers: 64,
+            keep_us: 60 * SECOND,
+            usable: 1.0,
+            adaptive: true,
+            seed: 1,
+        }
+    }
+}
+
+/// Something the daemon has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send the request to the upstream now.
+    Start(AttemptId),
+    /// Tell the entry duty that the attempt was not run and never will be.
+    Refuse(AttemptId, Refusal),
+    /// Hand a queued attempt back, not run, to be moved elsewhere.
+    Revoke(AttemptId),
+}
+
+/// Events counted for the operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counters {
+    /// Offers taken in.
+    pub offers: u64,
+    /// Attempts started.
+    pub started: u64,
+    /// Attempts that waited in the queue.
+    pub queued: u64,
+    /// Attempts refused.
+    pub refused: u64,
+    /// Queued attempts handed back.
+    pub revoked: u64,
+    /// Attempts fenced by a question before they were offered.
+    pub fenced: u64,
+    /// Offers dropped because the attempt was known already.
+    pub late_offers: u64,
+    /// Completions dropped because the attempt was not running.
+    pub late_completions: u64,
+}
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -5,6 +5,7 @@
 //! the daemon to carry out. Invariants are asserted in release builds too.
 
 mod attempt;
+mod config;
 mod delay;
 mod depth;
 mod duty;
@@ -14,9 +15,10 @@
 mod record;
 
 pub use attempt::{Attempt, Offered, Queued, Started};
+pub use config::{Action, Config, Counters};
 pub use delay::Delay;
 pub use depth::Depth;
-pub use duty::{Action, Config, Counters, Home};
+pub use duty::Home;
 pub use limit::{Class, Limit, Verdict};
 pub use message::{AskReply, Load, Offer, Reason, Refusal};
 pub use record::{Known, Record, Records};
