Only nodes that are reached are candidates

Cause: a VM that fell silent keeps its record, looks idle, and is chosen again each time its suspicion ends; the request then waits up to 500 ms for the dial.

Change: an upstream is a candidate only while a connection to its node is open, unless none is.

--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -17,6 +17,7 @@
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
 use rand::seq::IndexedRandom;
+use registry::Fleet;
 use rollout::{InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -364,6 +365,21 @@
             return Vec::new();
         };
         let fleet = registration.fleet.borrow();
+        let reached = self.draw(&fleet, service, |vm| self.is_reached(vm));
+        if reached.is_empty() {
+            return self.draw(&fleet, service, |_| true);
+        }
+        reached
+    }
+
+    /// Whether a connection to a node is open: every node that is known is dialled again and again, so
+    /// one without a connection is cut off or gone.
+    fn is_reached(&self, vm: &Name) -> bool {
+        *vm == self.cfg.vm || matches!(self.links.borrow().get(vm), Some(Link::Up(_)))
+    }
+
+    /// Draws some of the upstreams that take new work for `service`, the own hall's first.
+    fn draw(&self, fleet: &Fleet, service: &Name, fits: impl Fn(&Name) -> bool) -> Vec<Candidate> {
         let mut rng = rand::rng();
         let mut candidates = Vec::with_capacity(NEAR_CANDIDATES + FAR_CANDIDATES);
         for (hall, vms) in fleet.ready(service.as_str()) {
@@ -373,10 +389,12 @@
             } else {
                 FAR_CANDIDATES
             };
-            candidates.extend(vms.choose_multiple(&mut rng, most).map(|vm| Candidate {
-                vm: vm.clone(),
+            let vms: Vec<&Name> = vms.iter().filter(|vm| fits(vm)).collect();
+            let drawn = vms.choose_multiple(&mut rng, most);
+            candidates.extend(drawn.map(|vm| Candidate {
+                vm: (*vm).clone(),
                 same_hall,
-                own: *vm == self.cfg.vm,
+                own: **vm == self.cfg.vm,
             }));
         }
         candidates
