--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -21,41 +21,6 @@
 /// Events of one call that may wait; a call has few attempts and each ends once.
 const EVENTS: usize = 32;
 
-/// Part of a request's objective that it may spend waiting for a slot.
-const PATIENCE_PART: f64 = 0.22;
-/// Price of crossing to another hall, in terms of the objective, for the most urgent requests and
-/// for the least urgent ones. Bytes between halls are scarce.
-const CROSSING_PART: (f64, f64) = (0.3, 1.0);
-/// The same for calls that are made for a running request: they wait at home as long as they can.
-const INNER_CROSSING_PART: f64 = 1.0;
-/// Highest priority.
-const HIGHEST_PRIORITY: u8 = 9;
-/// Priorities over which the price of crossing rises.
-const CROSSING_STEPS: f64 = 2.0;
-
-/// The price of crossing to another hall, in microseconds of waiting.
-fn crossing_us(priority: u8, objective_us: u64) -> u64 {
-    if priority > HIGHEST_PRIORITY {
-        return (objective_us as f64 * INNER_CROSSING_PART) as u64;
-    }
-    let steps = f64::from(HIGHEST_PRIORITY.saturating_sub(priority));
-    let (least, most) = CROSSING_PART;
-    let part = least + (most - least) * (steps / CROSSING_STEPS).min(1.0);
-    (objective_us as f64 * part) as u64
-}
-
-fn price(plan: &Plan) -> Price {
-    let patience_us = if plan.patient {
-        u64::MAX
-    } else {
-        (plan.objective_us as f64 * PATIENCE_PART) as u64
-    };
-    Price {
-        crossing_us: crossing_us(plan.treatment.priority, plan.objective_us),
-        patience_us,
-    }
-}
-
 /// One request on its way to an outcome.
 struct Running<'a> {
     node: &'a Rc<Node>,
@@ -63,8 +28,7 @@
     treatment: Treatment,
     key: Option<KeyHash>,
     began: Moment,
-    objective_us: u64,
-    patient: bool,
+    price: Price,
     call: Call<Whole>,
     tx: Sender<Event<Whole>>,
     attempts: Vec<AttemptId>,
@@ -99,7 +63,7 @@
 /// Takes a request to its outcome.
 pub async fn run_call(node: &Rc<Node>, plan: Plan, hung_up: impl Future<Output = ()>) -> Finished {
     let (tx, rx) = async_channel::bounded(EVENTS);
-    let price = price(&plan);
+    let price = Price::of(plan.treatment.priority, plan.objective_us, plan.patient);
     let call = Call::new(
         plan.req.service.clone(),
         plan.treatment.clone(),
@@ -113,8 +77,7 @@
         treatment: plan.treatment,
         key: plan.key,
         began: node.now(),
-        objective_us: plan.objective_us,
-        patient: plan.patient,
+        price,
         call,
         tx,
         attempts: Vec::new(),
@@ -220,15 +183,11 @@
         }
     }
 
-    /// How long the next offer may wait for a slot. All offers together wait no longer than a part
-    /// of the objective: a caller that is refused early enough can come back in time.
+    /// How long the next offer may wait for a slot: what is left of the call's patience.
     fn patience_us(&self) -> Option<u64> {
-        if self.patient {
-            return None;
-        }
         let spent = self.node.now().since(self.began);
-        let most = (self.objective_us as f64 * PATIENCE_PART) as u64;
-        Some(most.saturating_sub(spent))
+        let patience = self.price.patience_us;
+        patience.map(|patience| patience.saturating_sub(spent))
     }
 
     fn cancel(&mut self, id: AttemptId, to: &Name) {
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -1,7 +1,8 @@
 //! The life of one request at its entry node.
 
-use crate::choice::{Candidate, Price, Rule};
+use crate::choice::{Candidate, Rule};
 use crate::event::{Action, Event, Outcome, Treatment};
+use crate::price::Price;
 use crate::shared::Entry;
 use home::{AskReply, Reason, Refusal};
 use names::{AttemptId, Moment, Name};
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -1,5 +1,6 @@
 //! The choice of an upstream for one attempt.
 
+use crate::price::Price;
 use home::Load;
 use names::{Moment, Name, MILLISECOND};
 use rand::rngs::SmallRng;
@@ -45,16 +46,6 @@
     Random,
 }
 
-/// What a call allows an offer to cost; for [`Rule::Priced`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Price {
-    /// Price of crossing to another hall, in microseconds of waiting.
-    pub crossing_us: u64,
-    /// Longest wait for a slot at an upstream of another hall, in microseconds. One that is known to
-    /// need longer is not asked: the request itself would cross in vain.
-    pub patience_us: u64,
-}
-
 /// An upstream that may serve a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -144,8 +135,11 @@
         service * slow + wait + errors * ERROR_COST_US + way_us(candidate) + crossing
     }
 
-    /// Whether a report that still holds says that a slot comes free only after `patience_us`.
-    fn is_beyond(&self, now: Moment, patience_us: u64) -> bool {
+    /// Whether a report that still holds says that a slot comes free too late for the call.
+    fn is_beyond(&self, now: Moment, price: Price) -> bool {
+        let Some(patience_us) = price.patience_us else {
+            return false;
+        };
         let age = now.since(self.reported) as f64;
         let Some(load) = self.load.filter(|_| age < self.fullness_kept_us()) else {
             return false;
@@ -200,7 +194,7 @@
     if rule == Rule::Priced {
         usable.retain(|candidate| {
             let far = !candidate.same_hall;
-            !far || !view(views, candidate).is_beyond(now, price.patience_us)
+            !far || !view(views, candidate).is_beyond(now, price)
         });
     }
     let usable = if rule == Rule::Priced {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,13 +7,15 @@
 mod call;
 mod choice;
 mod event;
+mod price;
 mod retry;
 mod shared;
 mod split;
 
 pub use call::Call;
-pub use choice::{Candidate, Price, Rule, View};
+pub use choice::{Candidate, Rule, View};
 pub use event::{Action, Event, Outcome, Treatment};
+pub use price::Price;
 pub use retry::{RetryBudget, RetryRate};
 pub use shared::Entry;
 pub use split::Split;
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all calls of one node share.
 
-use crate::choice::{choose, Candidate, Price, Rule, View};
+use crate::choice::{choose, Candidate, Rule, View};
+use crate::price::Price;
 use crate::retry::{RetryBudget, RetryRate};
 use home::Load;
 use names::{AttemptId, BootId, Moment, Name, SECOND};
--- a/components/entry/tests/priced.rs
+++ b/components/entry/tests/priced.rs
@@ -38,7 +38,7 @@
     };
     let price = Price {
         crossing_us: crossing_ms * MILLISECOND,
-        patience_us: 40 * MILLISECOND,
+        patience_us: Some(40 * MILLISECOND),
     };
     let mut call = Call::new("s".into(), treatment, NOW + 9_000_000, candidates).with_price(price);
     call.step(NOW, Event::Begin, &mut entry)
@@ -79,8 +79,11 @@
         attempts: 2,
     };
     let candidates = vec![candidate("far", false)];
-    let mut call: Call<u64> =
-        Call::new("s".into(), treatment, NOW + 9_000_000, candidates).with_price(Price::default());
+    let mut call: Call<u64> = Call::new("s".into(), treatment, NOW + 9_000_000, candidates)
+        .with_price(Price {
+            crossing_us: 0,
+            patience_us: Some(0),
+        });
     let actions = call.step(NOW, Event::Begin, &mut entry);
     let [Action::Finish(Outcome::NotRun(refusal))] = actions.as_slice() else {
         panic!("{actions:?}");
@@ -88,3 +91,15 @@
     assert_eq!(refusal.reason, Reason::Busy);
     assert!(refusal.retry_after_ms < 500);
 }
+
+#[test]
+fn urgent_requests_cross_sooner_and_calls_of_running_requests_wait_until_their_deadline() {
+    let objective = 100 * MILLISECOND;
+    let urgent = Price::of(9, objective, false);
+    let common = Price::of(7, objective, false);
+    assert!(urgent.crossing_us < common.crossing_us);
+    assert_eq!(common, Price::of(0, objective, false));
+    assert!(urgent.patience_us < Some(objective / 4));
+    assert_eq!(Price::of(19, objective, true).patience_us, None);
+    assert_eq!(Price::of(5, 0, false).patience_us, None);
+}
