Upstreams of nearly equal cost are asked for a free slot in turn

Change: when a free slot is asked for, costs are spread by up to their double. The test failed before (nearly all went to the first).

--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -200,7 +200,7 @@
 
     fn pick(&self, now: Moment, may_queue: bool, entry: &mut Entry) -> Option<Name> {
         let open = self.open(may_queue, now, entry);
-        entry.choose(now, &open, self.price)
+        entry.choose(now, &open, self.price, may_queue)
     }
 
     fn refused(
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -28,6 +28,9 @@
 const SLOW_PART: f64 = 0.4;
 /// Share of the cost that is drawn at random, so that entry nodes don't all pick the same upstream.
 const SPREAD: f64 = 0.1;
+/// The same when a free slot is asked for under [`Rule::Priced`]: costs up to twice the least count as
+/// nearly equal. What is known of upstreams is old by then, and all nodes know the same.
+const WIDE_SPREAD: f64 = 1.0;
 /// At most this many candidates are weighed; more are sampled.
 const MOST_WEIGHED: usize = 8;
 
@@ -181,7 +184,8 @@
     }
 }
 
-/// Picks one of `candidates`, or none when there is none left.
+/// Picks one of `candidates`, or none when there is none left. `may_queue` says whether the offer may
+/// wait for a slot.
 pub(crate) fn choose(
     rule: Rule,
     now: Moment,
@@ -189,6 +193,7 @@
     views: &HashMap<Name, View>,
     rng: &mut SmallRng,
     price: Price,
+    may_queue: bool,
 ) -> Option<Name> {
     let mut usable = usable(now, candidates, views);
     if rule == Rule::Priced {
@@ -208,12 +213,15 @@
             .iter()
             .take(2)
             .min_by_key(|candidate| view(views, candidate).reported_load()),
-        Rule::Expected => least(&usable, rng, |candidate| {
+        Rule::Expected => least(&usable, rng, SPREAD, |candidate| {
             view(views, candidate).expected_us(now, candidate)
         }),
-        Rule::Priced => least(&usable, rng, |candidate| {
-            view(views, candidate).priced_us(now, candidate, price)
-        }),
+        Rule::Priced => {
+            let spread = if may_queue { SPREAD } else { WIDE_SPREAD };
+            least(&usable, rng, spread, |candidate| {
+                view(views, candidate).priced_us(now, candidate, price)
+            })
+        }
     };
     picked.map(|candidate| candidate.vm.clone())
 }
@@ -255,12 +263,12 @@
 fn least<'a, 'b>(
     usable: &'b [&'a Candidate],
     rng: &mut SmallRng,
+    spread: f64,
     cost: impl Fn(&Candidate) -> f64,
 ) -> Option<&'b &'a Candidate> {
     let mut best: Option<(&&Candidate, f64)> = None;
     for candidate in usable {
-        let spread = 1.0 + SPREAD * rng.random::<f64>();
-        let cost = cost(candidate) * spread;
+        let cost = cost(candidate) * (1.0 + spread * rng.random::<f64>());
         if best.is_none_or(|(_, least)| cost < least) {
             best = Some((candidate, cost));
         }
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -105,9 +105,18 @@
         now: Moment,
         candidates: &[&Candidate],
         price: Price,
+        may_queue: bool,
     ) -> Option<Name> {
         let rng = &mut self.rng;
-        choose(self.rule, now, candidates, &self.views, rng, price)
+        choose(
+            self.rule,
+            now,
+            candidates,
+            &self.views,
+            rng,
+            price,
+            may_queue,
+        )
     }
 
     pub(crate) fn offered(&mut self, vm: &Name) {
--- a/components/entry/tests/priced.rs
+++ b/components/entry/tests/priced.rs
@@ -164,3 +164,28 @@
         }]
     ));
 }
+
+#[test]
+fn calls_that_know_the_same_spread_over_the_upstreams_of_the_hall() {
+    let mut entry = Entry::new(BootId(1), Rule::Priced, 7);
+    for (i, service_ms) in [70, 90, 110, 130].iter().enumerate() {
+        let known = Load {
+            service_us: service_ms * MILLISECOND,
+            ..load(0, 0, 100)
+        };
+        entry.reported(NOW, &Name::from(format!("near-{i}").as_str()), known);
+    }
+    let later = NOW + 500 * MILLISECOND;
+    let mut chosen = std::collections::BTreeMap::new();
+    for _ in 0..1_000 {
+        let actions = call_among(4).step(later, Event::Begin, &mut entry);
+        let [Action::Offer { to, .. }] = actions.as_slice() else {
+            panic!("{actions:?}");
+        };
+        *chosen.entry(to.to_string()).or_insert(0) += 1;
+        entry.reported(NOW, to, entry.view(to).load.unwrap_or_default());
+    }
+    // A quarter each would be even; before, nearly all went to the first.
+    assert!(chosen["near-0"] < 500, "{chosen:?}");
+    assert!(chosen.len() >= 3, "{chosen:?}");
+}
