A restarted node reads the records before it writes its own

Cause: after a loss of power a node made a refused creation, a write, a list, and one or two more writes, one after the other; with a slow store (240 ms an answer) it knew the others only after three of them. Change: a node that finds its own earlier record, at the same address, takes the others' in first and writes once, when its upstream is known. A new node still writes before it reads.

--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -17,8 +17,7 @@
 const UPSTREAM_LOOKS: u32 = 40;
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
 
-/// Writes this node's record whenever it changes. The first time it also reads the others': of two
-/// nodes that start together, the one that lists last sees the other's record.
+/// Writes this node's record whenever it changes, and reads the others' records once.
 pub async fn run(node: Rc<Node>, registration: Rc<Registration>) {
     let mut revision = None;
     let mut listed = false;
@@ -44,8 +43,7 @@
     }
 }
 
-/// At the very first start there is no earlier record to take over, so one write that names the
-/// upstream is enough.
+/// Waits a little, so that one write that names the upstream is enough.
 async fn wait_for_upstream(registration: &Registration) {
     for _ in 0..UPSTREAM_LOOKS {
         if registration.local.borrow().current().is_some() {
@@ -55,24 +53,45 @@
     }
 }
 
+/// Of two nodes that start together, one must see the other's record. A node that finds its own
+/// earlier record at the same address is seen by whoever reads after it, so it reads first, takes the
+/// record over and knows the others one answer sooner. Any other node writes before it reads: the one
+/// that reads last sees both.
 async fn keep(
     node: &Rc<Node>,
     registration: &Rc<Registration>,
     revision: &mut Option<u64>,
     listed: &mut bool,
 ) -> Result<()> {
+    if !*listed && !node.cfg.first_start {
+        if let Some(earlier) = list(node, registration).await? {
+            *revision = Some(earlier.revision);
+            let own = registration.fleet.borrow().own().peers.clone();
+            *listed = decode(&earlier)?.peers == own;
+        }
+        if *listed {
+            // The others learn of this start over connections; one write is enough.
+            wait_for_upstream(registration).await;
+        }
+    }
     write(node, registration, revision).await?;
-    if *listed {
-        return Ok(());
+    if !*listed {
+        list(node, registration).await?;
+        *listed = true;
     }
+    Ok(())
+}
+
+/// Takes in all records that stand in the store. Returns the object of this node's own VM.
+async fn list(node: &Rc<Node>, registration: &Rc<Registration>) -> Result<Option<Stored>> {
     let kind = registration.adapter.records();
     let listing = registration.adapter.store().list(kind).await?;
+    audit::listed(listing.objects.len(), listing.at);
     for object in &listing.objects {
         peers::taken(node, registration, decode(object)?, None);
     }
-    audit::listed(listing.objects.len(), listing.at);
-    *listed = true;
-    Ok(())
+    let mut objects = listing.objects.into_iter();
+    Ok(objects.find(|object| object.name == node.cfg.vm))
 }
 
 /// Writes the record until what stands in the store is what this node says now.
@@ -91,6 +110,8 @@
             Put::Done(at) => {
                 *revision = Some(at);
                 if registration.fleet.borrow().own().version == own.version {
+                    // What was asked for meanwhile is written.
+                    registration.changed.1.try_recv().ok();
                     return Ok(());
                 }
             }
