Tests look for a free port without binding it

Ruled out: ports shared between tests (a counter gives each its own), outgoing connections (ports lie below their range).

--- a/node/tests/node/fleet.rs
+++ b/node/tests/node/fleet.rs
@@ -193,12 +193,13 @@
 }
 
 /// A port that no other test of this process gets, below those that the system hands out: a port
-/// that was free a moment ago may otherwise be another test's by now.
+/// that was free a moment ago may otherwise be another test's by now. It is not bound to find out: a
+/// process that another test starts just then would hold the socket until its program is loaded.
 fn free() -> SocketAddr {
     loop {
         let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpListener::bind(address).is_ok() {
+        if std::net::TcpStream::connect(address).is_err() {
             return address;
         }
     }
