Few connections between halls; changes reach another hall through two of its nodes

Cause: every node kept a connection to every other and told each change to all. A change is told to the own hall and to the contacts, which pass it on; once a second a node compares a digest of its records, and its revision, with one node of its hall and one contact. registry::spread decides and has its tests: every node learns of a change with two crossings a hall, and what was lost is found by comparisons (200 drawn cases).

--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -3,6 +3,7 @@
 use super::request::CallerRequest;
 use super::response::{self, Response};
 use crate::audit;
+use crate::candidates;
 use crate::entry_driver::{run_call, Plan};
 use crate::node::Node;
 use crate::relay::{self, Relay};
@@ -123,7 +124,7 @@
         attempts: attempts(ruled, call.level),
     };
     let plan = Plan {
-        candidates: node.registered(&service),
+        candidates: candidates::registered(node, &service),
         treatment,
         req: Arc::new(request(node, &service, call)),
         key: None,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod audit;
 mod boot_record;
 mod callers;
+mod candidates;
 mod clock;
 mod configuration;
 mod coordinator;
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -78,7 +78,17 @@
         }
         Frame::Registered(record) => {
             if let Some(registration) = node.registration.clone() {
-                registration::taken(node, &registration, *record, Some(reply));
+                registration::taken(node, &registration, *record, Some((from, reply)));
+            }
+        }
+        Frame::RecordsDigest(digest) => {
+            if let Some(registration) = &node.registration {
+                registration::digest_told(node, registration, digest, reply);
+            }
+        }
+        Frame::RecordVersions(versions) => {
+            if let Some(registration) = &node.registration {
+                registration::versions_told(node, registration, &versions, reply);
             }
         }
         Frame::Summary(summary) => configuration::compare(node, &summary, reply),
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -31,6 +31,8 @@
 const MAX_WAITING_FRAMES: usize = 1_024;
 /// After a failed dial no other is tried for so long, in microseconds.
 const REDIAL_US: u64 = 100 * MILLISECOND;
+/// A node that could not be reached is passed over as a contact for so long, in microseconds.
+const FAILED_KEPT_US: u64 = 2_000 * MILLISECOND;
 
 /// A connection to another node, or the way to one.
 #[derive(Debug)]
@@ -134,6 +136,17 @@
     }
 }
 
+/// Whether a connection to a node is open.
+pub fn is_up(node: &Node, vm: &Name) -> bool {
+    matches!(node.links.borrow().get(vm), Some(Link::Up(_)))
+}
+
+/// Whether the last try to open a connection to a node failed a moment ago.
+pub fn has_failed(node: &Node, vm: &Name) -> bool {
+    let links = node.links.borrow();
+    matches!(links.get(vm), Some(Link::Failed(until)) if node.now() < *until + FAILED_KEPT_US)
+}
+
 /// Opens a connection to a node, unless there is one or the last try has just failed.
 pub fn dial(node: &Rc<Node>, vm: &Name) {
     if !is_apart(node, vm) {
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -16,8 +16,6 @@
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
-use rand::seq::IndexedRandom;
-use registry::Fleet;
 use rollout::{InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -32,11 +30,6 @@
 /// Whole answers kept for repeated keys.
 const MAX_KEY_ANSWERS: usize = 256;
 
-/// Upstreams of the own hall among which one request chooses at most; more are drawn at random, so
-/// that the choice costs the same among hundreds.
-const NEAR_CANDIDATES: usize = 8;
-/// The same of each other hall.
-const FAR_CANDIDATES: usize = 3;
 /// Heartbeats to other nodes in a hall whose operators set no budget in this product's own form: a
 /// node at which something waits is asked a few times a second.
 const REGISTERED_MESSAGES_PER_S: f64 = 400.0;
@@ -359,47 +352,6 @@
         route.shares[share].service.clone()
     }
 
-    /// The upstreams that registered for `service` and take new work.
-    pub fn registered(&self, service: &Name) -> Vec<Candidate> {
-        let Some(registration) = &self.registration else {
-            return Vec::new();
-        };
-        let fleet = registration.fleet.borrow();
-        let reached = self.draw(&fleet, service, |vm| self.is_reached(vm));
-        if reached.is_empty() {
-            return self.draw(&fleet, service, |_| true);
-        }
-        reached
-    }
-
-    /// Whether a connection to a node is open: every node that is known is dialled again and again, so
-    /// one without a connection is cut off or gone.
-    fn is_reached(&self, vm: &Name) -> bool {
-        *vm == self.cfg.vm || matches!(self.links.borrow().get(vm), Some(Link::Up(_)))
-    }
-
-    /// Draws some of the upstreams that take new work for `service`, the own hall's first.
-    fn draw(&self, fleet: &Fleet, service: &Name, fits: impl Fn(&Name) -> bool) -> Vec<Candidate> {
-        let mut rng = rand::rng();
-        let mut candidates = Vec::with_capacity(NEAR_CANDIDATES + FAR_CANDIDATES);
-        for (hall, vms) in fleet.ready(service.as_str()) {
-            let same_hall = *hall == self.cfg.hall;
-            let most = if same_hall {
-                NEAR_CANDIDATES
-            } else {
-                FAR_CANDIDATES
-            };
-            let vms: Vec<&Name> = vms.iter().filter(|vm| fits(vm)).collect();
-            let drawn = vms.choose_multiple(&mut rng, most);
-            candidates.extend(drawn.map(|vm| Candidate {
-                vm: (*vm).clone(),
-                same_hall,
-                own: **vm == self.cfg.vm,
-            }));
-        }
-        candidates
-    }
-
     /// Takes in that the number of known nodes may have changed.
     pub fn fleet_changed(&self) {
         let Some(registration) = &self.registration else {
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -9,7 +9,7 @@
 
 pub use configuration::run as run_configuration;
 pub use door::serve as serve_door;
-pub use peers::{run_dials, taken};
+pub use peers::{digest_told, run_dials, taken, versions_told};
 pub use records::run as run_records;
 
 use crate::audit;
@@ -20,7 +20,7 @@
 use platform::Adapter;
 use registry::{Fleet, Instance, Local, Record, Version};
 use settings::Settings;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// What a node keeps of a registered fleet.
@@ -31,6 +31,8 @@
     pub local: RefCell<Local>,
     /// All nodes.
     pub fleet: RefCell<Fleet>,
+    /// Whether the records in the store were read.
+    pub has_listed: Cell<bool>,
     /// Says that this node's record has changed and has to be stored.
     changed: (Sender<()>, Receiver<()>),
 }
@@ -54,6 +56,7 @@
             adapter,
             local: RefCell::default(),
             fleet: RefCell::new(Fleet::new(own)),
+            has_listed: Cell::new(false),
             changed: async_channel::bounded(1),
         }
     }
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -1,8 +1,8 @@
 //! Records on their way between nodes.
 //!
-//! A node tells its own record to every node it knows, when it changes and whenever a connection
-//! opens; so whoever reaches any node that knows the others is known to all. Nodes that are known
-//! and not connected are dialled again.
+//! A node keeps a connection to every node of its own hall. It tells its own record whenever a
+//! connection opens; how changes reach the other halls, and how nodes find what they missed, is told
+//! in `registry`.
 
 use super::{health, Registration};
 use crate::audit;
@@ -10,7 +10,10 @@
 use crate::local;
 use crate::node::Node;
 use async_std::task;
-use registry::{Merged, Record};
+use names::Name;
+use rand::seq::IndexedRandom;
+use registry::{Merged, Record, Versions};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::Frame;
@@ -19,26 +22,29 @@
 /// the store is away is found within this time.
 const DIAL_EVERY: Duration = Duration::from_millis(250);
 
-/// Tells this node's record to all others.
+/// Every so many looks a node compares what it knows with others: once a second. One that has not read
+/// the records in the store yet does so at each look.
+const COMPARE_EVERY_LOOKS: u32 = 4;
+
+/// Tells this node's record to all others, directly or through others.
 pub fn tell_all(node: &Rc<Node>, registration: &Registration, own: &Record) {
-    let others: Vec<_> = registration
-        .fleet
-        .borrow()
-        .others()
-        .map(|record| record.vm.clone())
-        .collect();
-    for vm in others {
+    let fleet = registration.fleet.borrow();
+    let told = registry::told_of_change(&fleet, |vm| links::has_failed(node, vm));
+    drop(fleet);
+    for vm in told {
         links::send(node, &vm, &Frame::Registered(Box::new(own.clone())));
     }
 }
 
-/// Takes in a record, from the store (no `reply`) or from another node.
+/// Takes in a record, from the store (no `sender`) or from another node, which need not be the one
+/// that the record tells of.
 pub fn taken(
     node: &Rc<Node>,
     registration: &Rc<Registration>,
     record: Record,
-    reply: Option<&Reply>,
+    sender: Option<(&Name, &Reply)>,
 ) {
+    let reply = sender.map(|(_, reply)| reply);
     let vm = record.vm.clone();
     let boot = record.boot;
     let earlier = record.upstream.clone();
@@ -56,13 +62,19 @@
             let renewed = before
                 .as_ref()
                 .is_some_and(|before| before.boot != after.boot);
+            let passed_on = sender.is_some_and(|(from, _)| registry::is_passed_on(&fleet, from));
+            let news = passed_on.then(|| Frame::Registered(Box::new(after.clone())));
             drop(fleet);
+            if let Some(news) = news {
+                links::tell_hall(node, &news);
+            }
             if renewed || moved {
                 links::renew(node, &vm);
                 node.entry.borrow_mut().forget(&vm);
             }
             node.fleet_changed();
-            if let (Some(before), Some(reply), true) = (before, reply, renewed) {
+            let direct = sender.filter(|(from, _)| **from == vm);
+            if let (Some(before), Some((_, reply)), true) = (before, direct, renewed) {
                 // The new start may not know what the one before it has told.
                 reply.send(node, Frame::Registered(Box::new(before)));
             }
@@ -91,17 +103,92 @@
     }
 }
 
-/// Keeps a connection to every node that is known, for as long as the node runs.
+/// Answers a node that knows other records than this one.
+pub fn digest_told(node: &Rc<Node>, registration: &Registration, digest: u64, reply: &Reply) {
+    let fleet = registration.fleet.borrow();
+    if registry::digest(&fleet) == digest {
+        return;
+    }
+    let versions = registry::versions(&fleet);
+    drop(fleet);
+    reply.send(node, Frame::RecordVersions(versions));
+}
+
+/// Sends what another node lacks, and asks for what this one lacks.
+pub fn versions_told(
+    node: &Rc<Node>,
+    registration: &Registration,
+    theirs: &Versions,
+    reply: &Reply,
+) {
+    let fleet = registration.fleet.borrow();
+    let compared = registry::compare(&fleet, theirs);
+    let mine = compared.lacks.then(|| registry::versions(&fleet));
+    drop(fleet);
+    tracing::debug!(
+        news = compared.news.len(),
+        lacks = compared.lacks,
+        "records compared with a peer"
+    );
+    for record in compared.news {
+        reply.send(node, Frame::Registered(Box::new(record)));
+    }
+    if let Some(mine) = mine {
+        reply.send(node, Frame::RecordVersions(mine));
+    }
+}
+
+/// Keeps a connection to every node of the own hall and compares with others, for as long as the node
+/// runs.
 pub async fn run_dials(node: Rc<Node>, registration: Rc<Registration>) {
+    let mut look = 0;
     loop {
         let apart: Vec<_> = {
             let fleet = registration.fleet.borrow();
-            let others = fleet.others().map(|record| record.vm.clone());
-            others.filter(|vm| links::is_apart(&node, vm)).collect()
+            let others = fleet.others();
+            let near = others.filter(|record| record.hall == node.cfg.hall);
+            let near = near.map(|record| record.vm.clone());
+            near.filter(|vm| links::is_apart(&node, vm)).collect()
         };
         for vm in apart {
             links::dial(&node, &vm);
         }
+        look += 1;
+        if look % COMPARE_EVERY_LOOKS == 0 || !registration.has_listed.get() {
+            compare(&node, &registration);
+        }
         task::sleep(DIAL_EVERY).await;
     }
 }
+
+/// Tells what this node knows to one node of its hall and to one contact in another.
+fn compare(node: &Rc<Node>, registration: &Registration) {
+    let (digest, near, far) = {
+        let fleet = registration.fleet.borrow();
+        let others = fleet.others();
+        let near: Vec<Name> = others
+            .filter(|record| record.hall == node.cfg.hall && links::is_up(node, &record.vm))
+            .map(|record| record.vm.clone())
+            .collect();
+        (registry::digest(&fleet), near, far_contact(node, &fleet))
+    };
+    let near = near.choose(&mut rand::rng()).cloned();
+    for vm in near.into_iter().chain(far) {
+        links::send(node, &vm, &Frame::RecordsDigest(digest));
+        links::send(node, &vm, &Frame::Summary(node.summary()));
+    }
+}
+
+/// One of this node's contacts in a hall drawn at random.
+fn far_contact(node: &Rc<Node>, fleet: &registry::Fleet) -> Option<Name> {
+    let halls: BTreeSet<&Name> = fleet.others().map(|record| &record.hall).collect();
+    let halls: Vec<&Name> = halls
+        .into_iter()
+        .filter(|hall| **hall != node.cfg.hall)
+        .collect();
+    let hall = halls.choose(&mut rand::rng())?;
+    let mut ranked = registry::contacts(fleet, hall);
+    ranked.retain(|vm| !links::has_failed(node, vm));
+    ranked.truncate(registry::CONTACTS);
+    ranked.choose(&mut rand::rng()).cloned()
+}
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -20,13 +20,12 @@
 /// Writes this node's record whenever it changes, and reads the others' records once.
 pub async fn run(node: Rc<Node>, registration: Rc<Registration>) {
     let mut revision = None;
-    let mut listed = false;
     let mut pause = LEAST_PAUSE_MS;
     if node.cfg.first_start {
         wait_for_upstream(&registration).await;
     }
     loop {
-        match keep(&node, &registration, &mut revision, &mut listed).await {
+        match keep(&node, &registration, &mut revision).await {
             Ok(()) => {
                 set_reachable(&node, true);
                 pause = LEAST_PAUSE_MS;
@@ -61,23 +60,23 @@
     node: &Rc<Node>,
     registration: &Rc<Registration>,
     revision: &mut Option<u64>,
-    listed: &mut bool,
 ) -> Result<()> {
-    if !*listed && !node.cfg.first_start {
+    let listed = &registration.has_listed;
+    if !listed.get() && !node.cfg.first_start {
         if let Some(earlier) = list(node, registration).await? {
             *revision = Some(earlier.revision);
             let own = registration.fleet.borrow().own().peers.clone();
-            *listed = decode(&earlier)?.peers == own;
+            listed.set(decode(&earlier)?.peers == own);
         }
-        if *listed {
+        if listed.get() {
             // The others learn of this start over connections; one write is enough.
             wait_for_upstream(registration).await;
         }
     }
     write(node, registration, revision).await?;
-    if !*listed {
+    if !listed.get() {
         list(node, registration).await?;
-        *listed = true;
+        listed.set(true);
     }
     Ok(())
 }
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -82,6 +82,11 @@
         self.records.get(vm)
     }
 
+    /// All records, this node's own included.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
     /// The other nodes.
     pub fn others(&self) -> impl Iterator<Item = &Record> {
         self.records.values().filter(|record| record.vm != self.me)
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -6,7 +6,12 @@
 mod fleet;
 mod local;
 mod record;
+mod spread;
 
 pub use fleet::{Fleet, Merged};
 pub use local::{Change, Heartbeat, Local, Verdict};
 pub use record::{Instance, Record, State, Version};
+pub use spread::{
+    compare, contacts, digest, is_passed_on, told_of_change, versions, Comparison, Versions,
+    CONTACTS,
+};
--- /dev/null
+++ b/components/registry/src/spread.rs
@@ -0,0 +1,103 @@
+//! How records spread: within a hall from each node to all, between halls through a few.
+//!
+//! A change is told to every node of the own hall and to [`CONTACTS`] nodes of each other hall, which
+//! pass it on within theirs. What was lost on the way is found by comparison: a node tells the digest
+//! of what it knows, one that knows something else answers with the versions, and gets what it lacks.
+
+use crate::fleet::Fleet;
+use crate::record::{Record, Version};
+use membership::rendezvous;
+use names::Name;
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeSet, HashMap};
+
+/// Nodes of each other hall that are told of a change directly. Two, so that the loss of one during a
+/// change delays it to the next comparison only when both are lost.
+pub const CONTACTS: usize = 2;
+
+/// Which record of each VM a node knows.
+pub type Versions = Vec<(Name, Version)>;
+
+/// What follows from another node's versions.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Comparison {
+    /// Records that the other node lacks.
+    pub news: Vec<Record>,
+    /// Whether the other node knows something that this one lacks.
+    pub lacks: bool,
+}
+
+/// The nodes that are told of this node's change: all of its hall, and contacts of each other hall
+/// among those that are not known to be `unreachable`.
+pub fn told_of_change(fleet: &Fleet, unreachable: impl Fn(&Name) -> bool) -> Vec<Name> {
+    let own_hall = &fleet.own().hall;
+    let near = fleet.others().filter(|record| record.hall == *own_hall);
+    let mut told: Vec<Name> = near.map(|record| record.vm.clone()).collect();
+    let others = fleet.others().map(|record| &record.hall);
+    let halls: BTreeSet<&Name> = others.filter(|hall| *hall != own_hall).collect();
+    for hall in halls {
+        let ranked = contacts(fleet, hall).into_iter();
+        told.extend(ranked.filter(|vm| !unreachable(vm)).take(CONTACTS));
+    }
+    told
+}
+
+/// The nodes of a hall in the order in which this node prefers them as contacts. Each node has an
+/// order of its own, so that the load is spread.
+pub fn contacts(fleet: &Fleet, hall: &Name) -> Vec<Name> {
+    let me = &fleet.own().vm;
+    let others = fleet.others().filter(|record| record.hall == *hall);
+    let mut ranked: Vec<([u8; 32], &Name)> = others
+        .map(|record| (rendezvous(me.as_str(), &record.vm), &record.vm))
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, vm)| vm.clone()).collect()
+}
+
+/// Whether news from `sender` is passed on within the own hall: nodes of the hall tell all of it
+/// themselves.
+pub fn is_passed_on(fleet: &Fleet, sender: &Name) -> bool {
+    let own_hall = &fleet.own().hall;
+    let known = fleet.record(sender);
+    known.is_some_and(|record| record.hall != *own_hall)
+}
+
+/// A digest of all versions: nodes that know the same have the same.
+pub fn digest(fleet: &Fleet) -> u64 {
+    let mut hasher = Sha256::new();
+    for (vm, version) in versions(fleet) {
+        hasher.update(vm.as_str().as_bytes());
+        hasher.update([0]);
+        hasher.update(version.generation.to_le_bytes());
+        hasher.update(version.change.to_le_bytes());
+    }
+    let bytes: [u8; 32] = hasher.finalize().into();
+    u64::from_le_bytes([
+        bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5], bytes[6], bytes[7],
+    ])
+}
+
+/// The version of every record known, this node's own included.
+pub fn versions(fleet: &Fleet) -> Versions {
+    let records = fleet.records();
+    records
+        .map(|record| (record.vm.clone(), record.version))
+        .collect()
+}
+
+/// Compares what another node knows with what this one does.
+pub fn compare(fleet: &Fleet, theirs: &Versions) -> Comparison {
+    let known: HashMap<&Name, Version> = theirs.iter().map(|(vm, at)| (vm, *at)).collect();
+    let is_news = |record: &&Record| {
+        let at = known.get(&record.vm);
+        at.is_none_or(|at| *at < record.version)
+    };
+    let lacks = |(vm, at): &(Name, Version)| {
+        let mine = fleet.record(vm);
+        mine.is_none_or(|record| record.version < *at)
+    };
+    Comparison {
+        news: fleet.records().filter(is_news).cloned().collect(),
+        lacks: theirs.iter().any(lacks),
+    }
+}
--- /dev/null
+++ b/components/registry/tests/spread.rs
@@ -0,0 +1,186 @@
+//! How records spread over halls, and what a lost message costs.
+
+use names::{BootId, Name};
+use proptest::prelude::*;
+use registry::{
+    compare, contacts, digest, is_passed_on, told_of_change, versions, Fleet, Merged, Record,
+    Version, CONTACTS,
+};
+use std::collections::VecDeque;
+
+fn vm(index: usize) -> Name {
+    Name::from(format!("vm-{index}").as_str())
+}
+
+fn record(index: usize, halls: usize) -> Record {
+    Record {
+        vm: vm(index),
+        hall: Name::from(format!("hall-{}", index % halls).as_str()),
+        peers: format!("10.0.0.{index}:81"),
+        boot: BootId(index as u64 + 1),
+        version: Version {
+            generation: 1,
+            change: 0,
+        },
+        serving: true,
+        upstream: None,
+    }
+}
+
+/// Nodes that all know all.
+fn fleets(nodes: usize, halls: usize) -> Vec<Fleet> {
+    let all: Vec<Record> = (0..nodes).map(|index| record(index, halls)).collect();
+    let mut fleets: Vec<Fleet> = all.iter().cloned().map(Fleet::new).collect();
+    for fleet in &mut fleets {
+        for record in &all {
+            fleet.merge(record.clone());
+        }
+    }
+    fleets
+}
+
+fn index_of(vm: &Name) -> usize {
+    vm.as_str()["vm-".len()..].parse().expect("a number")
+}
+
+/// A message on its way: from, to, record.
+type Told = (usize, usize, Record);
+
+/// Delivers messages until none is left; `lost` says which ones get lost. Returns how many crossed
+/// halls.
+fn deliver(
+    fleets: &mut [Fleet],
+    mut waiting: VecDeque<Told>,
+    mut lost: impl FnMut() -> bool,
+) -> usize {
+    let mut crossings = 0;
+    while let Some((from, to, record)) = waiting.pop_front() {
+        let crosses = fleets[from].own().hall != fleets[to].own().hall;
+        crossings += usize::from(crosses);
+        if lost() {
+            continue;
+        }
+        let sender = vm(from);
+        let merged = fleets[to].merge(record.clone());
+        if !matches!(merged, Merged::Taken(_)) || !is_passed_on(&fleets[to], &sender) {
+            continue;
+        }
+        let hall = fleets[to].own().hall.clone();
+        let near = fleets[to].others().filter(|other| other.hall == hall);
+        let near: Vec<usize> = near.map(|other| index_of(&other.vm)).collect();
+        waiting.extend(near.into_iter().map(|other| (to, other, record.clone())));
+    }
+    crossings
+}
+
+/// Changes the record of a node and tells it.
+fn change(fleets: &mut [Fleet], index: usize, lost: impl FnMut() -> bool) -> usize {
+    let record = fleets[index].change_own(|own| own.serving = !own.serving);
+    let told = told_of_change(&fleets[index], |_| false);
+    let waiting = told
+        .iter()
+        .map(|to| (index, index_of(to), record.clone()))
+        .collect();
+    deliver(fleets, waiting, lost)
+}
+
+/// One node compares with another, as nodes do once a second.
+fn exchange(fleets: &mut [Fleet], asker: usize, other: usize) {
+    if digest(&fleets[asker]) == digest(&fleets[other]) {
+        return;
+    }
+    let theirs = versions(&fleets[other]);
+    let for_other = compare(&fleets[asker], &theirs);
+    let waiting = for_other.news.into_iter();
+    deliver(
+        fleets,
+        waiting.map(|record| (asker, other, record)).collect(),
+        || false,
+    );
+    if for_other.lacks {
+        let mine = versions(&fleets[asker]);
+        let for_asker = compare(&fleets[other], &mine);
+        let waiting = for_asker.news.into_iter();
+        deliver(
+            fleets,
+            waiting.map(|record| (other, asker, record)).collect(),
+            || false,
+        );
+    }
+}
+
+#[test]
+fn a_change_reaches_every_node_and_crosses_to_each_hall_a_few_times() {
+    let mut fleets = fleets(60, 4);
+    let crossings = change(&mut fleets, 7, || false);
+    assert_eq!(crossings, 3 * CONTACTS);
+    let first = digest(&fleets[0]);
+    assert!(fleets.iter().all(|fleet| digest(fleet) == first));
+}
+
+#[test]
+fn contacts_that_cannot_be_reached_are_passed_over() {
+    let fleets = fleets(12, 3);
+    let far = Name::from("hall-1");
+    let down = contacts(&fleets[0], &far)[0].clone();
+    let told = told_of_change(&fleets[0], |vm| *vm == down);
+    assert!(!told.contains(&down));
+    let in_far = told.iter().filter(|vm| index_of(vm) % 3 == 1);
+    assert_eq!(in_far.count(), CONTACTS);
+}
+
+#[test]
+fn a_node_that_knows_only_one_other_learns_of_all_from_it() {
+    let mut fleets = fleets(30, 3);
+    let own = fleets[4].own().clone();
+    let other = fleets[20].own().clone();
+    fleets[4] = Fleet::new(own);
+    fleets[4].merge(other);
+    exchange(&mut fleets, 4, 20);
+    assert_eq!(fleets[4].len(), 30);
+}
+
+#[test]
+fn nodes_prefer_different_contacts() {
+    let fleets = fleets(60, 2);
+    let far = Name::from("hall-1");
+    let mut asked = vec![0; 60];
+    for fleet in fleets.iter().filter(|fleet| fleet.own().hall != far) {
+        for contact in contacts(fleet, &far).iter().take(CONTACTS) {
+            asked[index_of(contact)] += 1;
+        }
+    }
+    assert!(asked.iter().all(|count| *count <= 8), "{asked:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
+        ..ProptestConfig::with_cases(200)
+    })]
+
+    #[test]
+    fn whatever_was_lost_is_found_by_comparisons(
+        nodes in 3usize..24,
+        halls in 1usize..5,
+        changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u64>()), 1..12),
+    ) {
+        let mut fleets = fleets(nodes, halls);
+        for (index, losses) in &changes {
+            let mut losses = *losses;
+            change(&mut fleets, index.index(nodes), || {
+                losses = losses.rotate_left(1);
+                losses & 1 == 1
+            });
+        }
+        // Each node compares with the next one in its hall and with one of another hall.
+        for _ in 0..nodes {
+            for asker in 0..nodes {
+                exchange(&mut fleets, asker, (asker + halls) % nodes);
+                exchange(&mut fleets, asker, (asker + 1) % nodes);
+            }
+        }
+        let first = digest(&fleets[0]);
+        prop_assert!(fleets.iter().all(|fleet| digest(fleet) == first));
+    }
+}
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -6,7 +6,7 @@
 use keys::{ClaimReply, KeyHash};
 use membership::VmList;
 use names::{AttemptId, BootId};
-use registry::Record;
+use registry::{Record, Versions};
 use rollout::{Configuration, Summary};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -162,6 +162,11 @@
     },
     /// A node's record of itself and of the upstream beside it.
     Registered(Box<Record>),
+    /// The digest of the records that the sender knows; a receiver that knows others answers with
+    /// their versions.
+    RecordsDigest(u64),
+    /// The versions of the records that the sender knows; the receiver answers with what it lacks.
+    RecordVersions(Versions),
     /// What the sender knows; the receiver answers with what is newer.
     Summary(Summary),
     /// A revision with its content.
