A head has its own time to arrive, and the log names an upstream's slowness

Cause: the operators' bound on heads was read and not used: a caller that stopped half way held its connection for the idle time and was then closed without a word. The slowness that an upstream reports decides offers now and was in no line. Change: 408 once the head is late; slow_percent in the lines of offers and decisions.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -104,6 +104,7 @@
             queued = load.queued,
             limit = load.limit,
             service_ms = load.service_us / 1_000,
+            slow_percent = load.slow_percent,
             "request offered"
         );
     }
@@ -121,6 +122,7 @@
             queued = load.queued,
             limit = load.limit,
             service_ms = load.service_us / 1_000,
+            slow_percent = load.slow_percent,
             "attempt decided"
         );
     }
--- a/components/daemon/src/callers/connection.rs
+++ b/components/daemon/src/callers/connection.rs
@@ -67,13 +67,23 @@
     caller: std::net::IpAddr,
 ) -> bool {
     let limits = Limits::of(node);
-    let head = match timeout(limits.idle, connection.request_head(limits.header_bytes)).await {
+    if !matches!(
+        timeout(limits.idle, connection.begins()).await,
+        Ok(Ok(true))
+    ) {
+        return false;
+    }
+    let head = match timeout(limits.head, connection.request_head(limits.header_bytes)).await {
         Ok(Ok(Some(head))) => head,
-        Ok(Ok(None)) | Err(_) => return false,
+        Ok(Ok(None)) => return false,
         Ok(Err(fault)) => {
             refuse_head(connection.stream(), &fault).await;
             return false;
         }
+        Err(_) => {
+            refuse_late_head(connection.stream()).await;
+            return false;
+        }
     };
     node.open_calls.set(node.open_calls.get() + 1);
     let asked_to_close = request::has_token(&head.headers, "connection", "close");
@@ -107,6 +117,17 @@
     }
 }
 
+/// Answers a caller whose head did not arrive in time.
+async fn refuse_late_head(stream: &TcpStream) {
+    stats::bad_input("caller");
+    tracing::info!(status = 408, "a head did not arrive in time");
+    let reason = Reason::BadRequest.as_str();
+    let cause = "the head did not arrive in time";
+    let text = response::raw(408, response::phrase(408), reason, cause);
+    // Who does not send may not read either.
+    stream.clone().write_all(text.as_bytes()).await.ok();
+}
+
 /// Answers a head that could not be read.
 async fn refuse_head(stream: &TcpStream, fault: &Fault) {
     stats::bad_input("caller");
--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -17,6 +17,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest head when the declarations set none, in bytes.
 const MAX_HEAD_BYTES: usize = 8_000;
+/// Longest time for a head to arrive when the declarations set none.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest rest of a connection when the declarations set none.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -27,7 +29,9 @@
     pub header_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: u64,
-    /// Longest wait for a whole head.
+    /// Longest time from the first byte of a head to its end.
+    pub head: Duration,
+    /// Longest rest of a connection between two requests.
     pub idle: Duration,
 }
 
@@ -44,11 +48,13 @@
             Some(limits) => Limits {
                 header_bytes: limits.header_bytes,
                 body_bytes: own.min(limits.body_bytes as u64),
+                head: Duration::from_millis(limits.header_ms),
                 idle: Duration::from_millis(limits.idle_ms),
             },
             None => Limits {
                 header_bytes: MAX_HEAD_BYTES,
                 body_bytes: own,
+                head: HEAD_TIMEOUT,
                 idle: IDLE_TIMEOUT,
             },
         }
--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -69,6 +69,11 @@
         !self.buf.is_empty()
     }
 
+    /// Waits for the first bytes of the next message; false when the peer closed the connection.
+    pub async fn begins(&mut self) -> Result<bool, Fault> {
+        Ok(self.has_bytes() || self.fill().await? > 0)
+    }
+
     /// The next request head; none when the peer closed the connection between messages.
     pub async fn request_head(&mut self, most: usize) -> Result<Option<RequestHead>, Fault> {
         loop {
