--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -17,8 +17,6 @@
 /// How long after the deadline an answer is waited for when nothing is set, in milliseconds: an
 /// upstream that ignores deadlines may take this long.
 const DEFAULT_OVERRUN_MS: u64 = 30_000;
-/// Time between two registrations when nothing is set, in milliseconds.
-const DEFAULT_HEARTBEAT_MS: u64 = 1_500;
 /// Longest wait of a planned stop when nothing is set, in milliseconds.
 const DEFAULT_STOP_WAIT_MS: u64 = 10_000;
 /// Bound on retries when nothing is set: one in ten calls, and ten at a time.
@@ -134,8 +132,6 @@
     pub service: Option<Name>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
-    /// All halls of the deployment.
-    pub halls: Vec<Name>,
     /// Where readiness is asked.
     pub ready: Option<SocketAddr>,
     /// Path at which readiness is asked.
@@ -148,8 +144,6 @@
     pub overrun_ms: u64,
     /// Whether an answer may end with its connection.
     pub end_by_close: bool,
-    /// Time between two registrations of an upstream, in milliseconds.
-    pub heartbeat_ms: u64,
     /// Fleet-wide bound on retries.
     pub retries: RetryLimit,
 }
@@ -227,31 +221,23 @@
         .text("node", "service")
         .filter(|name| !name.is_empty());
     let first_start = reader.value_or("node", "first_start", "true or false", false);
-    let halls = reader.text("node", "halls").unwrap_or_default();
     let ready = optional_address(reader, "listen", "ready");
     let ready_path = reader.text("listen", "ready_path");
     let registrations = optional_address(reader, "listen", "registrations");
     let headers = headers::read(reader);
     let overrun_ms = millis(reader, "upstream", "overrun", DEFAULT_OVERRUN_MS);
     let end_by_close = reader.value_or("upstream", "end_by_close", "true or false", false);
-    let heartbeat_ms = millis(reader, "upstream", "heartbeat", DEFAULT_HEARTBEAT_MS);
     let retries = retries(reader);
     Some(Settings {
         fleet,
         service: service.map(Name::from),
         first_start,
-        halls: halls
-            .split([',', ' '])
-            .filter(|hall| !hall.is_empty())
-            .map(Name::from)
-            .collect(),
         ready,
         ready_path: ready_path.unwrap_or_else(|| "/readyz".to_string()),
         registrations,
         headers,
         overrun_ms,
         end_by_close,
-        heartbeat_ms,
         retries,
         vm: Name::from(vm?),
         hall: Name::from(hall?),
