What a comparison brings is sent in one message and not passed on

Cause, found in reading the change: a node that had missed everything, for example after its whole hall restarted while the store was away, got each record apart from a contact in another hall and passed each on to all of its hall: 88 records times 21 nodes at today's size, 760 times 94 at the target. Change: news found by comparison is one message of its own, and whoever takes it in passes nothing on, since the others compare as well. The tests of spreading deliver it that way and still converge (200 drawn cases).

--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -78,7 +78,8 @@
         }
         Frame::Registered(record) => {
             if let Some(registration) = node.registration.clone() {
-                registration::taken(node, &registration, *record, Some((from, reply)));
+                let source = registration::Source::Told(from, reply);
+                registration::taken(node, &registration, *record, source);
             }
         }
         Frame::RecordsDigest(digest) => {
@@ -91,6 +92,14 @@
                 registration::versions_told(node, registration, &versions, reply);
             }
         }
+        Frame::Records(records) => {
+            if let Some(registration) = node.registration.clone() {
+                for record in records {
+                    let source = registration::Source::Compared(reply);
+                    registration::taken(node, &registration, record, source);
+                }
+            }
+        }
         Frame::Summary(summary) => configuration::compare(node, &summary, reply),
         Frame::Configuration(configuration) => {
             configuration::take_in(node, (*configuration).clone());
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -9,7 +9,7 @@
 
 pub use configuration::run as run_configuration;
 pub use door::serve as serve_door;
-pub use peers::{digest_told, run_dials, taken, versions_told};
+pub use peers::{digest_told, run_dials, taken, versions_told, Source};
 pub use records::run as run_records;
 
 use crate::audit;
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -36,15 +36,24 @@
     }
 }
 
-/// Takes in a record, from the store (no `sender`) or from another node, which need not be the one
-/// that the record tells of.
-pub fn taken(
-    node: &Rc<Node>,
-    registration: &Rc<Registration>,
-    record: Record,
-    sender: Option<(&Name, &Reply)>,
-) {
-    let reply = sender.map(|(_, reply)| reply);
+/// Where a record came from.
+#[derive(Debug, Clone, Copy)]
+pub enum Source<'a> {
+    /// The platform's store.
+    Store,
+    /// A node that tells a change: its own, or one that it passes on.
+    Told(&'a Name, &'a Reply),
+    /// A node that was found to know more. Nothing of it is passed on: the others compare, too.
+    Compared(&'a Reply),
+}
+
+/// Takes in a record.
+pub fn taken(node: &Rc<Node>, registration: &Rc<Registration>, record: Record, source: Source<'_>) {
+    let (sender, reply) = match source {
+        Source::Store => (None, None),
+        Source::Told(sender, reply) => (Some(sender), Some(reply)),
+        Source::Compared(reply) => (None, Some(reply)),
+    };
     let vm = record.vm.clone();
     let boot = record.boot;
     let earlier = record.upstream.clone();
@@ -62,7 +71,7 @@
             let renewed = before
                 .as_ref()
                 .is_some_and(|before| before.boot != after.boot);
-            let passed_on = sender.is_some_and(|(from, _)| registry::is_passed_on(&fleet, from));
+            let passed_on = sender.is_some_and(|sender| registry::is_passed_on(&fleet, sender));
             let news = passed_on.then(|| Frame::Registered(Box::new(after.clone())));
             drop(fleet);
             if let Some(news) = news {
@@ -73,8 +82,8 @@
                 node.entry.borrow_mut().forget(&vm);
             }
             node.fleet_changed();
-            let direct = sender.filter(|(from, _)| **from == vm);
-            if let (Some(before), Some((_, reply)), true) = (before, direct, renewed) {
+            let direct = reply.filter(|_| sender == Some(&vm));
+            if let (Some(before), Some(reply), true) = (before, direct, renewed) {
                 // The new start may not know what the one before it has told.
                 reply.send(node, Frame::Registered(Box::new(before)));
             }
@@ -130,8 +139,8 @@
         lacks = compared.lacks,
         "records compared with a peer"
     );
-    for record in compared.news {
-        reply.send(node, Frame::Registered(Box::new(record)));
+    if !compared.news.is_empty() {
+        reply.send(node, Frame::Records(compared.news));
     }
     if let Some(mine) = mine {
         reply.send(node, Frame::RecordVersions(mine));
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -1,6 +1,6 @@
 //! This node's record in the store, and the records that the others left there.
 
-use super::{health, peers, Registration};
+use super::{health, peers, Registration, Source};
 use crate::audit;
 use crate::local;
 use crate::node::Node;
@@ -87,7 +87,7 @@
     let listing = registration.adapter.store().list(kind).await?;
     audit::listed(listing.objects.len(), listing.at);
     for object in &listing.objects {
-        peers::taken(node, registration, decode(object)?, None);
+        peers::taken(node, registration, decode(object)?, Source::Store);
     }
     let mut objects = listing.objects.into_iter();
     Ok(objects.find(|object| object.name == node.cfg.vm))
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -165,8 +165,11 @@
     /// The digest of the records that the sender knows; a receiver that knows others answers with
     /// their versions.
     RecordsDigest(u64),
-    /// The versions of the records that the sender knows; the receiver answers with what it lacks.
+    /// The versions of the records that the sender knows; the receiver answers with those that the
+    /// sender lacks.
     RecordVersions(Versions),
+    /// Records that the receiver was found to lack.
+    Records(Vec<Record>),
     /// What the sender knows; the receiver answers with what is newer.
     Summary(Summary),
     /// A revision with its content.
