Whatever reaches an upstream a second time spends from the fleet's budget

Cause: moving on after an upstream turned a request away was free.

Change: such a move, like a second run, takes a repeat out of the service's budget, and is given back when no upstream sees it. A budget is empty at start, so that restarts bring no slack; it earns by requests of clients. Calls made for a repeat are repeats too: they are charged, and a home duty refuses a repeat whose calls would find no budget. Three quarters of the bound are given out.

--- a/components/daemon/benches/decisions.rs
+++ b/components/daemon/benches/decisions.rs
@@ -2,7 +2,7 @@
 
 use budget::{Act, Gate, HallBudget};
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
-use entry::{Call, Candidate, Entry, Event, Rule, Treatment};
+use entry::{Call, Candidate, Entry, Event, Origin, Rule, Treatment};
 use home::{Config, Home, Offer, Verdict};
 use keys::{Begin, Claims, End, KeyHash, Table};
 use names::{AttemptId, BootId, Moment, Name};
@@ -30,6 +30,7 @@
         level: 0,
         repeatable: true,
         may_queue: true,
+        repeat: false,
     }
 }
 
@@ -50,6 +51,8 @@
                     repeatable: true,
                     priority: 1,
                     attempts: 2,
+                    arrivals: 2,
+                    origin: Origin::Client,
                 };
                 let mut call: Call<u64> =
                     Call::new("s".into(), treatment, Moment(9_000_000), candidates.clone());
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -9,7 +9,7 @@
 use crate::relay::{self, Relay};
 use crate::stats::{self, Stage};
 use declarations::{Route, Service};
-use entry::{Outcome, Treatment};
+use entry::{Origin, Outcome, Treatment};
 use futures_util::FutureExt;
 use home::{Reason, Refusal};
 use keys::KEY_DEADLINE_US;
@@ -29,6 +29,9 @@
 const INNER_PRIORITY: u8 = 10;
 /// Headers that begin so are this program's own and are not passed on.
 const PREFIX: &str = "drumwheel-";
+/// Upstreams that may see a request of a policy that lets it run once: one that turns it away unrun may
+/// be followed by another.
+const LEAST_ARRIVALS: u32 = 2;
 /// Told to callers of a node that can't serve yet or was paused, in milliseconds.
 const NOT_SERVING_RETRY_MS: u64 = 1_000;
 
@@ -82,6 +85,8 @@
         repeatable: ruled.repeatable,
         priority: ruled.priority,
         attempts: attempts(&ruled, call.level),
+        arrivals: ruled.attempts.max(LEAST_ARRIVALS),
+        origin: origin(&call),
     };
     let key = call.key.clone().filter(|_| !ruled.repeatable);
     let req = Arc::new(request(node, &service.name, call));
@@ -122,7 +127,12 @@
         repeatable: ruled.repeatable,
         priority,
         attempts: attempts(ruled, call.level),
+        arrivals: ruled.attempts,
+        origin: origin(&call),
     };
+    if is_inner {
+        node.entry.borrow_mut().called_below(&service);
+    }
     let plan = Plan {
         candidates: candidates::registered(node, &service),
         treatment,
@@ -169,6 +179,15 @@
     refused(Reason::NoConfiguration, NOT_SERVING_RETRY_MS)
 }
 
+fn origin(call: &CallerRequest) -> Origin {
+    match call.parent {
+        Some(parent) if parent.repeat => Origin::Repeat,
+        Some(_) => Origin::Run,
+        None if call.level > 0 => Origin::Run,
+        None => Origin::Client,
+    }
+}
+
 /// Only the outermost level repeats a request; twelve levels don't multiply it.
 fn attempts(ruled: &policy::Treatment, level: u32) -> u32 {
     if level == 0 {
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -10,7 +10,7 @@
 use async_channel::Sender;
 use async_std::future::timeout;
 use async_std::task;
-use entry::{Candidate, Outcome, Treatment};
+use entry::{Candidate, Origin, Outcome, Treatment};
 use futures_util::future::join_all;
 use home::Reason;
 use keys::{
@@ -29,6 +29,8 @@
 /// Time between two looks for a revision that another node has already, and their number.
 const REVISION_LOOK: Duration = Duration::from_millis(20);
 const REVISION_LOOKS: u32 = 25;
+/// Upstreams that may see a request with a key, counting those that turned it away unrun.
+const MOST_ARRIVALS: u32 = 2;
 
 /// Carries one request through.
 pub async fn carry_through(node: &Rc<Node>, relay: Relay) -> RelayOutcome {
@@ -216,6 +218,8 @@
             repeatable: false,
             priority: self.relay.priority,
             attempts: 1,
+            arrivals: MOST_ARRIVALS,
+            origin: Origin::Client,
         };
         let plan = Plan {
             candidates: self.candidates(),
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -141,7 +141,12 @@
         for action in actions {
             match action {
                 Action::Finish(finished) => outcome = Some(finished),
-                Action::Offer { id, to, may_queue } => self.offer(id, to, may_queue),
+                Action::Offer {
+                    id,
+                    to,
+                    may_queue,
+                    repeat,
+                } => self.offer(id, to, may_queue, repeat),
                 Action::Ask { id, to } => links::ask(self.node, &to, id),
                 Action::Cancel { id, to } => self.cancel(id, &to),
             }
@@ -149,7 +154,7 @@
         outcome
     }
 
-    fn offer(&mut self, id: AttemptId, to: Name, may_queue: bool) {
+    fn offer(&mut self, id: AttemptId, to: Name, may_queue: bool, repeat: bool) {
         let node = self.node;
         let left = self.call.deadline().since(node.now());
         let offer = Offer {
@@ -161,6 +166,7 @@
             level: self.req.level,
             repeatable: self.treatment.repeatable,
             may_queue,
+            repeat,
         };
         let local = to == node.cfg.vm;
         stats::attempt_offered(local);
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -51,6 +51,7 @@
         taken_in: now,
         started: None,
         repeatable: offer.repeatable,
+        repeat: offer.repeat,
         cancel: None,
     };
     let id = offer.id;
@@ -76,6 +77,9 @@
     if node.home.borrow().is_none() {
         return Some(Reason::NoUpstream);
     }
+    if offer.repeat && !node.entry.borrow().may_run_repeat() {
+        return Some(Reason::Busy);
+    }
     let key = key.filter(|_| !node.jobs.borrow().contains_key(&offer.id))?;
     if node.was_paused() {
         boot_record::paused(node);
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -68,6 +68,8 @@
     pub started: Option<Moment>,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Whether another upstream has seen it before.
+    pub repeat: bool,
     /// Tells the running exchange that nobody waits for it.
     pub cancel: Option<Sender<()>>,
 }
@@ -79,6 +81,8 @@
     pub level: u32,
     /// Its priority.
     pub priority: u8,
+    /// Whether another upstream has seen it before.
+    pub repeat: bool,
 }
 
 /// Between the identity of a request and what a call made for it adds.
@@ -331,6 +335,7 @@
         Some(Parent {
             level: job.req.level,
             priority: job.priority,
+            repeat: job.repeat,
         })
     }
 
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -1,7 +1,7 @@
 //! The life of one request at its entry node.
 
 use crate::choice::{Candidate, Rule};
-use crate::event::{Action, Event, Outcome, Treatment};
+use crate::event::{Action, Event, Origin, Outcome, Treatment};
 use crate::price::Price;
 use crate::shared::Entry;
 use home::{AskReply, Reason, Refusal};
@@ -45,6 +45,10 @@
     queue_offers: u32,
     asked_to_queue: bool,
     runs: u32,
+    /// Upstreams that have seen the request.
+    arrivals: u32,
+    /// Whether a repeat was taken out of the budget and has reached no upstream yet.
+    repeat_paid: bool,
     maybe_ran: bool,
     fallback: Option<A>,
     last_refusal: Option<Refusal>,
@@ -73,6 +77,8 @@
             queue_offers: 0,
             asked_to_queue: false,
             runs: 0,
+            arrivals: 0,
+            repeat_paid: false,
             maybe_ran: false,
             fallback: None,
             last_refusal: None,
@@ -120,7 +126,7 @@
             return Vec::new();
         }
         match event {
-            Event::Begin => self.next(now, entry),
+            Event::Begin => self.begin(now, entry),
             Event::Expired => self.expired(entry),
             Event::HungUp => self.hung_up(entry),
             Event::Refused(id, refusal) => self.refused(now, id, refusal, entry),
@@ -134,6 +140,15 @@
         }
     }
 
+    fn begin(&mut self, now: Moment, entry: &mut Entry) -> Vec<Action<A>> {
+        match self.treatment.origin {
+            Origin::Client => entry.earn_retry(&self.service),
+            Origin::Run => {}
+            Origin::Repeat => entry.charge_retry(&self.service),
+        }
+        self.next(now, entry)
+    }
+
     /// Makes the next offer, or gives up.
     fn next(&mut self, now: Moment, entry: &mut Entry) -> Vec<Action<A>> {
         self.state = State::Idle;
@@ -162,7 +177,13 @@
         entry.offered(&to);
         self.offers += 1;
         self.state = State::Waiting { id, to: to.clone() };
-        vec![Action::Offer { id, to, may_queue }]
+        let repeat = self.arrivals > 0 || self.treatment.origin == Origin::Repeat;
+        vec![Action::Offer {
+            id,
+            to,
+            may_queue,
+            repeat,
+        }]
     }
 
     /// Whether the next offer may queue: enough were made that may not, or no upstream is left
@@ -218,7 +239,8 @@
         self.contacted |= refusal.reason != Reason::Uncertain;
         match refusal.reason {
             Reason::Deadline => return self.give_up(Reason::Deadline, entry),
-            Reason::KeyUsed => return self.finish(Outcome::Unknown(Reason::KeyUsed)),
+            Reason::KeyUsed => return self.finish(Outcome::Unknown(Reason::KeyUsed), entry),
+            Reason::Shed => return self.shed(now, vm, entry),
             Reason::Busy if !self.asked_to_queue => self.refused_by.push(vm),
             Reason::Leaving => {
                 entry.leaving(now, &vm, true);
@@ -229,6 +251,16 @@
         self.next(now, entry)
     }
 
+    /// An upstream has seen the request and turned it away, so the next one sees a repeat.
+    fn shed(&mut self, now: Moment, vm: Name, entry: &mut Entry) -> Vec<Action<A>> {
+        self.closed.push(vm);
+        self.arrived();
+        if !self.may_reach_another(entry) {
+            return self.give_up(Reason::Shed, entry);
+        }
+        self.next(now, entry)
+    }
+
     fn revoked(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
         let Some(vm) = self.end(id, entry) else {
             return Vec::new();
@@ -251,13 +283,9 @@
         let Some(vm) = self.end(id, entry) else {
             return Vec::new();
         };
-        self.runs += 1;
-        if !error {
-            entry.earn_retry(&self.service);
-            return self.finish(Outcome::Answered(answer));
-        }
-        if !self.may_retry(entry) {
-            return self.finish(Outcome::Answered(answer));
+        self.ran();
+        if !error || !self.may_retry(entry) {
+            return self.finish(Outcome::Answered(answer), entry);
         }
         self.fallback = Some(answer);
         self.retry_elsewhere(now, vm, entry)
@@ -267,7 +295,7 @@
         let Some(vm) = self.end(id, entry) else {
             return Vec::new();
         };
-        self.runs += 1;
+        self.ran();
         self.maybe_ran = true;
         if !self.may_retry(entry) {
             return self.give_up(Reason::Lost, entry);
@@ -330,11 +358,12 @@
             return self.dropped();
         };
         entry.suspect(now, &vm);
-        if !self.treatment.repeatable || !self.may_retry(entry) {
+        if !self.may_retry(entry) {
             return Vec::new();
         }
         self.end(id, entry);
         self.runs += 1;
+        self.arrivals += 1;
         self.maybe_ran = true;
         let mut actions = vec![Action::Cancel { id, to: vm.clone() }];
         actions.extend(self.retry_elsewhere(now, vm, entry));
@@ -346,6 +375,7 @@
             return self.give_up(Reason::Deadline, entry);
         };
         self.end(id, entry);
+        self.arrived();
         self.maybe_ran = true;
         let mut actions = vec![Action::Cancel { id, to }];
         actions.extend(self.give_up(Reason::Deadline, entry));
@@ -356,7 +386,10 @@
         let active = self.active();
         if let Some((id, _)) = &active {
             self.end(*id, entry);
+            // Its upstream may have seen the repeat.
+            self.repeat_paid = false;
         }
+        self.refund(entry);
         self.state = State::Done;
         active
             .map(|(id, to)| Action::Cancel { id, to })
@@ -365,10 +398,39 @@
     }
 
     /// Whether another run is within the policy, the call's level and the service's budget.
-    fn may_retry(&self, entry: &mut Entry) -> bool {
+    fn may_retry(&mut self, entry: &mut Entry) -> bool {
         self.treatment.repeatable
             && self.runs < self.treatment.attempts
-            && entry.spend_retry(&self.service)
+            && self.may_reach_another(entry)
+    }
+
+    /// Whether another upstream may see the request. What it costs is taken out of the service's
+    /// budget, once for each upstream after the first.
+    fn may_reach_another(&mut self, entry: &mut Entry) -> bool {
+        if self.arrivals >= self.treatment.arrivals || !entry.spend_retry(&self.service) {
+            return false;
+        }
+        self.repeat_paid = true;
+        true
+    }
+
+    /// Takes in that an upstream has seen the request.
+    fn arrived(&mut self) {
+        self.arrivals += 1;
+        self.repeat_paid = false;
+    }
+
+    fn ran(&mut self) {
+        self.arrived();
+        self.runs += 1;
+    }
+
+    /// Gives back what a repeat cost that reached no upstream.
+    fn refund(&mut self, entry: &mut Entry) {
+        if self.repeat_paid {
+            self.repeat_paid = false;
+            entry.refund_retry(&self.service);
+        }
     }
 
     fn retry_elsewhere(&mut self, now: Moment, vm: Name, entry: &mut Entry) -> Vec<Action<A>> {
@@ -379,12 +441,12 @@
     }
 
     /// The outcome when there is no further offer: never "not run" when any attempt may have run.
-    fn give_up(&mut self, reason: Reason, _entry: &mut Entry) -> Vec<Action<A>> {
+    fn give_up(&mut self, reason: Reason, entry: &mut Entry) -> Vec<Action<A>> {
         if let Some(answer) = self.fallback.take() {
-            return self.finish(Outcome::Answered(answer));
+            return self.finish(Outcome::Answered(answer), entry);
         }
         if self.maybe_ran {
-            return self.finish(Outcome::Unknown(reason));
+            return self.finish(Outcome::Unknown(reason), entry);
         }
         let retry_after_ms = match reason {
             Reason::Busy => BUSY_RETRY_AFTER_MS,
@@ -394,10 +456,11 @@
             reason,
             retry_after_ms,
         });
-        self.finish(Outcome::NotRun(refusal))
+        self.finish(Outcome::NotRun(refusal), entry)
     }
 
-    fn finish(&mut self, outcome: Outcome<A>) -> Vec<Action<A>> {
+    fn finish(&mut self, outcome: Outcome<A>, entry: &mut Entry) -> Vec<Action<A>> {
+        self.refund(entry);
         self.state = State::Done;
         vec![Action::Finish(outcome)]
     }
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -12,6 +12,21 @@
     pub priority: u8,
     /// Runs of a repeatable request at most, counting the first.
     pub attempts: u32,
+    /// Upstreams that may see the request at most, counting those that turned it away unrun.
+    pub arrivals: u32,
+    /// Who sent the request.
+    pub origin: Origin,
+}
+
+/// Who sends a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A client.
+    Client,
+    /// An upstream, for a request that it runs.
+    Run,
+    /// An upstream, for a request that another one has seen before: the call is a repeat too.
+    Repeat,
 }
 
 /// Something that happened to a call.
@@ -81,6 +96,8 @@
         to: Name,
         /// Whether it may be queued there.
         may_queue: bool,
+        /// Whether an upstream has seen the request before.
+        repeat: bool,
     },
     /// Ask the home duty beside `to` about the attempt.
     Ask {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use call::Call;
 pub use choice::{Candidate, Rule, View};
-pub use event::{Action, Event, Outcome, Treatment};
+pub use event::{Action, Event, Origin, Outcome, Treatment};
 pub use price::Price;
 pub use retry::{RetryBudget, RetryRate};
 pub use shared::Entry;
--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -1,23 +1,34 @@
 //! The retry budget of one service.
+//!
+//! The bound holds for the whole fleet and in every window: at most a share of the service's requests,
+//! and a slack beyond it, may reach an upstream a second time. Each node deposits a share for each
+//! request that it takes from a client and saves a part of the slack. A new budget is empty: nodes that
+//! start anew would otherwise bring a slack with them each time.
 
-/// Share of a retry earned by each answered call.
-const EARNED_PER_ANSWER: f64 = 0.1;
-/// Retries that may be saved up.
+/// Share of a repeat deposited for each request where no bound is set.
+const DEPOSIT: f64 = 0.1;
+/// Repeats that may be saved up where no bound is set.
 const MOST_SAVED: f64 = 10.0;
+/// Part of the fleet's bound that is given out. The rest covers calls made for repeats, which are
+/// counted after they were made, and requests that no node took in.
+const GIVEN_OUT: f64 = 0.75;
+/// A node that knows fewer nodes than this, because it has just started or is cut off, shares the slack
+/// as if there were so many.
+const LEAST_NODES: usize = 8;
 
-/// How retries are earned.
+/// How repeats are earned.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryRate {
-    /// Share of a retry earned by each answered call.
-    pub per_answer: f64,
-    /// Retries that may be saved up; also what a budget starts with.
+    /// Share of a repeat deposited for each request of a client.
+    pub per_request: f64,
+    /// Repeats that may be saved up.
     pub most_saved: f64,
 }
 
 impl Default for RetryRate {
     fn default() -> RetryRate {
         RetryRate {
-            per_answer: EARNED_PER_ANSWER,
+            per_request: DEPOSIT,
             most_saved: MOST_SAVED,
         }
     }
@@ -25,36 +36,29 @@
 
 impl RetryRate {
     /// A node's share of a bound that holds for the whole fleet: within a window no more than
-    /// `ratio` of the calls and `slack` beyond that. Half of both is left to nodes that start anew
-    /// with a full budget and to calls of which no answer tells.
+    /// `ratio` of the requests and `slack` beyond that.
     pub fn share(ratio: f64, slack: f64, nodes: usize) -> RetryRate {
         RetryRate {
-            per_answer: ratio / 2.0,
-            most_saved: slack / 2.0 / nodes.max(1) as f64,
+            per_request: ratio * GIVEN_OUT,
+            most_saved: slack * GIVEN_OUT / nodes.max(LEAST_NODES) as f64,
         }
     }
 }
 
-/// Allows retries as a fraction of successes.
-#[derive(Debug, Clone)]
+/// Allows repeats as a fraction of requests.
+#[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
+    /// Repeats that may be made; below zero after calls for repeats, which are not asked.
     saved: f64,
 }
 
 impl RetryBudget {
-    /// A full budget.
-    pub fn new(rate: RetryRate) -> RetryBudget {
-        RetryBudget {
-            saved: rate.most_saved,
-        }
-    }
-
-    /// Takes in an answered call.
+    /// Takes in a request of a client.
     pub fn earn(&mut self, rate: RetryRate) {
-        self.saved = (self.saved + rate.per_answer).min(rate.most_saved);
+        self.saved = (self.saved + rate.per_request).min(rate.most_saved.max(1.0));
     }
 
-    /// Takes one retry out of the budget; false when there is none left.
+    /// Takes one repeat out of the budget; false when there is none left.
     pub fn spend(&mut self) -> bool {
         if self.saved < 1.0 {
             return false;
@@ -62,4 +66,19 @@
         self.saved -= 1.0;
         true
     }
+
+    /// Takes one repeat out in any case: a call made for a repeat is one itself.
+    pub fn charge(&mut self) {
+        self.saved -= 1.0;
+    }
+
+    /// Gives back a repeat that reached no upstream.
+    pub fn refund(&mut self) {
+        self.saved += 1.0;
+    }
+
+    /// Whether a repeat could be made now.
+    pub fn is_open(&self) -> bool {
+        self.saved >= 1.0
+    }
 }
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -7,7 +7,7 @@
 use names::{AttemptId, BootId, Moment, Name, SECOND};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// How long an upstream whose node did not answer is avoided, in microseconds.
 const SUSPECT_US: u64 = SECOND;
@@ -20,6 +20,8 @@
     rule: Rule,
     views: HashMap<Name, View>,
     budgets: HashMap<Name, RetryBudget>,
+    /// Services that the upstream beside this node calls.
+    below: HashSet<Name>,
     retry_rate: RetryRate,
     rng: SmallRng,
 }
@@ -33,6 +35,7 @@
             rule,
             views: HashMap::new(),
             budgets: HashMap::new(),
+            below: HashSet::new(),
             retry_rate: RetryRate::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -135,6 +138,7 @@
         self.retry_rate = rate;
     }
 
+    /// Takes in a request of a client for the service.
     pub(crate) fn earn_retry(&mut self, service: &Name) {
         let rate = self.retry_rate;
         self.budget(service).earn(rate);
@@ -144,12 +148,31 @@
         self.budget(service).spend()
     }
 
+    pub(crate) fn refund_retry(&mut self, service: &Name) {
+        self.budget(service).refund();
+    }
+
+    /// Takes in a call to the service that is made for a repeat.
+    pub(crate) fn charge_retry(&mut self, service: &Name) {
+        self.budget(service).charge();
+    }
+
+    /// Takes in that the upstream beside this node calls `service` for requests that it runs.
+    pub fn called_below(&mut self, service: &Name) {
+        if !self.below.contains(service) {
+            self.below.insert(service.clone());
+        }
+    }
+
+    /// Whether the upstream beside this node may run a repeat: the calls that it makes are repeats at
+    /// the services below, whose budgets must have room for them.
+    pub fn may_run_repeat(&self) -> bool {
+        let is_open = |service| self.budgets.get(service).is_some_and(RetryBudget::is_open);
+        self.below.iter().all(is_open)
+    }
+
     fn budget(&mut self, service: &Name) -> &mut RetryBudget {
-        let rate = self.retry_rate;
-        let budgets = &mut self.budgets;
-        budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(rate))
+        self.budgets.entry(service.clone()).or_default()
     }
 
     fn view_mut(&mut self, vm: &Name) -> &mut View {
--- a/components/entry/tests/attempts/regressions.rs
+++ b/components/entry/tests/attempts/regressions.rs
@@ -59,6 +59,11 @@
 #[test]
 fn a_request_that_an_upstream_shed_moves_on_and_runs_once() {
     let mut world = World::new(1, 2);
+    // Requests that earn the budget for another upstream.
+    for _ in 0..10 {
+        world.call(0, true);
+    }
+    world.settle();
     world.call(0, true);
     world.deliver(0);
     world.finish(0, 0, Verdict::Shed);
@@ -66,7 +71,7 @@
     world.settle();
     world.check();
     assert!(matches!(
-        world.oracle.told.get(&1),
-        Some(Outcome::Answered(1))
+        world.oracle.told.get(&11),
+        Some(Outcome::Answered(11))
     ));
 }
--- a/components/entry/tests/attempts/world/delivery.rs
+++ b/components/entry/tests/attempts/world/delivery.rs
@@ -102,7 +102,12 @@
 
     fn carry_out(&mut self, entry: usize, call: CallId, action: Action<CallId>) {
         match action {
-            Action::Offer { id, to, may_queue } => {
+            Action::Offer {
+                id,
+                to,
+                may_queue,
+                repeat,
+            } => {
                 let home = index(&to);
                 let boot = self.homes[home].boot;
                 self.calls_of.insert(id, call);
@@ -116,6 +121,7 @@
                     level: (call % 3) as u32,
                     repeatable: !self.oracle.once.contains(&call),
                     may_queue,
+                    repeat,
                 };
                 self.send(entry, home, Body::Offer(offer));
             }
--- a/components/entry/tests/attempts/world/mod.rs
+++ b/components/entry/tests/attempts/world/mod.rs
@@ -3,7 +3,7 @@
 
 mod delivery;
 
-use entry::{Call, Candidate, Entry, Event, Outcome, Rule, Treatment};
+use entry::{Call, Candidate, Entry, Event, Origin, Outcome, Rule, Treatment};
 use home::{AskReply, Config, Home, Offer, Refusal, Verdict};
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND, SECOND};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -130,6 +130,8 @@
             repeatable: !once,
             priority: 1,
             attempts: if once { 1 } else { 2 },
+            arrivals: 2,
+            origin: Origin::Client,
         };
         let call = Call::new("s".into(), treatment, self.now + DEADLINE_US, candidates);
         self.entries[entry].calls.insert(id, call);
--- a/components/entry/tests/priced.rs
+++ b/components/entry/tests/priced.rs
@@ -1,6 +1,6 @@
 //! The choice by expected time with a price for crossing to another hall.
 
-use entry::{Action, Call, Candidate, Entry, Event, Outcome, Price, Rule, Treatment};
+use entry::{Action, Call, Candidate, Entry, Event, Origin, Outcome, Price, Rule, Treatment};
 use home::{Load, Reason, Refusal};
 use names::{BootId, Moment, Name, MILLISECOND};
 
@@ -35,6 +35,8 @@
         repeatable: true,
         priority: 5,
         attempts: 2,
+        arrivals: 2,
+        origin: Origin::Client,
     };
     let price = Price {
         crossing_us: crossing_ms * MILLISECOND,
@@ -77,6 +79,8 @@
         repeatable: true,
         priority: 5,
         attempts: 2,
+        arrivals: 2,
+        origin: Origin::Client,
     };
     let candidates = vec![candidate("far", false)];
     let mut call: Call<u64> = Call::new("s".into(), treatment, NOW + 9_000_000, candidates)
@@ -114,6 +118,8 @@
         repeatable: false,
         priority: 5,
         attempts: 2,
+        arrivals: 2,
+        origin: Origin::Client,
     };
     let price = Price {
         crossing_us: 60 * MILLISECOND,
@@ -129,7 +135,10 @@
     let mut actions = call.step(NOW, Event::Begin, &mut entry);
     let mut asked = Vec::new();
     for _ in 0..4 {
-        let [Action::Offer { id, to, may_queue }] = actions.as_slice() else {
+        let [Action::Offer {
+            id, to, may_queue, ..
+        }] = actions.as_slice()
+        else {
             panic!("{actions:?}");
         };
         assert!(!may_queue, "{to} was offered a place in its queue at once");
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -29,6 +29,10 @@
     /// Whether the home duty may queue the attempt when no slot is free.
     #[serde(rename = "q")]
     pub may_queue: bool,
+    /// Whether an upstream has seen the request before, so that this attempt is a repeat; calls that
+    /// are made for a repeat are repeats too.
+    #[serde(rename = "x")]
+    pub repeat: bool,
 }
 
 /// What a home duty knows of its upstream; carried on every answer and refusal.
--- a/components/home/tests/home.rs
+++ b/components/home/tests/home.rs
@@ -23,6 +23,7 @@
         level: 0,
         repeatable: true,
         may_queue: true,
+        repeat: false,
     }
 }
 
@@ -270,6 +271,7 @@
     home.told_slowness(now, 400);
     let at_once = Offer {
         may_queue: false,
+        repeat: false,
         ..offer(1)
     };
     assert_eq!(reason(&home.offer(now, &at_once)), Some(Reason::Busy));
@@ -277,6 +279,7 @@
     let later = now + 300 * MILLISECOND;
     let again = Offer {
         may_queue: false,
+        repeat: false,
         ..offer(3)
     };
     assert_eq!(home.offer(later, &again), [Action::Start(id(3))]);
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -22,6 +22,7 @@
             level: 0,
             repeatable: true,
             may_queue: false,
+            repeat: false,
         },
         key: None,
         req: Arc::new(Request {
