--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -11,7 +11,7 @@
 use async_std::task;
 use budget::Act;
 use futures_util::future::{select, Either};
-use home::{Action, AskReply, Home, Load, Offer, Reason, Refusal, Verdict};
+use home::{Action, AskReply, Home, Load, Looked, Offer, Reason, Refusal, Verdict};
 use keys::{ClaimReply, KeyHash};
 use names::{AttemptId, BootId, Name, MILLISECOND};
 use std::pin::pin;
@@ -241,12 +241,12 @@
     }
 }
 
-/// Takes in what a look brought: how long work takes at the upstream, in hundredths of the usual.
-pub fn looked(node: &Rc<Node>, percent: Option<u32>) {
+/// Takes in what a look at the upstream's pace brought.
+pub fn looked(node: &Rc<Node>, looked: Looked) {
     let now = node.now();
     let before = node.load().slow_percent;
-    with_home(node, |home| home.looked(now, percent));
-    if percent.is_some_and(|percent| percent != before) {
+    with_home(node, |home| home.looked(now, looked));
+    if matches!(looked, Looked::Percent(percent) if percent != before) {
         exchange::pace_changed(node);
     }
 }
--- a/components/daemon/src/look.rs
+++ b/components/daemon/src/look.rs
@@ -13,6 +13,7 @@
 use crate::upstream::{Failure, Terms};
 use async_std::future::timeout;
 use budget::Act;
+use home::Looked;
 use names::Name;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,19 +27,25 @@
 pub fn start(node: &Rc<Node>) {
     let node = node.clone();
     local::spawn(async move {
-        let percent = ask(&node).await;
-        home_driver::looked(&node, percent);
+        let looked = ask(&node).await;
+        home_driver::looked(&node, looked);
     });
 }
 
-async fn ask(node: &Rc<Node>) -> Option<u32> {
-    let registration = node.registration.clone()?;
-    let pool = node.look_pool.clone()?;
-    let req = request(node, &registration)?;
+async fn ask(node: &Rc<Node>) -> Looked {
+    let Some(registration) = node.registration.clone() else {
+        return Looked::Nothing;
+    };
+    let Some(pool) = node.look_pool.clone() else {
+        return Looked::Nothing;
+    };
+    let Some(req) = request(node, &registration) else {
+        return failed("no path to ask at is declared");
+    };
     let now = node.now();
     if !node.gate.borrow_mut().spend(now, Act::LOOK) {
         stats::looked(Look::Refused);
-        return None;
+        return Looked::NoBudget;
     }
     let terms = Terms {
         repeatable: true,
@@ -73,8 +80,8 @@
     })
 }
 
-/// How long work takes, in hundredths of the usual, if the upstream that is expected here says so.
-fn read(node: &Rc<Node>, registration: &Registration, answer: &Answer) -> Option<u32> {
+/// How long work takes, if the upstream that is expected here says so.
+fn read(node: &Rc<Node>, registration: &Registration, answer: &Answer) -> Looked {
     let names = &node.cfg.headers;
     let instance = names
         .instance
@@ -84,16 +91,15 @@
     if instance.is_some() && instance != expected.as_ref().map(Name::as_str) {
         return failed("another upstream answers");
     }
-    let percent = exchange::told_percent(node, answer);
-    if percent.is_none() {
+    let Some(percent) = exchange::told_percent(node, answer) else {
         return failed("the answer names no load");
-    }
+    };
     stats::looked(Look::Answered);
-    percent
+    Looked::Percent(percent)
 }
 
-fn failed(cause: &str) -> Option<u32> {
+fn failed(cause: &str) -> Looked {
     stats::looked(Look::Failed);
     audit::look_failed(cause);
-    None
+    Looked::Nothing
 }
--- a/components/home/src/config.rs
+++ b/components/home/src/config.rs
@@ -39,6 +39,17 @@
     }
 }
 
+/// What a look at the upstream's pace brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Looked {
+    /// How long work takes there, in hundredths of the usual.
+    Percent(u32),
+    /// No word: the upstream did not answer in time, or does not say.
+    Nothing,
+    /// The measuring budget allowed no look; it will soon.
+    NoBudget,
+}
+
 /// Something the daemon has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -1,7 +1,7 @@
 //! The home duty's state machine.
 
 use crate::attempt::{Attempt, Queued, Started};
-use crate::config::{Action, Config, Counters};
+use crate::config::{Action, Config, Counters, Looked};
 use crate::depth::Depth;
 use crate::limit::{Class, Limit, Verdict};
 use crate::message::{AskReply, Load, Offer, Reason, Refusal};
@@ -366,14 +366,15 @@
         true
     }
 
-    /// Takes in what a look brought: how long work takes at the upstream, in hundredths of the usual.
-    pub fn looked(&mut self, now: Moment, percent: Option<u32>) -> Vec<Action> {
+    /// Takes in what a look brought.
+    pub fn looked(&mut self, now: Moment, looked: Looked) -> Vec<Action> {
         self.looking = false;
-        match percent {
-            Some(percent) => {
+        match looked {
+            Looked::Percent(percent) => {
                 self.pace.told(now, percent);
             }
-            None => self.pace.untold(now),
+            Looked::Nothing => self.pace.untold(now),
+            Looked::NoBudget => self.pace.not_asked(now),
         }
         self.wait_for_phase(now);
         let mut actions = Vec::new();
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -16,7 +16,7 @@
 mod record;
 
 pub use attempt::{Attempt, Offered, Queued, Started};
-pub use config::{Action, Config, Counters};
+pub use config::{Action, Config, Counters, Looked};
 pub use delay::Delay;
 pub use depth::Depth;
 pub use duty::Home;
--- a/components/home/src/pace.rs
+++ b/components/home/src/pace.rs
@@ -28,8 +28,9 @@
 const GAP_US: u64 = 60 * MILLISECOND;
 /// Slow phases that the learned length remembers.
 const REMEMBERED_PHASES: f64 = 64.0;
-/// A slow phase that lasts this many times the learned length is the usual pace from then on.
-const LASTING: f64 = 3.0;
+/// A slow phase that lasts this many times the learned length is the usual pace from then on. Measured
+/// against 3, after which work began in phases that were only long: 0.006 of worth on quiet days.
+const LASTING: f64 = 5.0;
 /// Part of the learned length that a phase is expected to go on for, however long it has lasted.
 const LEAST_LEFT: f64 = 0.5;
 /// After a look that brought no word none is made for so long, in microseconds; twice as long after each
@@ -63,6 +64,8 @@
     /// Length of the phases that were watched to their end, in microseconds, and their number.
     ended_us: f64,
     ended: f64,
+    /// Until when the last word is taken for a fresh one, because no look was allowed.
+    trusted_until: Moment,
     blind_until: Moment,
     blind_us: u64,
     /// Time that a run of each class takes at the usual pace, in microseconds.
@@ -129,6 +132,11 @@
         self.blind_until = now + self.blind_us;
     }
 
+    /// Takes in that no look was allowed: the last word has to do for a moment, as long as it counts at all.
+    pub fn not_asked(&mut self, now: Moment) {
+        self.trusted_until = now + FRESH_US;
+    }
+
     /// Takes in how long a whole run took that began on the word `percent`.
     pub fn ran(&mut self, class: Class, service_us: u64, percent: u32) {
         let pace = f64::from(percent.max(USUAL_PERCENT)) / f64::from(USUAL_PERCENT);
@@ -150,7 +158,7 @@
     /// Whether a start has to wait for a new word.
     pub fn is_stale(&self, now: Moment) -> bool {
         let is_fresh = self.told.is_some_and(|told| now.since(told) <= FRESH_US);
-        !is_fresh && !self.is_blind(now)
+        !is_fresh && now >= self.trusted_until && !self.is_blind(now)
     }
 
     /// Whether the last looks brought nothing, so that starts don't wait for one.
