A hall's only upstream is asked for a free slot before its queue or a crossing is chosen

Cause: an entry node chose between the queue of the hall's only upstream and a crossing by reports that were 100 ms old and more; a slow phase lasts 150 to 300 ms.

Change: that upstream is asked for a free slot first, as several are. The refusal brings its wait as it is now, and the choice follows from that.

--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -192,17 +192,11 @@
         self.offers >= IMMEDIATE_OFFERS || self.open(false, now, entry).is_empty()
     }
 
-    /// The same where crossing to another hall has a price: only upstreams of the own hall are asked
-    /// for a free slot at once, and only while there are several. Where there is one, its queue is the
-    /// alternative to crossing.
+    /// The same where crossing to another hall has a price: only upstreams of the own hall are asked for
+    /// a free slot at once. A refusal tells how long the wait there is now, so that what comes next, a
+    /// queue or a crossing, is chosen on news.
     fn queue_next_priced(&self, now: Moment, entry: &Entry) -> bool {
-        let several = self
-            .candidates
-            .iter()
-            .filter(|other| other.same_hall)
-            .count()
-            > 1;
-        !several || self.offers >= IMMEDIATE_NEAR_OFFERS || self.open(false, now, entry).is_empty()
+        self.offers >= IMMEDIATE_NEAR_OFFERS || self.open(false, now, entry).is_empty()
     }
 
     /// The upstreams to which the next offer may go. One that may not queue goes to those that
