No look before work that would not wait in a slow phase anyway

Change: the pace of slow phases is learned, and a class whose extra time in one is less than half a phase starts without a word, before what waits for one if it goes first.

--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -241,7 +241,8 @@
         let limit = self.current_limit(now, &running);
         self.limit.offered(now);
         self.depth.observe(now, offer.level);
-        if self.waits_for_word(now, &mut actions) {
+        let matters = self.pace.matters(class);
+        if matters && self.waits_for_word(now, &mut actions) {
             self.unsettled.push(attempt.id());
             self.queue.put(attempt.queue(now));
             return actions;
@@ -252,7 +253,9 @@
             return actions;
         }
         let allowed = self.allowed(now, offer.level, limit);
-        let is_free = self.running.len() < allowed as usize && self.queue.is_empty();
+        let is_first =
+            self.queue.is_empty() || !matters && self.queue.ahead_of(offer.priority) == 0;
+        let is_free = self.running.len() < allowed as usize && is_first;
         if is_free && !self.lets_wait(now, attempt.class()) {
             self.counters.looks_saved += 1;
             let percent = self.pace.word(now);
@@ -337,7 +340,12 @@
             self.hand_back_all(now, actions);
             return;
         }
-        if self.queue.is_empty() || self.leaving || self.waits_for_word(now, actions) {
+        if self.queue.is_empty() || self.leaving {
+            return;
+        }
+        let pace = &self.pace;
+        let matters = self.queue.any(|attempt| pace.matters(attempt.class()));
+        if matters && self.waits_for_word(now, actions) {
             return;
         }
         while !self.queue.is_empty() {
--- a/components/home/src/pace.rs
+++ b/components/home/src/pace.rs
@@ -20,6 +20,10 @@
 /// The upstream is in a slow phase when work takes this many times as long as usual; up to there most
 /// requests still meet their objective, and a cold start takes twice the time.
 const SLOW_FACTOR: f64 = 2.5;
+/// Pace assumed of slow phases before any was seen, in terms of the usual one, and the weight of a new
+/// word.
+const FIRST_SLOW_FACTOR: f64 = 4.0;
+const SLOW_WEIGHT: f64 = 0.1;
 /// Length assumed of a slow phase before any was seen, in microseconds, and the weight of the
 /// assumption, in phases.
 const FIRST_PHASE_US: f64 = 200.0 * MILLISECOND as f64;
@@ -61,6 +65,8 @@
     /// The last word outside of slow phases, in hundredths: a cold upstream takes longer.
     outside: u32,
     phase: Option<Phase>,
+    /// The pace in slow phases, in terms of the usual one; none before there was a phase.
+    slow_factor: Option<f64>,
     /// Length of the phases that were watched to their end, in microseconds, and their number.
     ended_us: f64,
     ended: f64,
@@ -94,6 +100,9 @@
     /// Begins a slow phase or goes on with it; one that lasts becomes the usual pace.
     fn slow_word(&mut self, now: Moment, percent: u32) {
         let is_near = self.is_near(now);
+        let factor = f64::from(percent) / f64::from(self.usual());
+        let slow = self.slow_factor.get_or_insert(FIRST_SLOW_FACTOR);
+        *slow += (factor - *slow) * SLOW_WEIGHT;
         let phase = self.phase.get_or_insert(Phase {
             since: now,
             is_watched: true,
@@ -178,6 +187,17 @@
         extra * service_us > self.left_us(now) as f64
     }
 
+    /// Whether work of this class would wait for the end of a slow phase, so that a word is of use before
+    /// it starts. Without this, short calls took a third of the looks at a site with slow phases of 300 ms.
+    pub fn matters(&self, class: Class) -> bool {
+        let Some(service_us) = self.services_us.get(&class) else {
+            return true;
+        };
+        let slow = self.slow_factor.unwrap_or(FIRST_SLOW_FACTOR);
+        let extra = (slow - 1.0) * f64::from(self.usual()) / f64::from(USUAL_PERCENT);
+        extra * service_us > self.phase_us() * LEAST_LEFT
+    }
+
     /// Whether the upstream is in a slow phase by a word that still counts.
     pub fn is_slow(&self, now: Moment) -> bool {
         self.word(now) > 0 && self.is_slow_word(self.percent)
--- a/components/home/src/queue.rs
+++ b/components/home/src/queue.rs
@@ -58,6 +58,11 @@
         self.take(id)
     }
 
+    /// Whether any attempt is so.
+    pub(crate) fn any(&self, is_so: impl Fn(&Attempt<Queued>) -> bool) -> bool {
+        self.attempts.values().any(is_so)
+    }
+
     /// The attempt served last.
     pub(crate) fn last(&self) -> Option<&Attempt<Queued>> {
         self.attempts.values().next_back()
--- a/components/home/tests/pace.rs
+++ b/components/home/tests/pace.rs
@@ -104,15 +104,16 @@
 }
 
 #[test]
-fn work_whose_slow_run_is_shorter_than_the_wait_begins_at_once() {
+fn work_whose_slow_run_is_shorter_than_the_wait_begins_at_once_and_needs_no_word() {
     let mut home = duty();
     home.offer(START, &offer(1, true));
     home.looked(START, Looked::Percent(USUAL));
     let now = START + 10 * MILLISECOND;
     home.completed(now, id(1), Verdict::Good, Some(1));
-    home.offer(now + SECOND, &offer(2, true));
-    let actions = home.looked(now + SECOND, Looked::Percent(SLOW));
-    assert_eq!(actions, [Action::Start(id(2))]);
+    let later = now + SECOND;
+    assert_eq!(home.offer(later, &offer(2, true)), [Action::Start(id(2))]);
+    home.told_slowness(later, SLOW);
+    assert_eq!(home.offer(later, &offer(3, true)), [Action::Start(id(3))]);
 }
 
 #[test]
