--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -8,7 +8,7 @@
 use crate::stats;
 use declarations::Route;
 use entry::View;
-use home::{Load, Reason};
+use home::{Load, Offer, Reason};
 use logs::Limiter;
 use names::{AttemptId, Name};
 use registry::{Instance, Record, Verdict};
@@ -75,6 +75,7 @@
             level = call.level,
             deadline_ms = call.deadline_ms.unwrap_or(0),
             timeout_ms = route.treatment.deadline_ms,
+            objective_ms = route.objective_ms,
             open = node.open_calls.get(),
             "request routed"
         );
@@ -97,14 +98,15 @@
 
 /// A request was offered to the node beside an upstream. `view` is what was known of it then, and
 /// `age_us` how old that was.
-pub fn offered(id: &str, attempt: AttemptId, to: &Name, may_queue: bool, view: &View, age_us: u64) {
+pub fn offered(id: &str, offer: &Offer, to: &Name, view: &View, age_us: u64) {
     if allowed(Kind::Offered) {
         let load = view.load.unwrap_or_default();
         tracing::info!(
             id,
-            attempt = %attempt,
+            attempt = %offer.id,
             to = %to,
-            may_queue,
+            may_queue = offer.may_queue,
+            repeat = offer.repeat,
             outstanding = view.outstanding,
             load_age_ms = age_us / 1_000,
             in_flight = load.in_flight,
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -170,9 +170,12 @@
         };
         let local = to == node.cfg.vm;
         stats::attempt_offered(local);
+        if repeat {
+            stats::repeat_offered();
+        }
         let view = node.entry.borrow().view(&to);
         let age_us = node.now().since(view.reported);
-        audit::offered(&self.req.id, id, &to, may_queue, &view, age_us);
+        audit::offered(&self.req.id, &offer, &to, &view, age_us);
         self.attempts.push(id);
         let waiter = Waiter {
             tx: self.tx.clone(),
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -84,6 +84,12 @@
     pub revisions_differ: u64,
     /// Measuring acts that the budget refused.
     pub measuring_refused: u64,
+    /// Looks at the upstream's pace.
+    pub looks: u64,
+    /// Starts on a word of the pace that was fresh without a look.
+    pub looks_saved: u64,
+    /// Learned length of the upstream's slow phases, in microseconds.
+    pub slow_phase_us: u64,
 }
 
 /// A request to the node's thread.
@@ -213,6 +219,11 @@
         revisions_older: rollout.older,
         revisions_differ: rollout.differs,
         measuring_refused: spent.refused,
+        looks: spent.looks,
+        looks_saved: counters.looks_saved,
+        slow_phase_us: home
+            .as_ref()
+            .map_or(0, |home| home.pace().phase_us() as u64),
     }
 }
 
@@ -268,6 +279,9 @@
             "drumwheel_measuring_refused",
             state.measuring_refused as f64,
         ),
+        ("drumwheel_looks", state.looks as f64),
+        ("drumwheel_looks_saved", state.looks_saved as f64),
+        ("drumwheel_slow_phase_us", state.slow_phase_us as f64),
     ];
     for (name, value) in gauges {
         crate::stats::set(name, value);
--- a/components/daemon/src/stats.rs
+++ b/components/daemon/src/stats.rs
@@ -19,6 +19,11 @@
     counter!("drumwheel_attempts_offered_total", "place" => place).increment(1);
 }
 
+/// A request was offered that an upstream had seen before, or a call made for one.
+pub fn repeat_offered() {
+    counter!("drumwheel_repeats_offered_total").increment(1);
+}
+
 /// A frame or event came too late to matter.
 pub fn late(kind: &'static str) {
     counter!("drumwheel_late_total", "kind" => kind).increment(1);
