--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -1,7 +1,10 @@
 //! The home duty's state machine.
 
+mod admission;
+mod holding;
+
 use crate::attempt::{Attempt, Queued, Started};
-use crate::config::{Action, Config, Counters, Looked};
+use crate::config::{Action, Config, Counters};
 use crate::depth::Depth;
 use crate::limit::{Class, Limit, Verdict};
 use crate::message::{AskReply, Load, Offer, Reason, Refusal};
@@ -226,101 +229,6 @@
         self.records.len()
     }
 
-    fn decide(&mut self, now: Moment, offer: &Offer) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if let Some(reason) = self.closed(now, offer) {
-            self.refuse_ended(now, offer.id, reason, &mut actions);
-            return actions;
-        }
-        let class = Class {
-            level: offer.level,
-            repeatable: offer.repeatable,
-        };
-        let attempt = Attempt::arrive(now, offer, self.pace.service_us(class));
-        let running = self.in_flight(now);
-        let limit = self.current_limit(now, &running);
-        self.limit.offered(now);
-        self.depth.observe(now, offer.level);
-        let matters = self.pace.matters(class);
-        if matters && self.waits_for_word(now, &mut actions) {
-            self.unsettled.push(attempt.id());
-            self.queue.put(attempt.queue(now));
-            return actions;
-        }
-        if !offer.may_queue && self.is_held(now, attempt.class()) {
-            // Another upstream is asked next; if all are as slow, the request comes back to queue.
-            self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
-            return actions;
-        }
-        let allowed = self.allowed(now, offer.level, limit);
-        let is_first =
-            self.queue.is_empty() || !matters && self.queue.ahead_of(offer.priority) == 0;
-        let is_free = self.running.len() < allowed as usize && is_first;
-        if is_free && !self.lets_wait(now, attempt.class()) {
-            self.counters.looks_saved += 1;
-            let percent = self.pace.word(now);
-            self.start(attempt.start(now, percent), &mut actions);
-            return actions;
-        }
-        if !offer.may_queue || !self.fits(now, &attempt, &running, limit) {
-            self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
-            return actions;
-        }
-        self.make_room(now, offer, &mut actions);
-        self.counters.queued += 1;
-        self.queue.put(attempt.queue(now));
-        self.wait_for_phase(now);
-        actions
-    }
-
-    /// The reason why no offer is taken at all now, if there is one.
-    fn closed(&self, now: Moment, offer: &Offer) -> Option<Reason> {
-        if self.leaving {
-            return Some(Reason::Leaving);
-        }
-        if offer.remaining_us == 0 {
-            return Some(Reason::Deadline);
-        }
-        let down = self.down_since?;
-        let trial = now.since(down) >= DOWN_TRIAL_US && self.running.is_empty();
-        (!trial).then_some(Reason::Down)
-    }
-
-    /// Whether a new attempt would be served before its deadline and finds room.
-    fn fits<S>(
-        &self,
-        now: Moment,
-        attempt: &Attempt<S>,
-        running: &[(Class, u64)],
-        limit: u32,
-    ) -> bool {
-        let service = self.limit.service_us(running);
-        let ahead = self.queue.ahead_of(attempt.priority());
-        let wait = (ahead + 1) as f64 * service / limit as f64;
-        let patience = attempt.latest_start().since(now) as f64;
-        let remaining = attempt.deadline().since(now) as f64;
-        let in_time = wait + service <= remaining && wait <= patience;
-        let room =
-            self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT || ahead < self.queue.len();
-        in_time && room
-    }
-
-    /// When the queue is full, refuses the last of a lower priority.
-    fn make_room(&mut self, now: Moment, offer: &Offer, actions: &mut Vec<Action>) {
-        if self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT {
-            return;
-        }
-        let Some(last) = self.queue.last() else {
-            return;
-        };
-        if last.priority() >= offer.priority {
-            return;
-        }
-        let id = last.id();
-        self.queue.take(id);
-        self.refuse_ended(now, id, Reason::Busy, actions);
-    }
-
     fn start(&mut self, attempt: Attempt<Started>, actions: &mut Vec<Action>) {
         self.counters.started += 1;
         let id = attempt.id();
@@ -360,89 +268,6 @@
         self.settle(now, actions);
     }
 
-    /// Whether nothing may start before the upstream has said how long work takes there; asks it, once
-    /// for all that wait.
-    fn waits_for_word(&mut self, now: Moment, actions: &mut Vec<Action>) -> bool {
-        if !self.cfg.looks || !self.pace.is_stale(now) {
-            return false;
-        }
-        if !self.looking {
-            self.looking = true;
-            self.counters.looks += 1;
-            actions.push(Action::Look);
-        }
-        true
-    }
-
-    /// Takes in what a look brought.
-    pub fn looked(&mut self, now: Moment, looked: Looked) -> Vec<Action> {
-        self.looking = false;
-        match looked {
-            Looked::Percent(percent) => {
-                self.pace.told(now, percent);
-            }
-            Looked::Nothing => self.pace.untold(now),
-            Looked::NoBudget => self.pace.not_asked(now),
-        }
-        self.wait_for_phase(now);
-        let mut actions = Vec::new();
-        self.fill(now, &mut actions);
-        actions
-    }
-
-    /// Lets those wait for the end of a slow phase who will find a slot then. The others wait for slots,
-    /// and are refused sooner.
-    fn wait_for_phase(&mut self, now: Moment) {
-        let held_us = self.held_us(now);
-        if held_us == 0 {
-            return;
-        }
-        let running = self.in_flight(now);
-        let limit = self.current_limit(now, &running) as usize;
-        let free = limit.saturating_sub(running.len());
-        self.queue.wait_until(now + held_us, free);
-    }
-
-    /// Decides about the attempts that came while there was no word and got no slot since.
-    fn settle(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        for id in std::mem::take(&mut self.unsettled) {
-            let running = self.in_flight(now);
-            let limit = self.current_limit(now, &running);
-            let Some(attempt) = self.queue.take(id) else {
-                continue;
-            };
-            if attempt.may_queue() && self.fits(now, &attempt, &running, limit) {
-                self.counters.queued += 1;
-                self.queue.put(attempt);
-                self.wait_for_phase(now);
-            } else {
-                self.refuse_ended(now, id, Reason::Busy, actions);
-            }
-        }
-    }
-
-    /// Whether work of this class should not begin now because the upstream is in a slow phase.
-    fn is_held(&self, now: Moment, class: Class) -> bool {
-        if self.cfg.looks {
-            self.pace.is_held(now, class)
-        } else {
-            self.pace.is_slow(now)
-        }
-    }
-
-    /// The same for work that may wait. Without a way to see the phase's end it does not.
-    fn lets_wait(&self, now: Moment, class: Class) -> bool {
-        self.cfg.looks && !self.pace.is_blind(now) && self.pace.is_held(now, class)
-    }
-
-    fn held_us(&self, now: Moment) -> u64 {
-        if self.cfg.looks {
-            self.pace.left_us(now)
-        } else {
-            0
-        }
-    }
-
     /// Takes the first queued attempt for whose level a slot is free.
     fn next_queued(&mut self, now: Moment, limit: u32) -> Option<Attempt<Queued>> {
         let busy = self.running.len() as u32;
--- /dev/null
+++ b/components/home/src/duty/admission.rs
@@ -0,0 +1,123 @@
+//! Which offers start, wait or are refused.
+
+use super::{Home, DOWN_TRIAL_US, QUEUE_PER_SLOT};
+use crate::attempt::Attempt;
+use crate::config::Action;
+use crate::limit::Class;
+use crate::message::{Offer, Reason};
+use names::Moment;
+
+impl<A: Clone> Home<A> {
+    pub(super) fn decide(&mut self, now: Moment, offer: &Offer) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(reason) = self.closed(now, offer) {
+            self.refuse_ended(now, offer.id, reason, &mut actions);
+            return actions;
+        }
+        let class = Class {
+            level: offer.level,
+            repeatable: offer.repeatable,
+        };
+        let attempt = Attempt::arrive(now, offer, self.pace.service_us(class));
+        let running = self.in_flight(now);
+        let limit = self.current_limit(now, &running);
+        self.limit.offered(now);
+        self.depth.observe(now, offer.level);
+        let matters = self.pace.matters(class);
+        if matters && self.waits_for_word(now, &mut actions) {
+            self.unsettled.push(attempt.id());
+            self.queue.put(attempt.queue(now));
+            return actions;
+        }
+        if !offer.may_queue && self.is_held(now, attempt.class()) {
+            // Another upstream is asked next; if all are as slow, the request comes back to queue.
+            self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
+            return actions;
+        }
+        let allowed = self.allowed(now, offer.level, limit);
+        let is_first =
+            self.queue.is_empty() || !matters && self.queue.ahead_of(offer.priority) == 0;
+        let is_free = self.running.len() < allowed as usize && is_first;
+        if is_free && !self.lets_wait(now, attempt.class()) {
+            self.counters.looks_saved += 1;
+            let percent = self.pace.word(now);
+            self.start(attempt.start(now, percent), &mut actions);
+            return actions;
+        }
+        if !offer.may_queue || !self.fits(now, &attempt, &running, limit) {
+            self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
+            return actions;
+        }
+        self.make_room(now, offer, &mut actions);
+        self.counters.queued += 1;
+        self.queue.put(attempt.queue(now));
+        self.wait_for_phase(now);
+        actions
+    }
+
+    /// The reason why no offer is taken at all now, if there is one.
+    pub(super) fn closed(&self, now: Moment, offer: &Offer) -> Option<Reason> {
+        if self.leaving {
+            return Some(Reason::Leaving);
+        }
+        if offer.remaining_us == 0 {
+            return Some(Reason::Deadline);
+        }
+        let down = self.down_since?;
+        let trial = now.since(down) >= DOWN_TRIAL_US && self.running.is_empty();
+        (!trial).then_some(Reason::Down)
+    }
+
+    /// Whether a new attempt would be served before its deadline and finds room.
+    pub(super) fn fits<S>(
+        &self,
+        now: Moment,
+        attempt: &Attempt<S>,
+        running: &[(Class, u64)],
+        limit: u32,
+    ) -> bool {
+        let service = self.limit.service_us(running);
+        let ahead = self.queue.ahead_of(attempt.priority());
+        let wait = (ahead + 1) as f64 * service / limit as f64;
+        let patience = attempt.latest_start().since(now) as f64;
+        let remaining = attempt.deadline().since(now) as f64;
+        let in_time = wait + service <= remaining && wait <= patience;
+        let room =
+            self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT || ahead < self.queue.len();
+        in_time && room
+    }
+
+    /// When the queue is full, refuses the last of a lower priority.
+    pub(super) fn make_room(&mut self, now: Moment, offer: &Offer, actions: &mut Vec<Action>) {
+        if self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT {
+            return;
+        }
+        let Some(last) = self.queue.last() else {
+            return;
+        };
+        if last.priority() >= offer.priority {
+            return;
+        }
+        let id = last.id();
+        self.queue.take(id);
+        self.refuse_ended(now, id, Reason::Busy, actions);
+    }
+
+    /// Decides about the attempts that came while there was no word and got no slot since.
+    pub(super) fn settle(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        for id in std::mem::take(&mut self.unsettled) {
+            let running = self.in_flight(now);
+            let limit = self.current_limit(now, &running);
+            let Some(attempt) = self.queue.take(id) else {
+                continue;
+            };
+            if attempt.may_queue() && self.fits(now, &attempt, &running, limit) {
+                self.counters.queued += 1;
+                self.queue.put(attempt);
+                self.wait_for_phase(now);
+            } else {
+                self.refuse_ended(now, id, Reason::Busy, actions);
+            }
+        }
+    }
+}
--- a/components/home/tests/pace.rs
+++ b/components/home/tests/pace.rs
@@ -285,3 +285,15 @@
     let actions = home.looked(next, Looked::Percent(USUAL));
     assert_eq!(actions, [Action::Start(id(1))]);
 }
+
+#[test]
+fn an_upstream_that_was_down_takes_work_again_once_a_look_finds_it() {
+    let (mut home, now) = experienced();
+    home.told_slowness(now, USUAL);
+    home.offer(now, &offer(1, true));
+    home.completed(now, id(1), Verdict::NotSent, None);
+    let later = now + SECOND;
+    assert_eq!(home.offer(later, &offer(2, true)), [Action::Look]);
+    let actions = home.looked(later, Looked::Percent(USUAL));
+    assert_eq!(actions, [Action::Start(id(2))]);
+}
