An error of the upstream costs two objectives in the choice

Cause: with 100 ms for an error an upstream that fails six of ten requests cost less than twice one that works, and was asked as often. An error loses the request, or costs a second run and a repeat of the budget.

--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -138,7 +138,8 @@
         } else {
             price.crossing_us as f64
         };
-        service * slow + wait + errors * ERROR_COST_US + way_us(candidate) + crossing
+        let errors = errors * price.error_us as f64;
+        service * slow + wait + errors + way_us(candidate) + crossing
     }
 
     /// Whether a report that still holds says that a slot comes free too late for the call.
--- a/components/entry/src/price.rs
+++ b/components/entry/src/price.rs
@@ -7,6 +7,9 @@
 /// Price of crossing to another hall, in terms of the objective, for the most urgent requests and
 /// for the least urgent ones. Bytes between halls are scarce.
 const CROSSING_PART: (f64, f64) = (0.3, 1.0);
+/// Cost of an error of the upstream, in terms of the objective: the request is lost, or runs again
+/// elsewhere.
+const ERROR_PART: f64 = 2.0;
 /// The same for calls that are made for a running request: they wait in their hall as long as they
 /// can.
 const INNER_CROSSING_PART: f64 = 1.0;
@@ -20,6 +23,8 @@
 pub struct Price {
     /// Price of crossing to another hall, in microseconds of waiting.
     pub crossing_us: u64,
+    /// Cost of an error of the upstream, in microseconds of waiting.
+    pub error_us: u64,
     /// Time within which an answer has its full worth, in microseconds; none: until the deadline.
     pub objective_us: Option<u64>,
 }
@@ -31,6 +36,7 @@
         let objective = objective_us as f64;
         Price {
             crossing_us: (objective * crossing_part(priority)) as u64,
+            error_us: (objective * ERROR_PART) as u64,
             objective_us: (!patient && objective_us > 0).then_some(objective_us),
         }
     }
--- a/components/entry/tests/priced.rs
+++ b/components/entry/tests/priced.rs
@@ -41,6 +41,7 @@
     let price = Price {
         crossing_us: crossing_ms * MILLISECOND,
         objective_us: Some(180 * MILLISECOND),
+        ..Price::default()
     };
     let mut call = Call::new("s".into(), treatment, NOW + 9_000_000, candidates).with_price(price);
     call.step(NOW, Event::Begin, &mut entry)
@@ -87,6 +88,7 @@
         .with_price(Price {
             crossing_us: 0,
             objective_us: Some(0),
+            ..Price::default()
         });
     let actions = call.step(NOW, Event::Begin, &mut entry);
     let [Action::Finish(Outcome::NotRun(refusal))] = actions.as_slice() else {
@@ -124,6 +126,7 @@
     let price = Price {
         crossing_us: 60 * MILLISECOND,
         objective_us: Some(180 * MILLISECOND),
+        ..Price::default()
     };
     Call::new("s".into(), treatment, NOW + 9_000_000, candidates).with_price(price)
 }
@@ -228,3 +231,21 @@
     assert_eq!(chosen.len(), 4, "{chosen:?}");
     assert!(chosen.values().all(|count| *count < 350), "{chosen:?}");
 }
+
+#[test]
+fn an_upstream_whose_answers_fail_is_asked_after_those_whose_answers_are_good() {
+    let mut entry = Entry::new(BootId(1), Rule::Priced, 7);
+    for _ in 0..200 {
+        for (vm, errors_permille) in [("near-0", 450), ("near-1", 4), ("near-2", 4)] {
+            let known = Load {
+                errors_permille,
+                ..load(1, 0, 100)
+            };
+            entry.reported(NOW, &Name::from(vm), known);
+        }
+        let mut call = call_among(3).with_price(Price::of(5, 180 * MILLISECOND, false));
+        let actions = call.step(NOW, Event::Begin, &mut entry);
+        assert!(!goes_to(&actions, "near-0"), "{actions:?}");
+        call.step(NOW, Event::HungUp, &mut entry);
+    }
+}
