Longer patience for the end of slow phases is gone: it is worth nothing any more

Ablation: since a hall's only upstream is asked for a free slot first, and a refusal leads to another hall or queue, waiting longer than 0.22 of the objective for the end of a slow phase brings nothing.

--- a/components/home/src/attempt.rs
+++ b/components/home/src/attempt.rs
@@ -9,42 +9,6 @@
 /// requests in time if it refuses early. Measured against 0.12, 0.4, and all that a run leaves: 0.02 to
 /// 0.06 of worth on days of high load.
 const PATIENCE_PART: f64 = 0.22;
-/// Time kept for the run out of what is left of the objective, in terms of its usual time: runs of one
-/// class differ by a third at the users' sites.
-const RUN_MARGIN: f64 = 1.3;
-/// Part of the objective that is kept for the run while its usual time is not known.
-const UNKNOWN_RUN_PART: f64 = 0.5;
-
-/// When an attempt is too late.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Latest {
-    /// When it is refused if it still waits for a slot.
-    start: Moment,
-    /// The last moment at which a start lets it be answered within its objective.
-    useful_start: Moment,
-}
-
-impl Latest {
-    /// For an offer that arrived at `now`, of a class of requests that usually take `service_us`
-    /// microseconds.
-    fn of(now: Moment, offer: &Offer, service_us: Option<f64>) -> Latest {
-        let deadline = now + offer.remaining_us;
-        let Some(objective_us) = offer.objective_us else {
-            return Latest {
-                start: deadline,
-                useful_start: deadline,
-            };
-        };
-        let objective = objective_us as f64;
-        let run = service_us.map_or(objective * UNKNOWN_RUN_PART, |service| service * RUN_MARGIN);
-        let start = deadline.min(now + (objective * PATIENCE_PART) as u64);
-        let useful_start = deadline.min(now + (objective - run).max(0.0) as u64);
-        Latest {
-            start,
-            useful_start: useful_start.max(start),
-        }
-    }
-}
 
 /// State of an attempt that has just arrived.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -72,7 +36,7 @@
 pub struct Attempt<S> {
     id: AttemptId,
     deadline: Moment,
-    latest: Latest,
+    latest_start: Moment,
     priority: u8,
     class: Class,
     may_queue: bool,
@@ -92,14 +56,7 @@
 
     /// When the attempt is refused if it still waits for a slot.
     pub fn latest_start(&self) -> Moment {
-        self.latest.start
-    }
-
-    /// Lets the attempt wait until `until`, the expected end of a slow phase, if it can be answered within
-    /// its objective then.
-    pub(crate) fn wait_until(&mut self, until: Moment) {
-        let until = until.min(self.latest.useful_start);
-        self.latest.start = self.latest.start.max(until);
+        self.latest_start
     }
 
     /// Priority from the policy.
@@ -126,7 +83,7 @@
         Attempt {
             id: self.id,
             deadline: self.deadline,
-            latest: self.latest,
+            latest_start: self.latest_start,
             priority: self.priority,
             class: self.class,
             may_queue: self.may_queue,
@@ -136,13 +93,16 @@
 }
 
 impl Attempt<Offered> {
-    /// Takes in an offer that arrived at `now`, of a class of requests that usually take `service_us`
-    /// microseconds.
-    pub fn arrive(now: Moment, offer: &Offer, service_us: Option<f64>) -> Attempt<Offered> {
+    /// Takes in an offer that arrived at `now`.
+    pub fn arrive(now: Moment, offer: &Offer) -> Attempt<Offered> {
+        let deadline = now + offer.remaining_us;
+        let patience = offer.objective_us.map_or(offer.remaining_us, |objective| {
+            (objective as f64 * PATIENCE_PART) as u64
+        });
         Attempt {
             id: offer.id,
-            deadline: now + offer.remaining_us,
-            latest: Latest::of(now, offer, service_us),
+            deadline,
+            latest_start: deadline.min(now + patience),
             priority: offer.priority,
             class: Class {
                 level: offer.level,
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -18,7 +18,7 @@
             level: offer.level,
             repeatable: offer.repeatable,
         };
-        let attempt = Attempt::arrive(now, offer, self.pace.service_us(class));
+        let attempt = Attempt::arrive(now, offer);
         let running = self.in_flight(now);
         let limit = self.current_limit(now, &running);
         self.limit.offered(now);
@@ -51,7 +51,6 @@
         self.make_room(now, offer, &mut actions);
         self.counters.queued += 1;
         self.queue.put(attempt.queue(now));
-        self.wait_for_phase(now);
         actions
     }
 
@@ -114,7 +113,6 @@
             if attempt.may_queue() && self.fits(now, &attempt, &running, limit) {
                 self.counters.queued += 1;
                 self.queue.put(attempt);
-                self.wait_for_phase(now);
             } else {
                 self.refuse_ended(now, id, Reason::Busy, actions);
             }
--- a/components/home/src/duty/holding.rs
+++ b/components/home/src/duty/holding.rs
@@ -19,7 +19,6 @@
             Looked::Nothing => self.pace.untold(now),
             Looked::NoBudget => self.pace.not_asked(now),
         }
-        self.wait_for_phase(now);
         let mut actions = Vec::new();
         self.fill(now, &mut actions);
         actions
@@ -39,19 +38,6 @@
         true
     }
 
-    /// Lets those wait for the end of a slow phase who will find a slot then. The others wait for slots,
-    /// and are refused sooner.
-    pub(super) fn wait_for_phase(&mut self, now: Moment) {
-        let held_us = self.held_us(now);
-        if held_us == 0 {
-            return;
-        }
-        let running = self.in_flight(now);
-        let limit = self.current_limit(now, &running) as usize;
-        let free = limit.saturating_sub(running.len());
-        self.queue.wait_until(now + held_us, free);
-    }
-
     /// Whether work of this class should not begin now because the upstream is in a slow phase.
     pub(super) fn is_held(&self, now: Moment, class: Class) -> bool {
         if self.cfg.looks {
--- a/components/home/src/pace.rs
+++ b/components/home/src/pace.rs
@@ -62,8 +62,6 @@
     told: Option<Moment>,
     /// The pace that has lasted, in hundredths; at least [`USUAL_PERCENT`].
     usual: u32,
-    /// The last word outside of slow phases, in hundredths: a cold upstream takes longer.
-    outside: u32,
     phase: Option<Phase>,
     /// The pace in slow phases, in terms of the usual one; none before there was a phase.
     slow_factor: Option<f64>,
@@ -85,11 +83,8 @@
         self.usual = self.usual.min(percent).max(USUAL_PERCENT);
         if self.is_slow_word(percent) {
             self.slow_word(now, percent);
-        } else {
-            self.outside = percent;
-            if let Some(phase) = self.phase.take() {
-                self.phase_ended(now, phase);
-            }
+        } else if let Some(phase) = self.phase.take() {
+            self.phase_ended(now, phase);
         }
         self.percent = percent;
         self.told = Some(now);
@@ -158,12 +153,6 @@
         *service += (at_usual - *service) * SERVICE_WEIGHT;
     }
 
-    /// Time that a run of this class takes outside of slow phases now, in microseconds, if any was seen.
-    pub fn service_us(&self, class: Class) -> Option<f64> {
-        let pace = f64::from(self.outside.max(USUAL_PERCENT)) / f64::from(USUAL_PERCENT);
-        Some(self.services_us.get(&class)? * pace)
-    }
-
     /// Whether a start has to wait for a new word.
     pub fn is_stale(&self, now: Moment) -> bool {
         let is_fresh = self.told.is_some_and(|told| now.since(told) <= FRESH_US);
--- a/components/home/src/queue.rs
+++ b/components/home/src/queue.rs
@@ -76,13 +76,6 @@
             .count()
     }
 
-    /// Lets the first `count` wait until `until`, if that is of use to them.
-    pub(crate) fn wait_until(&mut self, until: Moment, count: usize) {
-        for attempt in self.attempts.values_mut().take(count) {
-            attempt.wait_until(until);
-        }
-    }
-
     /// The attempts that have waited too long, each with whether its deadline has passed.
     pub(crate) fn late(&self, now: Moment) -> Vec<(AttemptId, bool)> {
         self.attempts
--- a/components/home/tests/pace.rs
+++ b/components/home/tests/pace.rs
@@ -241,21 +241,7 @@
 }
 
 #[test]
-fn who_will_find_a_slot_waits_for_the_end_of_a_slow_phase_as_long_as_it_is_of_use() {
-    let (mut home, now) = experienced();
-    home.offer(now, &urgent(1));
-    home.looked(now, Looked::Percent(SLOW));
-    let refused = refused_in_a_long_phase(&mut home, now);
-    let [(refused, after_ms)] = refused.as_slice() else {
-        panic!("{refused:?}");
-    };
-    assert_eq!(*refused, id(1));
-    // 600 ms less 1.3 times 200 ms.
-    assert!((340..=370).contains(after_ms), "{after_ms}");
-}
-
-#[test]
-fn who_will_find_no_slot_after_the_slow_phase_is_refused_sooner() {
+fn who_waits_for_longer_than_a_part_of_the_objective_is_refused_in_a_slow_phase_too() {
     let (mut home, now) = experienced();
     // All four slots are taken.
     for seq in 10..14 {
