Lines and figures of declarations on their way: who sent them, their size, what reading and checking took

Cause: none of the hypotheses about the change that was late could be told from another by the lines. Now each copy that a node sends or takes in has a line with revision, bytes and peer, and reading and checking have their times (also as histograms).

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -11,8 +11,9 @@
 use home::{Load, Offer, Reason};
 use logs::Limiter;
 use names::{AttemptId, Name};
+use platform::Stored;
 use registry::{Instance, Record, Verdict};
-use rollout::InForce;
+use rollout::{InForce, Offered};
 use std::cell::RefCell;
 use std::time::Instant;
 use wire::RelayOutcome;
@@ -20,16 +21,17 @@
 /// Lines of one kind in each second.
 const LINES_PER_SECOND: u32 = 200;
 
-/// The kinds of lines about requests, each with a bound of its own.
+/// The kinds of lines that load may multiply, each with a bound of its own.
 #[derive(Debug, Clone, Copy)]
 enum Kind {
     Routed,
     Offered,
     Home,
     Ended,
+    Declarations,
 }
 
-const KINDS: usize = 4;
+const KINDS: usize = 5;
 
 thread_local! {
     static LIMITERS: RefCell<([Limiter; KINDS], Option<Instant>)> =
@@ -240,11 +242,70 @@
     tracing::info!(count, at, "the nodes' records were listed");
 }
 
-/// The operators' declarations were read from the store.
-pub fn declarations_read(version: u64, revision: u64) {
+/// The operators' declarations were read from the store; reading them into this product's form took
+/// `translate_us`.
+pub fn declarations_read(version: u64, object: &Stored, translate_us: u64) {
     tracing::info!(
         version,
-        store_revision = revision,
+        store_revision = object.revision,
+        bytes = object.value.len(),
+        translate_ms = translate_us / 1_000,
         "declarations read from the store"
     );
 }
+
+/// Where a revision came from.
+#[derive(Debug, Clone, Copy)]
+pub enum Origin<'a> {
+    /// The platform's store.
+    Store,
+    /// Another node.
+    Peer(&'a Name),
+    /// An operator's tool.
+    Operator,
+}
+
+/// A revision with its content arrived; checking it took `check_us`.
+pub fn revision_came(
+    revision: u64,
+    bytes: usize,
+    origin: Origin<'_>,
+    offered: &Offered,
+    check_us: u64,
+) {
+    if !allowed(Kind::Declarations) {
+        return;
+    }
+    let origin = match origin {
+        Origin::Store => "the store",
+        Origin::Peer(vm) => vm.as_str(),
+        Origin::Operator => "an operator",
+    };
+    let check_ms = check_us / 1_000;
+    tracing::info!(
+        revision,
+        bytes,
+        origin,
+        ?offered,
+        check_ms,
+        "a revision came"
+    );
+}
+
+/// A revision with its content was sent to a node that has an older one.
+pub fn declarations_sent(to: &Name, theirs: u64, revision: u64, bytes: usize) {
+    stats::declarations_sent(bytes);
+    if allowed(Kind::Declarations) {
+        tracing::info!(to = %to, theirs, revision, bytes, "declarations sent to a peer");
+    }
+}
+
+/// A revision is in force from now on.
+pub fn in_force(before: Option<&InForce>, after: &InForce) {
+    tracing::info!(
+        revision = after.configuration.head.revision,
+        before = before.map_or(0, |before| before.configuration.head.revision),
+        hosts = after.declarations.routes.len(),
+        "a revision is in force"
+    );
+}
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -1,7 +1,9 @@
 //! Taking in revisions and lists of VMs from any source, and passing them on.
 
+use crate::audit::{self, Origin};
 use crate::links::{self, Reply};
 use crate::node::Node;
+use crate::stats::{self, Work};
 use crate::{coordinator, home_driver};
 use async_std::task;
 use membership::VmList;
@@ -22,24 +24,19 @@
 const FAR_COMPARISON: u32 = 4;
 
 /// Takes in a revision; tells peers when it is new.
-pub fn take_in(node: &Rc<Node>, configuration: Configuration) -> Offered {
+pub fn take_in(node: &Rc<Node>, configuration: Configuration, origin: Origin<'_>) -> Offered {
     let before = node.in_force();
     let revision = configuration.head.revision;
+    let bytes = configuration.size();
+    let began = node.now();
     let offered = node.rollout.borrow_mut().offer(configuration);
+    let check_us = node.now().since(began);
+    stats::worked(Work::Check, check_us);
+    audit::revision_came(revision, bytes, origin, &offered, check_us);
     match &offered {
         Offered::Taken => {
-            let routes = node
-                .in_force()
-                .map_or(0, |in_force| in_force.declarations.routes.len());
-            tracing::info!(
-                revision,
-                before = before
-                    .as_ref()
-                    .map_or(0, |before| before.configuration.head.revision),
-                hosts = routes,
-                "a revision is in force"
-            );
             if let Some(after) = node.in_force() {
+                audit::in_force(before.as_deref(), &after);
                 coordinator::groups_changed(node, before.as_deref(), &after);
             }
             node.refresh_budget();
@@ -64,11 +61,12 @@
 }
 
 /// Answers a peer's summary with whatever is newer here, or asks for what is newer there.
-pub fn compare(node: &Rc<Node>, theirs: &Summary, reply: &Reply) {
+pub fn compare(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
     let mine = node.summary();
     if mine.revision > theirs.revision {
         if let Some(in_force) = node.in_force() {
             let configuration = Arc::new(in_force.configuration.clone());
+            audit::declarations_sent(from, theirs.revision, mine.revision, configuration.size());
             reply.send(node, Frame::Configuration(configuration));
         }
     }
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -1,6 +1,7 @@
 //! What a node does with each frame.
 
 use super::Reply;
+use crate::audit::Origin;
 use crate::entry_driver::{deliver, reported};
 use crate::node::Node;
 use crate::{configuration, coordinator, home_driver, recovery, registration, relay};
@@ -100,9 +101,9 @@
                 }
             }
         }
-        Frame::Summary(summary) => configuration::compare(node, &summary, reply),
+        Frame::Summary(summary) => configuration::compare(node, from, &summary, reply),
         Frame::Configuration(configuration) => {
-            configuration::take_in(node, (*configuration).clone());
+            configuration::take_in(node, (*configuration).clone(), Origin::Peer(from));
         }
         Frame::Vms(list) => configuration::take_in_vms(node, (*list).clone()),
     }
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -3,6 +3,7 @@
 //! The routes are tide's; connections are accepted here, since tide's own `listen` starts threads
 //! and has no graceful stop. Requests for the node's state go over a bounded channel.
 
+use crate::audit::Origin;
 use crate::configuration;
 use crate::home_driver;
 use crate::local;
@@ -173,7 +174,7 @@
                 tx.try_send(()).ok();
             }
             Command::Push(configuration, tx) => {
-                let offered = configuration::take_in(&node, *configuration);
+                let offered = configuration::take_in(&node, *configuration, Origin::Operator);
                 tx.try_send(offered).ok();
             }
         }
--- a/components/daemon/src/registration/configuration.rs
+++ b/components/daemon/src/registration/configuration.rs
@@ -1,10 +1,11 @@
 //! The operators' declarations, as the platform's store has them.
 
 use super::Registration;
-use crate::audit;
+use crate::audit::{self, Origin};
 use crate::configuration;
 use crate::node::Node;
 use crate::platform_watch::{rest, set_reachable, LEAST_PAUSE_MS};
+use crate::stats::{self, Work};
 use async_std::task;
 use errors::Result;
 use platform::{Stored, Watched};
@@ -71,12 +72,15 @@
 fn take_all(node: &Rc<Node>, registration: &Registration, objects: &[Stored]) -> Result<()> {
     let (_, name) = registration.adapter.declarations();
     for object in objects.iter().filter(|object| object.name.as_str() == name) {
+        let began = node.now();
         let written = registration.adapter.translate(&object.value)?;
-        audit::declarations_read(written.version, object.revision);
+        let translate_us = node.now().since(began);
+        stats::worked(Work::Translate, translate_us);
+        audit::declarations_read(written.version, object, translate_us);
         if written.version <= node.rollout.borrow().revision() {
             continue;
         }
-        configuration::take_in(node, to_configuration(written));
+        configuration::take_in(node, to_configuration(written), Origin::Store);
     }
     Ok(())
 }
--- a/components/daemon/src/stats.rs
+++ b/components/daemon/src/stats.rs
@@ -59,6 +59,33 @@
     counter!("drumwheel_control_bytes_total").increment(bytes as u64);
 }
 
+/// Declarations went to another node: copies, and bytes of their content.
+pub fn declarations_sent(bytes: usize) {
+    counter!("drumwheel_declarations_sent_total").increment(1);
+    counter!("drumwheel_declarations_sent_bytes_total").increment(bytes as u64);
+}
+
+/// Name of the histograms of [`worked`].
+pub const WORK: &str = "drumwheel_declarations_work_seconds";
+
+/// What a change of the declarations costs a node while nothing else runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// Reading the operators' object into this product's form.
+    Translate,
+    /// Checking the declarations and putting them in force.
+    Check,
+}
+
+/// Work on declarations took so long, in microseconds.
+pub fn worked(work: Work, us: u64) {
+    let step = match work {
+        Work::Translate => "translate",
+        Work::Check => "check",
+    };
+    histogram!(WORK, "step" => step).record(us as f64 / SECOND as f64);
+}
+
 /// How a look at the upstream's pace came out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Look {
--- a/components/rollout/src/node.rs
+++ b/components/rollout/src/node.rs
@@ -30,6 +30,11 @@
     pub fn bundle(&self) -> Result<Bundle, String> {
         join(&self.head, &self.objects)
     }
+
+    /// Bytes of its content.
+    pub fn size(&self) -> usize {
+        self.objects.values().map(|object| object.len()).sum()
+    }
 }
 
 /// The revision by which requests are served; one request sees one value of this.
