--- a/components/rollout/tests/rollout/main.rs
+++ b/components/rollout/tests/rollout/main.rs
@@ -2,4 +2,5 @@
 
 mod differences;
 mod fuzz;
+mod reuse;
 mod world;
--- /dev/null
+++ b/components/rollout/tests/rollout/reuse.rs
@@ -0,0 +1,64 @@
+//! What a change of a large set costs a node.
+//!
+//! *Symptom.* After each change of a large set of declarations a node answered nobody for as long as reading
+//! and checking the whole set took: two seconds for 4,200 routes on a tenth of a core, of the 2.5 s within which
+//! the change has to be in force.
+//! *Cause.* Every change was checked from the first line to the last, whatever it changed.
+//! *What settled it.* The lines "a revision came", with a `check_ms` of 900 to 1,830 on such nodes.
+
+use declarations::{Bundle, Route};
+use rollout::{split, Change, Configuration, Head, Offered, Rollout};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A set of `count` routes of which the one with this number has another time limit.
+fn configuration(revision: u64, count: usize, changed: Option<usize>) -> Configuration {
+    let mut text = "[registered one]\nhealth_path = /health\n\n".to_string();
+    for i in 0..count {
+        let deadline_ms = if changed == Some(i) { 700 } else { 900 };
+        text += &format!("[route r-{i}]\nhost = one.example\npath = /{i}/\n");
+        text += &format!("services = one:1\ndeadline_ms = {deadline_ms}\n\n");
+    }
+    let files = BTreeMap::from([("services.ini".to_string(), text)]);
+    let (files, objects) = split(&Bundle { files });
+    let change = Change {
+        id: revision.to_string(),
+        who: "a".to_string(),
+        when_ms: 0,
+        why: "b".to_string(),
+    };
+    let head = Head {
+        revision,
+        previous: None,
+        change,
+        files,
+    };
+    Configuration { head, objects }
+}
+
+fn routes(rollout: &Rollout) -> BTreeMap<String, Arc<Route>> {
+    let in_force = rollout.in_force().expect("a revision is in force");
+    let routes = in_force.declarations.routes.values().flatten();
+    routes
+        .map(|route| (route.path.clone(), route.clone()))
+        .collect()
+}
+
+#[test]
+fn a_change_of_one_route_leaves_the_others_as_they_were_checked() {
+    let count = 500;
+    let mut rollout = Rollout::default();
+    assert_eq!(rollout.offer(configuration(1, count, None)), Offered::Taken);
+    let before = routes(&rollout);
+    assert_eq!(
+        rollout.offer(configuration(2, count, Some(7))),
+        Offered::Taken
+    );
+    let after = routes(&rollout);
+    assert_eq!(after.len(), count);
+    for (path, route) in &after {
+        let same = Arc::ptr_eq(route, &before[path]);
+        assert_eq!(same, path != "/7/", "{path}");
+    }
+    assert_eq!(after["/7/"].treatment.deadline_ms, 700);
+}
