Declarations and lists are sent to who asks, and one node is asked at a time

Cause: whoever heard of an older revision sent its own whole set, unasked: one copy for each connection, in both directions, to a node that joins or is late. Change: a summary is answered by a summary; content goes only to who wants it. A node asks one peer at a time (rollout::Fetch), leaves a store that it has asked a second to answer first, and waits with doubling patience. The list of VMs goes the same way.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -13,7 +13,7 @@
 use names::{AttemptId, Name};
 use platform::Stored;
 use registry::{Instance, Record, Verdict};
-use rollout::{InForce, Offered};
+use rollout::{Advice, InForce, Offered, Summary};
 use std::cell::RefCell;
 use std::time::Instant;
 use wire::RelayOutcome;
@@ -292,6 +292,21 @@
     );
 }
 
+/// Another node knows something newer, and this is what is done about it.
+pub fn newer_there(peer: &Name, mine: &Summary, theirs: &Summary, advice: Advice) {
+    if allowed(Kind::Declarations) {
+        tracing::info!(
+            peer = %peer,
+            revision = mine.revision,
+            theirs = theirs.revision,
+            list_version = mine.list_version,
+            their_list_version = theirs.list_version,
+            ?advice,
+            "a peer knows something newer"
+        );
+    }
+}
+
 /// A revision with its content was sent to a node that has an older one.
 pub fn declarations_sent(to: &Name, theirs: u64, revision: u64, bytes: usize) {
     stats::declarations_sent(bytes);
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use crate::audit::{self, Origin};
 use crate::links::{self, Reply};
+use crate::local;
 use crate::node::Node;
 use crate::stats::{self, Work};
 use crate::{coordinator, home_driver};
@@ -10,7 +11,7 @@
 use names::Name;
 use rand::seq::IndexedRandom;
 use rand::Rng;
-use rollout::{Configuration, Offered, Summary};
+use rollout::{Advice, Configuration, Offered, Summary};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +37,7 @@
     match &offered {
         Offered::Taken => {
             if let Some(after) = node.in_force() {
+                node.fetch.borrow_mut().came();
                 audit::in_force(before.as_deref(), &after);
                 coordinator::groups_changed(node, before.as_deref(), &after);
             }
@@ -54,14 +56,50 @@
     if !node.view.borrow_mut().update(list) {
         return;
     }
+    node.fetch.borrow_mut().came();
     tracing::info!(version, "a list of VMs was taken in");
     node.refresh_budget();
     home_driver::leaving_changed(node);
     tell_some(node);
 }
 
-/// Answers a peer's summary with whatever is newer here, or asks for what is newer there.
+/// Takes in what a peer knows: asks for what is newer there, or tells it that something is newer here. Content is
+/// sent only to who wants it.
 pub fn compare(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
+    let mine = node.summary();
+    if theirs.is_newer_than(&mine) {
+        ask(node, from, theirs, reply);
+    } else if mine.is_newer_than(theirs) {
+        reply.send(node, Frame::Summary(mine));
+    }
+}
+
+/// Asks a peer for what is newer there, unless it is on its way or the store is about to give it.
+fn ask(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
+    let store_asked = node
+        .registration
+        .as_ref()
+        .is_some_and(|registration| registration.store_asked.get());
+    let now = node.now();
+    let advice = node.fetch.borrow_mut().told(now, from, store_asked);
+    audit::newer_there(from, &node.summary(), theirs, advice);
+    match advice {
+        Advice::Ask => reply.send(node, Frame::Want(node.summary())),
+        Advice::Hold(until) => {
+            let node = node.clone();
+            let reply = reply.clone();
+            local::spawn(async move {
+                task::sleep(Duration::from_micros(until.since(now))).await;
+                // The peer answers with its own summary if that is still newer.
+                reply.send(&node, Frame::Summary(node.summary()));
+            });
+        }
+        Advice::Wait => {}
+    }
+}
+
+/// Sends a peer the content of what is newer here.
+pub fn wanted(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
     let mine = node.summary();
     if mine.revision > theirs.revision {
         if let Some(in_force) = node.in_force() {
@@ -74,9 +112,6 @@
         let list = Arc::new(node.view.borrow().list().clone());
         reply.send(node, Frame::Vms(list));
     }
-    if mine.revision < theirs.revision || mine.list_version < theirs.list_version {
-        reply.send(node, Frame::Summary(mine));
-    }
 }
 
 /// Compares knowledge with a peer now and then, for as long as the node runs.
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -102,6 +102,7 @@
             }
         }
         Frame::Summary(summary) => configuration::compare(node, from, &summary, reply),
+        Frame::Want(summary) => configuration::wanted(node, from, &summary, reply),
         Frame::Configuration(configuration) => {
             configuration::take_in(node, (*configuration).clone(), Origin::Peer(from));
         }
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -266,6 +266,7 @@
 
 /// The connection to `vm` broke: whoever has something there is told.
 fn lost(node: &Rc<Node>, vm: &Name) {
+    node.fetch.borrow_mut().lost(vm);
     let lost: Vec<AttemptId> = node
         .waiters
         .borrow()
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -16,7 +16,7 @@
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
-use rollout::{InForce, Rollout, Summary};
+use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -152,6 +152,8 @@
     pub gate: RefCell<Gate>,
     /// Declarations in force.
     pub rollout: RefCell<Rollout>,
+    /// Whom it asks for what it lacks.
+    pub fetch: RefCell<Fetch>,
     /// Groups that services had within the key window, with the time of their end.
     pub moved: RefCell<HashMap<Name, Vec<FormerGroup>>>,
     /// Fleet as this node sees it.
@@ -227,6 +229,7 @@
             key_waiters: RefCell::default(),
             gate: RefCell::new(Gate::new(clock.now())),
             rollout: RefCell::default(),
+            fetch: RefCell::default(),
             moved: RefCell::default(),
             view: RefCell::default(),
             platform: Rc::new(Client::new(cfg.platform.clone())),
--- a/components/daemon/src/registration/configuration.rs
+++ b/components/daemon/src/registration/configuration.rs
@@ -28,10 +28,12 @@
         match look(&node, &registration, &mut at).await {
             Ok(()) => {
                 set_reachable(&node, true);
+                registration.store_asked.set(true);
                 pause = LEAST_PAUSE_MS;
             }
             Err(error) => {
                 set_reachable(&node, false);
+                registration.store_asked.set(false);
                 tracing::info!(%error, "the store gave no declarations");
                 at = None;
                 pause = rest(pause).await;
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -33,6 +33,8 @@
     pub fleet: RefCell<Fleet>,
     /// Whether the records in the store were read.
     pub has_listed: Cell<bool>,
+    /// Whether the store is being asked for declarations, and has not failed to answer.
+    pub store_asked: Cell<bool>,
     /// Says that this node's record has changed and has to be stored.
     changed: (Sender<()>, Receiver<()>),
 }
@@ -57,6 +59,7 @@
             local: RefCell::default(),
             fleet: RefCell::new(Fleet::new(own)),
             has_listed: Cell::new(false),
+            store_asked: Cell::new(true),
             changed: async_channel::bounded(1),
         }
     }
--- /dev/null
+++ b/components/rollout/src/fetch.rs
@@ -0,0 +1,81 @@
+//! Which other node is asked for what this one lacks: one at a time.
+
+use names::{Moment, Name, MILLISECOND};
+
+/// A node that asks the store itself leaves it so long to answer, in microseconds: half of the shortest time
+/// within which users' changes have to be in force (2 s). On a link of 10 Mbit/s the store's answer of 0.74 MB
+/// takes 0.6 s, and a second copy beside it would double that.
+pub const HOLD_US: u64 = 1_000 * MILLISECOND;
+/// A copy that was asked for is waited for so long, in microseconds, before another node is asked: 2.5 MB on a
+/// link of 10 Mbit/s. It doubles with each copy that does not come, so that the larger ones come as well.
+pub const PATIENCE_US: u64 = 2_000 * MILLISECOND;
+/// Doublings of the patience at most.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// What to do when another node was found to know something newer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Advice {
+    /// Ask it for what is newer.
+    Ask,
+    /// Look again after this moment: the store may have answered by then.
+    Hold(Moment),
+    /// It is on its way already.
+    Wait,
+}
+
+#[derive(Debug)]
+struct Asked {
+    peer: Name,
+    until: Moment,
+}
+
+/// Copies that were asked for. Only what is asked for is sent, and only one node is asked at a time: in a hall of
+/// 20 nodes each sent its own copy to a node that joined, 8 MB in all, which kept its link busy for up to 20 s.
+#[derive(Debug, Default)]
+pub struct Fetch {
+    asked: Option<Asked>,
+    hold: Option<Moment>,
+    failures: u32,
+}
+
+impl Fetch {
+    /// `peer` knows something newer. `store_asked` says that this node waits for the store's own answer.
+    pub fn told(&mut self, now: Moment, peer: &Name, store_asked: bool) -> Advice {
+        if let Some(asked) = &self.asked {
+            if now < asked.until {
+                return Advice::Wait;
+            }
+            self.failures += 1;
+            self.asked = None;
+        }
+        if store_asked {
+            match self.hold {
+                None => {
+                    let hold = now + HOLD_US;
+                    self.hold = Some(hold);
+                    return Advice::Hold(hold);
+                }
+                Some(hold) if now < hold => return Advice::Wait,
+                Some(_) => {}
+            }
+        }
+        let patience_us = PATIENCE_US << self.failures.min(MOST_DOUBLINGS);
+        self.asked = Some(Asked {
+            peer: peer.clone(),
+            until: now + patience_us,
+        });
+        Advice::Ask
+    }
+
+    /// Something newer is in force: what was asked for is here, or is not needed any more.
+    pub fn came(&mut self) {
+        *self = Fetch::default();
+    }
+
+    /// A connection to `peer` ended, and with it the copy that was asked for there.
+    pub fn lost(&mut self, peer: &Name) {
+        if self.asked.as_ref().is_some_and(|asked| asked.peer == *peer) {
+            self.asked = None;
+        }
+    }
+}
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -2,14 +2,17 @@
 //! back to an earlier one.
 //!
 //! [`Head`] is the small object that names the revision in force; its chain is the audit trail.
-//! [`Rollout`] is a node's side, [`Apply`] an operator's. Both are pure state machines.
+//! [`Rollout`] is a node's side, [`Fetch`] says whom it asks for what it lacks, [`Apply`] is an operator's.
+//! All are pure state machines.
 
 mod apply;
 mod diff;
+mod fetch;
 mod head;
 mod node;
 
 pub use apply::{Apply, ApplyAction, ApplyEvent, ApplyOutcome, Plan};
 pub use diff::diff;
+pub use fetch::{Advice, Fetch, HOLD_US, PATIENCE_US};
 pub use head::{content_key, digest, split, Change, Digest, FileRef, Head, HEAD_KEY, PART_BYTES};
 pub use node::{Configuration, InForce, Offered, Rollout, RolloutCounters, Summary};
--- a/components/rollout/src/node.rs
+++ b/components/rollout/src/node.rs
@@ -16,6 +16,13 @@
     pub list_version: u64,
 }
 
+impl Summary {
+    /// Whether something here is newer than `other` knows.
+    pub fn is_newer_than(&self, other: &Summary) -> bool {
+        self.revision > other.revision || self.list_version > other.list_version
+    }
+}
+
 /// A revision with all its content, as nodes pass it on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Configuration {
--- /dev/null
+++ b/components/rollout/tests/rollout/fetch.rs
@@ -0,0 +1,73 @@
+//! Which node is asked for a revision, and when.
+
+use names::{Moment, Name};
+use proptest::prelude::*;
+use rollout::{Advice, Fetch, HOLD_US, PATIENCE_US};
+
+fn peer(number: u8) -> Name {
+    Name::from(format!("vm-{number}").as_str())
+}
+
+#[test]
+fn only_the_first_of_many_that_know_more_is_asked() {
+    let mut fetch = Fetch::default();
+    assert_eq!(fetch.told(Moment(0), &peer(0), false), Advice::Ask);
+    for number in 1..20 {
+        let advice = fetch.told(Moment(u64::from(number)), &peer(number), false);
+        assert_eq!(advice, Advice::Wait);
+    }
+}
+
+#[test]
+fn the_store_has_its_time_before_another_node_is_asked() {
+    let mut fetch = Fetch::default();
+    let hold = Moment(5) + HOLD_US;
+    assert_eq!(fetch.told(Moment(5), &peer(0), true), Advice::Hold(hold));
+    assert_eq!(fetch.told(hold - 1, &peer(1), true), Advice::Wait);
+    assert_eq!(fetch.told(hold, &peer(1), true), Advice::Ask);
+}
+
+#[test]
+fn a_node_that_went_away_is_followed_by_another_at_once() {
+    let mut fetch = Fetch::default();
+    assert_eq!(fetch.told(Moment(0), &peer(0), false), Advice::Ask);
+    fetch.lost(&peer(1));
+    assert_eq!(fetch.told(Moment(1), &peer(1), false), Advice::Wait);
+    fetch.lost(&peer(0));
+    assert_eq!(fetch.told(Moment(2), &peer(1), false), Advice::Ask);
+}
+
+#[test]
+fn what_does_not_come_is_asked_for_elsewhere_with_more_patience() {
+    let mut fetch = Fetch::default();
+    assert_eq!(fetch.told(Moment(0), &peer(0), false), Advice::Ask);
+    let second = Moment(PATIENCE_US);
+    assert_eq!(fetch.told(second - 1, &peer(1), false), Advice::Wait);
+    assert_eq!(fetch.told(second, &peer(1), false), Advice::Ask);
+    let third = second + 2 * PATIENCE_US;
+    assert_eq!(fetch.told(third - 1, &peer(2), false), Advice::Wait);
+    assert_eq!(fetch.told(third, &peer(2), false), Advice::Ask);
+    fetch.came();
+    assert_eq!(fetch.told(third, &peer(3), false), Advice::Ask);
+}
+
+proptest! {
+    /// However often and by whomever a node is told, copies that overlap stay few: one, and one more for each
+    /// time that the patience ended.
+    #[test]
+    fn copies_that_overlap_are_few(steps in prop::collection::vec((0u8..30, 0u64..400_000, any::<bool>()), 1..400)) {
+        let mut fetch = Fetch::default();
+        let mut now = Moment(0);
+        let mut asked: Vec<Moment> = Vec::new();
+        for (number, pause_us, store_asked) in steps {
+            now = now + pause_us;
+            if fetch.told(now, &peer(number), store_asked) == Advice::Ask {
+                asked.push(now);
+            }
+        }
+        for pair in asked.windows(2) {
+            prop_assert!(pair[1].since(pair[0]) >= PATIENCE_US);
+        }
+        prop_assert!(asked.len() as u64 <= 1 + now.0 / PATIENCE_US);
+    }
+}
--- a/components/rollout/tests/rollout/main.rs
+++ b/components/rollout/tests/rollout/main.rs
@@ -1,6 +1,7 @@
 //! Rollout under races, lost answers, outages, restarts and a store that goes back.
 
 mod differences;
+mod fetch;
 mod fuzz;
 mod reuse;
 mod world;
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -170,8 +170,11 @@
     RecordVersions(Versions),
     /// Records that the receiver was found to lack.
     Records(Vec<Record>),
-    /// What the sender knows; the receiver answers with what is newer.
+    /// What the sender knows. A receiver that knows something newer answers with its own summary, one that
+    /// lacks something asks for it when it wants it from this node.
     Summary(Summary),
+    /// What the sender knows; the receiver answers with the content of what is newer.
+    Want(Summary),
     /// A revision with its content.
     Configuration(Arc<Configuration>),
     /// The platform's list.
