Answers of the store that keep coming are read to their end

Cause: a read had 1.5 s for its whole answer. 0.74 MB on a link of 10 Mbit/s that carries other traffic take longer, so it was given up, whatever had arrived, and began again: for ever.

--- a/components/daemon/src/registration/health.rs
+++ b/components/daemon/src/registration/health.rs
@@ -7,6 +7,7 @@
 use async_std::future::timeout;
 use async_std::task;
 use errors::{Error, Result, Step};
+use http1::Patience;
 use registry::{Instance, State};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -69,7 +70,8 @@
         .address
         .parse()
         .map_err(|_| fail("not an address".to_string()))?;
-    let call = http1::call(address, "GET", path, &[], &[], MAX_ANSWER_BYTES);
+    let patience = Patience::even(ANSWER_TIMEOUT);
+    let call = http1::call(address, "GET", path, &[], &[], MAX_ANSWER_BYTES, patience);
     let (head, _) = timeout(ANSWER_TIMEOUT, call)
         .await
         .map_err(|_| fail("no answer in time".to_string()))?
--- a/components/http1/src/call.rs
+++ b/components/http1/src/call.rs
@@ -3,6 +3,8 @@
 use crate::connection::{Connection, Fault};
 use crate::framing::{response_framing, EndByClose};
 use crate::head::ResponseHead;
+use crate::patience::{Patience, Patient};
+use async_std::future::timeout;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use socket2::{SockRef, TcpKeepalive};
@@ -35,8 +37,8 @@
     socket.set_tcp_nodelay(true)
 }
 
-/// Sends one request to `address` and reads its answer of at most `most` bytes. Callers set the
-/// time limit.
+/// Sends one request to `address` and reads its answer of at most `most` bytes. `patience` bounds the time to
+/// connect and send, and each silence; callers bound the whole.
 pub async fn call(
     address: SocketAddr,
     method: &str,
@@ -44,17 +46,26 @@
     headers: &[(&str, &str)],
     body: &[u8],
     most: u64,
+    patience: Patience,
 ) -> Result<(ResponseHead, Vec<u8>), Fault> {
-    let mut stream = TcpStream::connect(address).await.map_err(Fault::Io)?;
-    notice_silence(&stream).map_err(Fault::Io)?;
     let host = address.to_string();
     let fixed = [("Host", host.as_str()), ("Connection", "close")];
     let headers = fixed.iter().chain(headers).copied();
     let bytes = crate::request_bytes(method, target, headers, body, method != "GET");
-    stream.write_all(&bytes).await.map_err(Fault::Io)?;
-    let mut connection = Connection::new(stream);
+    let stream = timeout(patience.first, send(address, &bytes))
+        .await
+        .map_err(|_| Fault::Io(io::Error::new(io::ErrorKind::TimedOut, "not sent in time")))?
+        .map_err(Fault::Io)?;
+    let mut connection = Connection::new(Patient::new(stream, patience));
     let head = connection.response_head(MAX_HEAD_BYTES).await?;
     let framing = response_framing(method, &head, EndByClose::Fault)?;
     let body = connection.body(framing, most).await?;
     Ok((head, body))
 }
+
+async fn send(address: SocketAddr, bytes: &[u8]) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address).await?;
+    notice_silence(&stream)?;
+    stream.write_all(bytes).await?;
+    Ok(stream)
+}
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -8,10 +8,12 @@
 mod connection;
 mod framing;
 mod head;
+mod patience;
 mod write;
 
 pub use call::{call, notice_silence};
 pub use connection::{Connection, Fault};
 pub use framing::{request_framing, response_framing, EndByClose, Framing};
 pub use head::{is_hop_header, single, value, Header, RequestHead, ResponseHead};
+pub use patience::Patience;
 pub use write::{request_bytes, response_bytes};
