--- a/components/declarations/src/lib.rs
+++ b/components/declarations/src/lib.rs
@@ -8,9 +8,11 @@
 mod check_routes;
 mod examples;
 mod model;
+mod reuse;
 mod route;
 
 pub use bundle::{Bundle, MAX_BUNDLE_BYTES, SERVICES_FILE};
 pub use check::check;
 pub use model::{Declarations, Group, HallMeasuring, Service};
+pub use reuse::{check_after, RouteSections};
 pub use route::{CallerLimits, Registered, Route, Share};
--- a/components/declarations/src/model.rs
+++ b/components/declarations/src/model.rs
@@ -1,5 +1,6 @@
 //! Checked declarations, ready for use.
 
+use crate::reuse::RouteSections;
 use crate::route::{CallerLimits, Registered, Route};
 use names::Name;
 use policy::Policy;
@@ -58,6 +59,8 @@
     pub registered: BTreeMap<Name, Registered>,
     /// Routes by host, the longest path first.
     pub routes: HashMap<String, Vec<Arc<Route>>>,
+    /// The sections of these routes, for the check of the next set.
+    pub route_sections: RouteSections,
     /// Bounds on what callers send; none where the node's own settings hold.
     pub limits: Option<CallerLimits>,
 }
--- a/components/rollout/src/node.rs
+++ b/components/rollout/src/node.rs
@@ -1,7 +1,7 @@
 //! A node's side: taking in revisions.
 
 use crate::head::{join, Digest, Head};
-use declarations::{check, Bundle, Declarations};
+use declarations::{check, check_after, Bundle, Declarations};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use std::collections::BTreeMap;
@@ -131,7 +131,7 @@
         if let Err(offered) = self.wants(&configuration.head) {
             return offered;
         }
-        let declarations = match compile(&configuration) {
+        let declarations = match compile(&configuration, self.in_force.as_deref()) {
             Ok(declarations) => declarations,
             Err(error) => {
                 self.counters.bad += 1;
@@ -150,7 +150,14 @@
     }
 }
 
-fn compile(configuration: &Configuration) -> Result<Declarations, String> {
+fn compile(
+    configuration: &Configuration,
+    before: Option<&InForce>,
+) -> Result<Declarations, String> {
     let bundle = configuration.bundle()?;
-    check(&bundle).map_err(|problems| problems.to_string())
+    let checked = match before {
+        Some(before) => check_after(&bundle, &before.declarations),
+        None => check(&bundle),
+    };
+    checked.map_err(|problems| problems.to_string())
 }
--- a/components/sections/src/reader.rs
+++ b/components/sections/src/reader.rs
@@ -2,7 +2,7 @@
 
 use errors::{Problem, Problems};
 use ini::Ini;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::str::FromStr;
 
 /// Reads one INI file and collects its problems.
@@ -10,11 +10,34 @@
 pub struct Reader {
     file: String,
     text: String,
-    ini: Ini,
-    used: HashSet<(String, String)>,
+    /// In the file's order.
+    sections: Vec<Section>,
+    /// The first section of each name.
+    by_name: HashMap<String, usize>,
     problems: Vec<Problem>,
 }
 
+#[derive(Debug)]
+struct Section {
+    name: String,
+    entries: Vec<Entry>,
+}
+
+/// A key with its value. Sections have few keys, so that looking through them beats a map.
+#[derive(Debug)]
+struct Entry {
+    key: String,
+    value: String,
+    used: bool,
+}
+
+impl Section {
+    fn is_used(&self, key: &str) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|entry| entry.key == key && entry.used)
+    }
+}
+
 impl Reader {
     /// Parses `text`, which came from `file`. A syntax error is the file's only problem.
     pub fn new(file: &str, text: &str) -> Result<Reader, Problems> {
@@ -28,11 +51,16 @@
                 allowed: format!("not an INI file: {}", error.msg),
             }])
         })?;
+        let sections: Vec<Section> = ini.into_iter().map(section).collect();
+        let mut by_name = HashMap::with_capacity(sections.len());
+        for (i, section) in sections.iter().enumerate() {
+            by_name.entry(section.name.clone()).or_insert(i);
+        }
         let mut reader = Reader {
             file: file.to_string(),
             text: text.to_string(),
-            ini,
-            used: HashSet::new(),
+            sections,
+            by_name,
             problems: Vec::new(),
         };
         reader.find_doubled_keys();
@@ -41,11 +69,8 @@
 
     /// Names of the sections, in the file's order.
     pub fn sections(&self) -> Vec<String> {
-        self.ini
-            .sections()
-            .flatten()
-            .map(|name| name.to_string())
-            .collect()
+        let names = self.sections.iter().map(|section| &section.name);
+        names.filter(|name| !name.is_empty()).cloned().collect()
     }
 
     /// Names after `prefix` and a space in section names such as `[group east]`.
@@ -61,10 +86,11 @@
 
     /// The value of a key, if it is there.
     pub fn text(&mut self, section: &str, key: &str) -> Option<String> {
-        self.used.insert((section.to_string(), key.to_string()));
-        self.ini
-            .get_from(Some(section), key)
-            .map(|value| value.trim().to_string())
+        let i = *self.by_name.get(section)?;
+        let mut entries = self.sections[i].entries.iter_mut();
+        let entry = entries.find(|entry| entry.key == key)?;
+        entry.used = true;
+        Some(entry.value.trim().to_string())
     }
 
     /// The value of a key that must be there and not be empty.
@@ -111,13 +137,20 @@
         range: std::ops::RangeInclusive<u64>,
         default: u64,
     ) -> u64 {
-        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
-        let number = self.value_or(section, key, &allowed, default);
-        if !range.contains(&number) {
-            self.problem(section, key, &number.to_string(), &allowed);
+        let Some(value) = self.text(section, key) else {
             return default;
+        };
+        let number = value.parse().ok();
+        if let Some(number) = number.filter(|number| range.contains(number)) {
+            return number;
         }
-        number
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let allowed = match number {
+            Some(_) => allowed,
+            None => format!("must be {allowed}"),
+        };
+        self.problem(section, key, &value, &allowed);
+        default
     }
 
     /// Notes a problem with a key.
@@ -161,18 +194,18 @@
 
     fn find_unknown(&mut self, known_sections: &[&str]) {
         let mut unknown = Vec::new();
-        for (section, properties) in self.ini.iter() {
-            let name = section.unwrap_or("");
+        for section in &self.sections {
+            let name = section.name.as_str();
             let kind = name.split(' ').next().unwrap_or("");
-            let empty = name.is_empty() && properties.is_empty();
+            let empty = name.is_empty() && section.entries.is_empty();
             if !empty && !known_sections.contains(&kind) {
                 unknown.push((name.to_string(), String::new(), String::new()));
                 continue;
             }
-            for (key, value) in properties.iter() {
-                if !self.used.contains(&(name.to_string(), key.to_string())) {
-                    unknown.push((name.to_string(), key.to_string(), value.to_string()));
-                }
+            let first = &self.sections[self.by_name[name]];
+            let unused = section.entries.iter();
+            for entry in unused.filter(|entry| !first.is_used(&entry.key)) {
+                unknown.push((name.to_string(), entry.key.clone(), entry.value.clone()));
             }
         }
         for (section, key, value) in unknown {
@@ -186,13 +219,18 @@
     }
 
     fn find_doubled_keys(&mut self) {
-        let mut seen = HashSet::new();
         let mut doubled = Vec::new();
-        for (section, properties) in self.ini.iter() {
-            let name = section.unwrap_or("").to_string();
-            for (key, value) in properties.iter() {
-                if !seen.insert((name.clone(), key.to_string())) {
-                    doubled.push((name.clone(), key.to_string(), value.to_string()));
+        for (i, section) in self.sections.iter().enumerate() {
+            let first = self.by_name[&section.name];
+            for (j, entry) in section.entries.iter().enumerate() {
+                let before = if first == i {
+                    &section.entries[..j]
+                } else {
+                    &self.sections[first].entries[..]
+                };
+                if before.iter().any(|other| other.key == entry.key) {
+                    let key = entry.key.clone();
+                    doubled.push((section.name.clone(), key, entry.value.clone()));
                 }
             }
         }
@@ -230,3 +268,15 @@
         }
     }
 }
+
+fn section((name, properties): (Option<String>, ini::Properties)) -> Section {
+    let entries = properties.into_iter().map(|(key, value)| Entry {
+        key,
+        value,
+        used: false,
+    });
+    Section {
+        name: name.unwrap_or_default(),
+        entries: entries.collect(),
+    }
+}
