--- a/components/rollout/tests/rollout/fetch.rs
+++ b/components/rollout/tests/rollout/fetch.rs
@@ -52,6 +52,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// However often and by whomever a node is told, copies that overlap stay few: one, and one more for each
     /// time that the patience ended.
     #[test]
