Declarations are checked in steps, between which requests are served

Cause: what is left of the check of a large change (0.2 to 0.25 s on a tenth of a core for 1,400 new routes) still held up every request of the node. Change: declarations::CheckSteps checks 150 routes a step; Rollout::begin and end take a revision in around it, the daemon pauses 1 ms between steps, so that sockets are looked at. The revision before stays in force meanwhile. A revision that is being checked is not checked a second time; of two, the higher one stays. Tests: three of Rollout; drawn sets checked in steps and alone come out the same.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -255,21 +255,21 @@
 }
 
 /// Where a revision came from.
-#[derive(Debug, Clone, Copy)]
-pub enum Origin<'a> {
+#[derive(Debug, Clone)]
+pub enum Origin {
     /// The platform's store.
     Store,
     /// Another node.
-    Peer(&'a Name),
+    Peer(Name),
     /// An operator's tool.
     Operator,
 }
 
-/// A revision with its content arrived; checking it took `check_us`.
+/// A revision with its content arrived; checking it took `check_us`, with the pauses between its steps.
 pub fn revision_came(
     revision: u64,
     bytes: usize,
-    origin: Origin<'_>,
+    origin: &Origin,
     offered: &Offered,
     check_us: u64,
 ) {
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -24,16 +24,32 @@
 /// One comparison in so many is made with a peer of any hall, the others within the own hall.
 const FAR_COMPARISON: u32 = 4;
 
-/// Takes in a revision; tells peers when it is new.
-pub fn take_in(node: &Rc<Node>, configuration: Configuration, origin: Origin<'_>) -> Offered {
-    let before = node.in_force();
+/// Pause between two steps of work on declarations, in which requests are served: long enough that sockets are looked at.
+pub const BREATH: Duration = Duration::from_millis(1);
+
+/// Takes in a revision; tells peers when it is new. Requests are served by the one before it until it is checked.
+pub async fn take_in(node: &Rc<Node>, configuration: Configuration, origin: Origin) -> Offered {
     let revision = configuration.head.revision;
     let bytes = configuration.size();
     let began = node.now();
-    let offered = node.rollout.borrow_mut().offer(configuration);
+    let begun = node.rollout.borrow_mut().begin(configuration);
+    let (before, offered) = match begun {
+        Ok(mut checking) => {
+            let checked = loop {
+                if let Some(checked) = checking.step() {
+                    break checked;
+                }
+                task::sleep(BREATH).await;
+            };
+            let before = node.in_force();
+            let offered = node.rollout.borrow_mut().end(checking, checked);
+            (before, offered)
+        }
+        Err(offered) => (None, offered),
+    };
     let check_us = node.now().since(began);
     stats::worked(Work::Check, check_us);
-    audit::revision_came(revision, bytes, origin, &offered, check_us);
+    audit::revision_came(revision, bytes, &origin, &offered, check_us);
     match &offered {
         Offered::Taken => {
             if let Some(after) = node.in_force() {
@@ -44,7 +60,7 @@
             node.refresh_budget();
             tell_some(node);
         }
-        Offered::Same => {}
+        Offered::Same | Offered::UnderWay => {}
         other => tracing::warn!(revision, ?other, "a revision was not taken"),
     }
     offered
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -9,6 +9,7 @@
 use home::AskReply;
 use names::Name;
 use std::rc::Rc;
+use std::sync::Arc;
 use wire::Frame;
 
 /// Takes in a frame that came from `from`; answers go to `reply`.
@@ -104,7 +105,11 @@
         Frame::Summary(summary) => configuration::compare(node, from, &summary, reply),
         Frame::Want(summary) => configuration::wanted(node, from, &summary, reply),
         Frame::Configuration(configuration) => {
-            configuration::take_in(node, (*configuration).clone(), Origin::Peer(from));
+            let (node, from) = (node.clone(), from.clone());
+            crate::local::spawn(async move {
+                let configuration = Arc::unwrap_or_clone(configuration);
+                configuration::take_in(&node, configuration, Origin::Peer(from)).await;
+            });
         }
         Frame::Vms(list) => configuration::take_in_vms(node, (*list).clone()),
     }
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -174,7 +174,7 @@
                 tx.try_send(()).ok();
             }
             Command::Push(configuration, tx) => {
-                let offered = configuration::take_in(&node, *configuration, Origin::Operator);
+                let offered = configuration::take_in(&node, *configuration, Origin::Operator).await;
                 tx.try_send(offered).ok();
             }
         }
--- a/components/daemon/src/platform_watch.rs
+++ b/components/daemon/src/platform_watch.rs
@@ -109,7 +109,7 @@
     let wanted = node.rollout.borrow_mut().wants(&head);
     if wanted.is_ok() {
         let objects = fetch(node, &head).await?;
-        configuration::take_in(node, Configuration { head, objects }, Origin::Store);
+        configuration::take_in(node, Configuration { head, objects }, Origin::Store).await;
     } else if let Err(offered) = wanted {
         if offered != rollout::Offered::Same {
             tracing::warn!(?offered, revision = head.revision, "the platform went back");
--- a/components/daemon/src/registration/configuration.rs
+++ b/components/daemon/src/registration/configuration.rs
@@ -2,7 +2,7 @@
 
 use super::Registration;
 use crate::audit::{self, Origin};
-use crate::configuration;
+use crate::configuration::{self, BREATH};
 use crate::node::Node;
 use crate::platform_watch::{rest, set_reachable, LEAST_PAUSE_MS};
 use crate::stats::{self, Work};
@@ -52,13 +52,13 @@
     let Some(after) = *at else {
         let listing = store.list(kind).await?;
         *at = Some(listing.at);
-        return take_all(node, registration, &listing.objects);
+        return take_all(node, registration, &listing.objects).await;
     };
     let watched = store.watch(kind, after, WATCH).await?;
     match watched {
         Watched::Changes { at: next, changed } => {
             *at = Some(next);
-            take_all(node, registration, &changed)?;
+            take_all(node, registration, &changed).await?;
             if !changed.is_empty() {
                 task::sleep(PAUSE).await;
             }
@@ -71,7 +71,7 @@
     Ok(())
 }
 
-fn take_all(node: &Rc<Node>, registration: &Registration, objects: &[Stored]) -> Result<()> {
+async fn take_all(node: &Rc<Node>, registration: &Registration, objects: &[Stored]) -> Result<()> {
     let (_, name) = registration.adapter.declarations();
     for object in objects.iter().filter(|object| object.name.as_str() == name) {
         let began = node.now();
@@ -82,7 +82,8 @@
         if written.version <= node.rollout.borrow().revision() {
             continue;
         }
-        configuration::take_in(node, to_configuration(written), Origin::Store);
+        task::sleep(BREATH).await;
+        configuration::take_in(node, to_configuration(written), Origin::Store).await;
     }
     Ok(())
 }
--- a/components/daemon/src/stats.rs
+++ b/components/daemon/src/stats.rs
@@ -68,12 +68,12 @@
 /// Name of the histograms of [`worked`].
 pub const WORK: &str = "drumwheel_declarations_work_seconds";
 
-/// What a change of the declarations costs a node while nothing else runs.
+/// What a change of the declarations costs a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Work {
     /// Reading the operators' object into this product's form.
     Translate,
-    /// Checking the declarations and putting them in force.
+    /// Checking the declarations and putting them in force; requests are served between the steps.
     Check,
 }
 
--- a/components/declarations/src/check.rs
+++ b/components/declarations/src/check.rs
@@ -4,7 +4,7 @@
 use crate::check_routes;
 use crate::examples;
 use crate::model::{Declarations, Group, HallMeasuring, Service};
-use crate::reuse;
+use crate::steps;
 use errors::{Problem, Problems};
 use names::Name;
 use policy::{Input, Policy};
@@ -42,7 +42,7 @@
         problems.splice(0..0, found.0);
     }
     if problems.is_empty() {
-        declarations.route_sections = reuse::route_sections(text, &declarations);
+        declarations.route_sections = steps::route_sections(text, &declarations);
         Ok(declarations)
     } else {
         Err(Problems(problems))
--- a/components/declarations/src/lib.rs
+++ b/components/declarations/src/lib.rs
@@ -8,11 +8,11 @@
 mod check_routes;
 mod examples;
 mod model;
-mod reuse;
 mod route;
+mod steps;
 
 pub use bundle::{Bundle, MAX_BUNDLE_BYTES, SERVICES_FILE};
 pub use check::check;
 pub use model::{Declarations, Group, HallMeasuring, Service};
-pub use reuse::{check_after, RouteSections};
 pub use route::{CallerLimits, Registered, Route, Share};
+pub use steps::{check_after, CheckSteps, RouteSections};
--- a/components/declarations/src/model.rs
+++ b/components/declarations/src/model.rs
@@ -1,7 +1,7 @@
 //! Checked declarations, ready for use.
 
-use crate::reuse::RouteSections;
 use crate::route::{CallerLimits, Registered, Route};
+use crate::steps::RouteSections;
 use names::Name;
 use policy::Policy;
 use std::collections::{BTreeMap, HashMap};
--- /dev/null
+++ b/components/declarations/src/steps.rs
@@ -0,0 +1,179 @@
+//! The check of a set of declarations in steps, of which each holds the caller up for a short time only.
+//!
+//! A route's section that stands letter for letter in the set that was checked before is taken over; the others are
+//! checked a few at a time. Whatever could make them mean something else than in the whole leads to the check of
+//! the whole in one step, which also words all problems.
+
+use crate::bundle::{Bundle, SERVICES_FILE};
+use crate::check::check;
+use crate::model::Declarations;
+use crate::route::Route;
+use errors::Problems;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+/// Beginning of a route's section.
+const ROUTE: &str = "[route ";
+/// Routes that are checked in one step: 1.5 ms on one core, 15 ms on a tenth of one.
+const ROUTES_A_STEP: usize = 150;
+
+/// Sections of routes, as they were written, with what they were read into.
+pub type RouteSections = HashMap<Box<str>, Arc<Route>>;
+
+/// A check under way.
+#[derive(Debug)]
+pub struct CheckSteps {
+    bundle: Bundle,
+    /// None: the whole is checked in one step.
+    parts: Option<Parts>,
+}
+
+/// A set that is checked in parts.
+#[derive(Debug)]
+struct Parts {
+    /// All sections that are not routes.
+    common: String,
+    /// Routes that are still to be checked, some in each part.
+    new: Vec<String>,
+    /// Routes that are checked.
+    routes: RouteSections,
+}
+
+impl CheckSteps {
+    /// Begins the check of `bundle`. Routes that stand unchanged in the set that was checked `before` are taken
+    /// over: of 4,200 with one changed, 4.5 ms in place of 39 are spent (one core, median).
+    pub fn begin(bundle: Bundle, before: Option<&Declarations>) -> CheckSteps {
+        let parts = parts(&bundle, before);
+        CheckSteps { bundle, parts }
+    }
+
+    /// Goes on; the outcome once it is known.
+    pub fn step(&mut self) -> Option<Result<Declarations, Problems>> {
+        let Some(parts) = &mut self.parts else {
+            return Some(check(&self.bundle));
+        };
+        let Some(routes) = parts.new.pop() else {
+            let declarations = parts.put_together();
+            return Some(declarations.map_or_else(|| check(&self.bundle), Ok));
+        };
+        match check(&services_file(format!("{}{routes}", parts.common))) {
+            Ok(checked) => parts.routes.extend(checked.route_sections),
+            Err(_) => self.parts = None,
+        }
+        None
+    }
+}
+
+/// Checks `bundle` like [`check`], and takes over what stands unchanged in the set that was checked `before`.
+pub fn check_after(bundle: Bundle, before: &Declarations) -> Result<Declarations, Problems> {
+    let mut steps = CheckSteps::begin(bundle, Some(before));
+    loop {
+        if let Some(checked) = steps.step() {
+            return checked;
+        }
+    }
+}
+
+impl Parts {
+    /// All declarations; none when the routes don't fit the rest or each other.
+    fn put_together(&mut self) -> Option<Declarations> {
+        let mut declarations = check(&services_file(std::mem::take(&mut self.common))).ok()?;
+        for route in self.routes.values() {
+            let mut shares = route.shares.iter();
+            if !shares.all(|share| declarations.registered.contains_key(&share.service)) {
+                return None;
+            }
+            let routes = declarations.routes.entry(route.host.clone()).or_default();
+            routes.push(route.clone());
+        }
+        for routes in declarations.routes.values_mut() {
+            let paths: HashSet<&str> = routes.iter().map(|route| route.path.as_str()).collect();
+            if paths.len() < routes.len() {
+                return None;
+            }
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path.len()));
+        }
+        declarations.route_sections = std::mem::take(&mut self.routes);
+        Some(declarations)
+    }
+}
+
+/// The parts of a set that is one file with sections that can be told apart; none for any other.
+fn parts(bundle: &Bundle, before: Option<&Declarations>) -> Option<Parts> {
+    let text = bundle.files.get(SERVICES_FILE)?;
+    if bundle.files.len() > 1 {
+        return None;
+    }
+    let mut common = String::new();
+    let mut routes = RouteSections::default();
+    let mut new = Vec::new();
+    for section in split(text)? {
+        let known =
+            before.and_then(|before| before.route_sections.get_key_value(section.trim_end()));
+        match known {
+            Some((section, route)) => {
+                routes.insert(section.clone(), route.clone());
+            }
+            None if section.starts_with(ROUTE) => new.push(section),
+            None => common.push_str(section),
+        }
+    }
+    let new = new.chunks(ROUTES_A_STEP).map(<[&str]>::concat).collect();
+    Some(Parts {
+        common,
+        new,
+        routes,
+    })
+}
+
+fn services_file(text: String) -> Bundle {
+    Bundle {
+        files: [(SERVICES_FILE.to_string(), text)].into(),
+    }
+}
+
+/// The sections of the routes in `text`.
+pub(crate) fn route_sections(text: &str, declarations: &Declarations) -> RouteSections {
+    let Some(sections) = split(text) else {
+        return RouteSections::default();
+    };
+    let by_name: HashMap<&str, &Arc<Route>> = declarations
+        .routes
+        .values()
+        .flatten()
+        .map(|route| (route.name.as_str(), route))
+        .collect();
+    sections
+        .into_iter()
+        .filter_map(|section| {
+            let route = by_name.get(route_name(section)?)?;
+            Some((section.trim_end().into(), Arc::clone(route)))
+        })
+        .collect()
+}
+
+/// The sections of `text`, each with its heading; none when a section might begin elsewhere than at a line that
+/// begins with a bracket, or a heading stands twice.
+fn split(text: &str) -> Option<Vec<&str>> {
+    if text.contains(['"', '\'', '\\']) {
+        return None;
+    }
+    let mut starts = vec![0];
+    starts.extend(text.match_indices("\n[").map(|(at, _)| at + 1));
+    starts.push(text.len());
+    let sections: Vec<&str> = starts
+        .windows(2)
+        .map(|ends| &text[ends[0]..ends[1]])
+        .collect();
+    let mut headings = HashSet::with_capacity(sections.len());
+    let headings_differ = sections
+        .iter()
+        .all(|section| headings.insert(section.lines().next().unwrap_or("").trim_end()));
+    headings_differ.then_some(sections)
+}
+
+/// The name in the heading of a route's section.
+fn route_name(section: &str) -> Option<&str> {
+    let (name, _) = section.strip_prefix(ROUTE)?.split_once(']')?;
+    Some(name.trim())
+}
--- a/components/declarations/tests/reuse.rs
+++ b/components/declarations/tests/reuse.rs
@@ -54,7 +54,7 @@
         let mut before = Declarations::default();
         for text in texts {
             let alone = check(&bundle(&text));
-            let after = check_after(&bundle(&text), &before);
+            let after = check_after(bundle(&text), &before);
             match (alone, after) {
                 (Ok(alone), Ok(after)) => {
                     prop_assert_eq!(routes(&alone), routes(&after));
@@ -74,7 +74,7 @@
     let with = format!("[registered s]\nhealth_path = /\n\n{route}");
     let without = format!("[registered t]\nhealth_path = /\n\n{route}");
     let before = check(&bundle(&with)).expect("a good set");
-    let problems = check_after(&bundle(&without), &before).expect_err("no such service");
+    let problems = check_after(bundle(&without), &before).expect_err("no such service");
     assert!(
         problems
             .to_string()
--- a/components/rollout/src/node.rs
+++ b/components/rollout/src/node.rs
@@ -1,7 +1,7 @@
 //! A node's side: taking in revisions.
 
 use crate::head::{join, Digest, Head};
-use declarations::{check, check_after, Bundle, Declarations};
+use declarations::{Bundle, CheckSteps, Declarations};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use std::collections::BTreeMap;
@@ -64,6 +64,8 @@
     Older,
     /// The same number with other content: not taken; the store went back or was forged.
     Differs,
+    /// Being checked already.
+    UnderWay,
     /// It does not pass the check: not taken.
     Bad(String),
 }
@@ -85,9 +87,26 @@
 #[derive(Debug, Default)]
 pub struct Rollout {
     in_force: Option<Arc<InForce>>,
+    /// Highest revision that is being checked; 0 for none.
+    checking: u64,
     counters: RolloutCounters,
 }
 
+/// A revision that is being checked, in steps.
+#[derive(Debug)]
+pub struct Checking {
+    configuration: Configuration,
+    steps: CheckSteps,
+}
+
+impl Checking {
+    /// Goes on; the outcome once it is known. An error says what is wrong with the revision.
+    pub fn step(&mut self) -> Option<Result<Declarations, String>> {
+        let checked = self.steps.step()?;
+        Some(checked.map_err(|problems| problems.to_string()))
+    }
+}
+
 impl Rollout {
     /// Revision in force; 0 for none.
     pub fn revision(&self) -> u64 {
@@ -128,18 +147,50 @@
 
     /// Takes in a revision, from the platform, a peer or an operator's tool alike.
     pub fn offer(&mut self, configuration: Configuration) -> Offered {
-        if let Err(offered) = self.wants(&configuration.head) {
-            return offered;
+        let mut checking = match self.begin(configuration) {
+            Ok(checking) => checking,
+            Err(offered) => return offered,
+        };
+        loop {
+            if let Some(checked) = checking.step() {
+                return self.end(checking, checked);
+            }
+        }
+    }
+
+    /// Begins to take a revision in. Its check is carried out by the caller, step by step, and ended with
+    /// [`Rollout::end`].
+    pub fn begin(&mut self, configuration: Configuration) -> Result<Checking, Offered> {
+        self.wants(&configuration.head)?;
+        let revision = configuration.head.revision;
+        if revision <= self.checking {
+            return Err(Offered::UnderWay);
         }
-        let declarations = match compile(&configuration, self.in_force.as_deref()) {
+        let bundle = configuration.bundle().map_err(|error| self.bad(error))?;
+        let before = self.in_force.as_ref().map(|before| &before.declarations);
+        let steps = CheckSteps::begin(bundle, before);
+        self.checking = revision;
+        Ok(Checking {
+            configuration,
+            steps,
+        })
+    }
+
+    /// Ends the check of a revision. It is in force from now on, unless a higher one is, or it is bad.
+    pub fn end(&mut self, checking: Checking, checked: Result<Declarations, String>) -> Offered {
+        let configuration = checking.configuration;
+        let after = configuration.head.revision;
+        if self.checking == after {
+            self.checking = 0;
+        }
+        let declarations = match checked {
             Ok(declarations) => declarations,
-            Err(error) => {
-                self.counters.bad += 1;
-                return Offered::Bad(error);
-            }
+            Err(error) => return self.bad(error),
         };
+        if let Err(offered) = self.wants(&configuration.head) {
+            return offered;
+        }
         let before = self.revision();
-        let after = configuration.head.revision;
         assert!(after > before, "revision {after} follows {before}");
         self.in_force = Some(Arc::new(InForce {
             configuration,
@@ -148,16 +199,9 @@
         self.counters.taken += 1;
         Offered::Taken
     }
-}
 
-fn compile(
-    configuration: &Configuration,
-    before: Option<&InForce>,
-) -> Result<Declarations, String> {
-    let bundle = configuration.bundle()?;
-    let checked = match before {
-        Some(before) => check_after(&bundle, &before.declarations),
-        None => check(&bundle),
-    };
-    checked.map_err(|problems| problems.to_string())
+    fn bad(&mut self, error: String) -> Offered {
+        self.counters.bad += 1;
+        Offered::Bad(error)
+    }
 }
--- a/components/rollout/tests/rollout/reuse.rs
+++ b/components/rollout/tests/rollout/reuse.rs
@@ -7,7 +7,7 @@
 //! *What settled it.* The lines "a revision came", with a `check_ms` of 900 to 1,830 on such nodes.
 
 use declarations::{Bundle, Route};
-use rollout::{split, Change, Configuration, Head, Offered, Rollout};
+use rollout::{split, Change, Checking, Configuration, Head, Offered, Rollout};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -62,3 +62,51 @@
     }
     assert_eq!(after["/7/"].treatment.deadline_ms, 700);
 }
+
+/// Carries a check through; returns its outcome and in how many steps.
+fn finish(rollout: &mut Rollout, mut checking: Checking) -> (Offered, usize) {
+    let mut steps = 1;
+    loop {
+        if let Some(checked) = checking.step() {
+            return (rollout.end(checking, checked), steps);
+        }
+        steps += 1;
+    }
+}
+
+#[test]
+fn a_large_set_is_checked_in_steps_and_a_small_change_of_it_in_few() {
+    let mut rollout = Rollout::default();
+    let checking = rollout.begin(configuration(1, 3_000, None)).expect("new");
+    let (offered, steps) = finish(&mut rollout, checking);
+    assert_eq!(offered, Offered::Taken);
+    assert!(steps >= 20, "{steps} steps");
+    let checking = rollout
+        .begin(configuration(2, 3_000, Some(9)))
+        .expect("new");
+    let (offered, steps) = finish(&mut rollout, checking);
+    assert_eq!(offered, Offered::Taken);
+    assert!(steps <= 3, "{steps} steps");
+}
+
+#[test]
+fn of_two_revisions_that_are_checked_at_the_same_time_the_higher_one_stays() {
+    let mut rollout = Rollout::default();
+    let lower = rollout.begin(configuration(3, 10, None)).expect("new");
+    let same = rollout.begin(configuration(3, 10, None));
+    assert_eq!(same.expect_err("once is enough"), Offered::UnderWay);
+    let higher = rollout.begin(configuration(4, 10, Some(1))).expect("new");
+    assert_eq!(finish(&mut rollout, higher).0, Offered::Taken);
+    assert_eq!(finish(&mut rollout, lower).0, Offered::Older);
+    assert_eq!(rollout.revision(), 4);
+}
+
+#[test]
+fn a_revision_that_was_bad_keeps_no_other_out() {
+    let mut rollout = Rollout::default();
+    let mut bad = configuration(3, 10, None);
+    let part = bad.objects.values_mut().next().expect("a part");
+    part.push(b'x');
+    assert!(matches!(rollout.begin(bad), Err(Offered::Bad(_))));
+    assert_eq!(rollout.offer(configuration(3, 10, None)), Offered::Taken);
+}
