--- a/components/declarations/tests/reuse.rs
+++ b/components/declarations/tests/reuse.rs
@@ -82,3 +82,15 @@
         "{problems}"
     );
 }
+
+#[test]
+fn two_routes_with_one_path_are_a_problem_though_the_section_of_one_is_the_same() {
+    let service = "[registered s]\nhealth_path = /\n\n";
+    let route = |name| format!("[route {name}]\nhost = h\npath = /\nservices = s:1\n\n");
+    let first = format!("{service}{}", route("first"));
+    let before = check(&bundle(&first)).expect("a good set");
+    let both = format!("{first}{}", route("second"));
+    let problems = check_after(bundle(&both), &before).expect_err("one path twice");
+    let text = problems.to_string();
+    assert!(text.contains("the path of another route"), "{text}");
+}
