plan and history compare sets of declarations by what changed, not by all pairs of lines

Change: the library similar (Myers) in its place; the lines are the same. 4,200 routes, 25,200 lines, one changed, debug build: 18.0 s and 2.5 GB / 0.03 s and 8 MB.

--- a/components/rollout/src/diff.rs
+++ b/components/rollout/src/diff.rs
@@ -1,6 +1,7 @@
 //! The difference between two sets of declarations, as lines for people.
 
 use declarations::Bundle;
+use similar::{ChangeTag, TextDiff};
 use std::collections::BTreeSet;
 
 /// Lines that begin with `+`, `-` or a file's name; empty when the sets are equal.
@@ -19,36 +20,15 @@
     lines
 }
 
-/// Line difference by longest common subsequence.
+/// Line difference by Myers' algorithm, whose cost grows with what changed: a table of all pairs of lines would
+/// take 2.5 GB and 18 s for 25,000 lines of which one changed, this 8 MB and 0.03 s.
 fn diff_file(old: &str, new: &str, out: &mut Vec<String>) {
-    let old: Vec<&str> = old.lines().collect();
-    let new: Vec<&str> = new.lines().collect();
-    let common = common_lengths(&old, &new);
-    let (mut i, mut j) = (0, 0);
-    while i < old.len() || j < new.len() {
-        if i < old.len() && j < new.len() && old[i] == new[j] {
-            i += 1;
-            j += 1;
-        } else if j >= new.len() || (i < old.len() && common[i + 1][j] >= common[i][j + 1]) {
-            out.push(format!("- {}", old[i]));
-            i += 1;
-        } else {
-            out.push(format!("+ {}", new[j]));
-            j += 1;
+    for change in TextDiff::from_lines(old, new).iter_all_changes() {
+        let line = change.value().trim_end_matches(['\r', '\n']);
+        match change.tag() {
+            ChangeTag::Delete => out.push(format!("- {line}")),
+            ChangeTag::Insert => out.push(format!("+ {line}")),
+            ChangeTag::Equal => {}
         }
     }
 }
-
-fn common_lengths(old: &[&str], new: &[&str]) -> Vec<Vec<u32>> {
-    let mut lengths = vec![vec![0; new.len() + 1]; old.len() + 1];
-    for i in (0..old.len()).rev() {
-        for j in (0..new.len()).rev() {
-            lengths[i][j] = if old[i] == new[j] {
-                lengths[i + 1][j + 1] + 1
-            } else {
-                lengths[i + 1][j].max(lengths[i][j + 1])
-            };
-        }
-    }
-    lengths
-}
--- a/components/rollout/tests/rollout/differences.rs
+++ b/components/rollout/tests/rollout/differences.rs
@@ -94,3 +94,27 @@
     let offered = Rollout::default().offer(forged);
     assert!(matches!(offered, Offered::Bad(_)), "{offered:?}");
 }
+
+#[test]
+fn one_changed_line_of_a_large_set_is_found() {
+    let set = |changed: Option<usize>| {
+        let line = |i| {
+            let path = if changed == Some(i) { "moved" } else { "path" };
+            format!(
+                "[route r-{i}]\nhost = h\npath = /{path}-{i}/\nservices = s:1\nattempts = 2\n\n"
+            )
+        };
+        let text = (0..4_200).map(line).collect();
+        Bundle {
+            files: BTreeMap::from([("services.ini".to_string(), text)]),
+        }
+    };
+    assert_eq!(
+        diff(&set(None), &set(Some(2_000))),
+        [
+            "services.ini:",
+            "- path = /path-2000/",
+            "+ path = /moved-2000/"
+        ]
+    );
+}
