--- a/components/rollout/src/fetch.rs
+++ b/components/rollout/src/fetch.rs
@@ -22,8 +22,9 @@
 }
 
 impl Standing {
-    /// Whether the store is given time. A node without a revision serves nobody and asks at once: while the
-    /// store is silent and half of 13 nodes restart, waiting would cost 0.05 of the worth of all requests (mean of three seeds).
+    /// Whether the store is given time. A node without a revision serves nobody and asks at once: when half of
+    /// 13 nodes restart while the store is silent, waiting would cost 0.05 of the worth of all requests (mean of
+    /// three seeds).
     fn waits_for_store(self) -> bool {
         self.store_asked && self.revision > 0
     }
