A bad revision whose check ends keeps no other out: the test reaches that end now

The test met only content that is cut off before its check begins, and could not fail for the case in its name: with the end of a check left out it passed, and fails now. A comment's figure is one that was measured.

--- a/components/declarations/src/steps.rs
+++ b/components/declarations/src/steps.rs
@@ -14,7 +14,7 @@
 
 /// Beginning of a route's section.
 const ROUTE: &str = "[route ";
-/// Routes that are checked in one step: 1.5 ms on one core, 15 ms on a tenth of one.
+/// Routes that are checked in one step: about 1.2 ms on one core, by the 11 ms that 1,400 take there.
 const ROUTES_A_STEP: usize = 150;
 
 /// Sections of routes, as they were written, with what they were read into.
--- a/components/rollout/tests/rollout/reuse.rs
+++ b/components/rollout/tests/rollout/reuse.rs
@@ -105,9 +105,15 @@
 #[test]
 fn a_revision_that_was_bad_keeps_no_other_out() {
     let mut rollout = Rollout::default();
-    let mut bad = configuration(3, 10, None);
-    let part = bad.objects.values_mut().next().expect("a part");
+    let mut forged = configuration(3, 10, None);
+    let part = forged.objects.values_mut().next().expect("a part");
     part.push(b'x');
-    assert!(matches!(rollout.begin(bad), Err(Offered::Bad(_))));
+    assert!(matches!(rollout.begin(forged), Err(Offered::Bad(_))));
+    let mut bad = configuration(3, 10, None);
+    let text = "[route r]\nhost = h\npath = /\nservices = nobody:1\n".to_string();
+    let files = BTreeMap::from([("services.ini".to_string(), text)]);
+    (bad.head.files, bad.objects) = split(&Bundle { files });
+    let checking = rollout.begin(bad).expect("its content is whole");
+    assert!(matches!(finish(&mut rollout, checking).0, Offered::Bad(_)));
     assert_eq!(rollout.offer(configuration(3, 10, None)), Offered::Taken);
 }
