Nodes compare their records by buckets, and few of a hall with other halls

Change: where the digest of all differs, 64 bucket digests are sent (256 bytes), and versions only of the buckets that differ. The nodes of a hall make four comparisons with other halls in the time of one each; what a comparison brings is told within the hall by its digest. Fields of records have short names on the way and in the store (long ones are still read).

Tests: a single difference among 300 records takes the versions of at most 15; whatever was lost is still found (proptest); what an earlier version wrote is read.

--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -89,6 +89,11 @@
                 registration::digest_told(node, registration, digest, reply);
             }
         }
+        Frame::RecordBuckets(bytes) => {
+            if let Some(registration) = &node.registration {
+                registration::buckets_told(node, registration, &bytes, reply);
+            }
+        }
         Frame::RecordVersions(versions) => {
             if let Some(registration) = &node.registration {
                 registration::versions_told(node, registration, &versions, reply);
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -7,7 +7,7 @@
 mod records;
 
 pub use door::serve as serve_door;
-pub use peers::{digest_told, run_dials, taken, versions_told, Source};
+pub use peers::{buckets_told, digest_told, run_dials, taken, versions_told, Source};
 pub use records::{run as run_records, withdraw};
 
 use crate::audit;
@@ -33,6 +33,8 @@
     pub has_listed: Cell<bool>,
     /// The store's revision up to which the declarations were read; none when it is not known.
     pub store_at: Cell<Option<u64>>,
+    /// Whether something was learned by a comparison of which nearby nodes have not been told.
+    pub has_learned: Cell<bool>,
     /// Says that this node's record has changed and has to be stored.
     changed: (Sender<()>, Receiver<()>),
 }
@@ -58,6 +60,7 @@
             fleet: RefCell::new(Fleet::new(own)),
             has_listed: Cell::new(false),
             store_at: Cell::new(None),
+            has_learned: Cell::new(false),
             changed: async_channel::bounded(1),
         }
     }
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -9,10 +9,12 @@
 use crate::links::{self, Reply};
 use crate::local;
 use crate::node::Node;
+use crate::stats;
 use async_std::task;
 use names::Name;
 use rand::seq::IndexedRandom;
-use registry::{Merged, Record, Versions};
+use rand::Rng;
+use registry::{Digests, Merged, Record, Versions};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +28,14 @@
 /// the records in the store yet does so at each look.
 const COMPARE_EVERY_LOOKS: u32 = 4;
 
+/// Comparisons that the nodes of a hall together make with other halls in the time of one comparison of a
+/// node. Four, so that a hall whose connections fail one by one still compares each second; a node that is
+/// connected to nobody in its hall compares each time. When each node did so, comparisons were a third of the
+/// bytes between halls at rest.
+const FAR_COMPARISONS: usize = 4;
+/// Nodes of the hall that are told when a comparison brought something.
+const TOLD_OF_NEWS: usize = 4;
+
 /// Tells this node's record to all others, directly or through others.
 pub fn tell_all(node: &Rc<Node>, registration: &Registration, own: &Record) {
     let fleet = registration.fleet.borrow();
@@ -43,7 +53,8 @@
     Store,
     /// A node that tells a change: its own, or one that it passes on.
     Told(&'a Name, &'a Reply),
-    /// A node that was found to know more. Nothing of it is passed on: the others compare, too.
+    /// A node that was found to know more. Some nodes of the hall are soon told the digest, so that they
+    /// compare as well.
     Compared(&'a Reply),
 }
 
@@ -77,6 +88,9 @@
             if let Some(news) = news {
                 links::tell_hall(node, &news);
             }
+            if matches!(source, Source::Compared(_)) {
+                registration.has_learned.set(true);
+            }
             if renewed || moved {
                 links::renew(node, &vm);
                 node.entry.borrow_mut().forget(&vm);
@@ -115,12 +129,28 @@
 /// Answers a node that knows other records than this one.
 pub fn digest_told(node: &Rc<Node>, registration: &Registration, digest: u64, reply: &Reply) {
     let fleet = registration.fleet.borrow();
-    if registry::digest(&fleet) == digest {
+    let digests = fleet.digests();
+    if digests.whole() == digest {
         return;
     }
-    let versions = registry::versions(&fleet);
+    let bytes = digests.to_bytes();
+    drop(fleet);
+    reply.send(node, Frame::RecordBuckets(bytes));
+}
+
+/// Tells a node the versions of the records that it may know otherwise.
+pub fn buckets_told(node: &Rc<Node>, registration: &Registration, bytes: &[u8], reply: &Reply) {
+    let Some(theirs) = Digests::from_bytes(bytes) else {
+        stats::bad_input("peer");
+        return;
+    };
+    let fleet = registration.fleet.borrow();
+    let differing = fleet.digests().differing(&theirs);
+    let versions = registry::versions(&fleet, differing);
     drop(fleet);
-    reply.send(node, Frame::RecordVersions(versions));
+    if differing != 0 {
+        reply.send(node, Frame::RecordVersions(versions));
+    }
 }
 
 /// Sends what another node lacks, and asks for what this one lacks.
@@ -132,7 +162,9 @@
 ) {
     let fleet = registration.fleet.borrow();
     let compared = registry::compare(&fleet, theirs);
-    let mine = compared.lacks.then(|| registry::versions(&fleet));
+    let mine = compared
+        .lacks
+        .then(|| registry::versions(&fleet, theirs.buckets));
     drop(fleet);
     tracing::debug!(
         news = compared.news.len(),
@@ -166,21 +198,21 @@
         if look % COMPARE_EVERY_LOOKS == 0 || !registration.has_listed.get() {
             compare(&node, &registration);
         }
+        if registration.has_learned.take() {
+            tell_digest(&node, &registration);
+        }
         task::sleep(DIAL_EVERY).await;
     }
 }
 
-/// Tells what this node knows to one node of its hall and to one contact in another.
+/// Tells what this node knows to one node of its hall and, now and then, to a contact in another.
 fn compare(node: &Rc<Node>, registration: &Registration) {
-    let (digest, near, far) = {
-        let fleet = registration.fleet.borrow();
-        let others = fleet.others();
-        let near: Vec<Name> = others
-            .filter(|record| record.hall == node.cfg.hall && links::is_up(node, &record.vm))
-            .map(|record| record.vm.clone())
-            .collect();
-        (registry::digest(&fleet), near, far_contact(node, &fleet))
-    };
+    let fleet = registration.fleet.borrow();
+    let near = near_peers(node, &fleet);
+    let is_far_turn = rand::rng().random_range(0..=near.len()) < FAR_COMPARISONS;
+    let far = is_far_turn.then(|| far_contact(node, &fleet)).flatten();
+    let digest = fleet.digests().whole();
+    drop(fleet);
     let near = near.choose(&mut rand::rng()).cloned();
     for vm in near.into_iter().chain(far) {
         links::send(node, &vm, &Frame::RecordsDigest(digest));
@@ -188,6 +220,27 @@
     }
 }
 
+/// Tells a few nodes of the hall that this one has learned something by a comparison. What one node finds out
+/// is known to the hall within three or four looks.
+fn tell_digest(node: &Rc<Node>, registration: &Registration) {
+    let fleet = registration.fleet.borrow();
+    let near = near_peers(node, &fleet);
+    let digest = fleet.digests().whole();
+    drop(fleet);
+    for vm in near.choose_multiple(&mut rand::rng(), TOLD_OF_NEWS) {
+        links::send(node, vm, &Frame::RecordsDigest(digest));
+    }
+}
+
+/// The other nodes of this hall to which a connection is open.
+fn near_peers(node: &Rc<Node>, fleet: &registry::Fleet) -> Vec<Name> {
+    fleet
+        .others()
+        .filter(|record| record.hall == node.cfg.hall && links::is_up(node, &record.vm))
+        .map(|record| record.vm.clone())
+        .collect()
+}
+
 /// One of this node's contacts in a hall drawn at random.
 fn far_contact(node: &Rc<Node>, fleet: &registry::Fleet) -> Option<Name> {
     let halls: BTreeSet<&Name> = fleet.others().map(|record| &record.hall).collect();
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -1,5 +1,6 @@
 //! All records that a node knows.
 
+use crate::digest::Digests;
 use crate::record::{Record, Version};
 use names::Name;
 use std::collections::{BTreeMap, HashMap};
@@ -24,6 +25,7 @@
     records: BTreeMap<Name, Record>,
     /// VMs with a ready upstream, by service and hall.
     ready: HashMap<Name, BTreeMap<Name, Vec<Name>>>,
+    digests: Digests,
 }
 
 impl Fleet {
@@ -34,6 +36,7 @@
             me,
             records: BTreeMap::new(),
             ready: HashMap::new(),
+            digests: Digests::default(),
         };
         fleet.put(own);
         fleet
@@ -119,11 +122,18 @@
         halls.map(|(hall, vms)| (hall, vms.as_slice()))
     }
 
+    /// Digests of all records.
+    pub fn digests(&self) -> &Digests {
+        &self.digests
+    }
+
     /// Forgets a VM that is gone for good.
     pub fn forget(&mut self, vm: &Name) {
         if *vm != self.me {
             self.unlist(vm);
-            self.records.remove(vm);
+            if let Some(record) = self.records.remove(vm) {
+                self.digests.toggle(&record);
+            }
         }
     }
 
@@ -134,7 +144,12 @@
             let vms = halls.entry(record.hall.clone()).or_default();
             vms.push(record.vm.clone());
         }
-        self.records.insert(record.vm.clone(), record)
+        self.digests.toggle(&record);
+        let before = self.records.insert(record.vm.clone(), record);
+        if let Some(before) = &before {
+            self.digests.toggle(before);
+        }
+        before
     }
 
     fn unlist(&mut self, vm: &Name) {
--- a/components/registry/src/record.rs
+++ b/components/registry/src/record.rs
@@ -1,4 +1,7 @@
 //! What a node says of itself and of the upstream beside it.
+//!
+//! The names of fields are short on the way and in the store: records are most of what nodes of different
+//! halls tell one another. The long ones are read as well, since earlier versions wrote them.
 
 use names::{BootId, Name};
 use serde::{Deserialize, Serialize};
@@ -29,14 +32,19 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
     /// Its identity; each run has another.
+    #[serde(rename = "i", alias = "id")]
     pub id: Name,
     /// Service that it belongs to.
+    #[serde(rename = "s", alias = "service")]
     pub service: Name,
     /// Where it serves, as address and port.
+    #[serde(rename = "a", alias = "address")]
     pub address: String,
     /// Requests it works on at once.
+    #[serde(rename = "t", alias = "slots")]
     pub slots: u32,
     /// Its state.
+    #[serde(rename = "z", alias = "state")]
     pub state: State,
 }
 
@@ -47,8 +55,10 @@
 )]
 pub struct Version {
     /// Start of the node.
+    #[serde(rename = "g", alias = "generation")]
     pub generation: u64,
     /// Change within that start.
+    #[serde(rename = "c", alias = "change")]
     pub change: u64,
 }
 
@@ -56,18 +66,25 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// The VM.
+    #[serde(rename = "v", alias = "vm")]
     pub vm: Name,
     /// Its data hall.
+    #[serde(rename = "h", alias = "hall")]
     pub hall: Name,
     /// Where its node serves peers, as address and port.
+    #[serde(rename = "p", alias = "peers")]
     pub peers: String,
     /// The run of its node.
+    #[serde(rename = "b", alias = "boot")]
     pub boot: BootId,
     /// Which record of the VM is the newer one.
+    #[serde(rename = "n", alias = "version")]
     pub version: Version,
     /// Whether the node takes work for its upstream; false during a planned stop.
+    #[serde(rename = "s", alias = "serving")]
     pub serving: bool,
     /// The upstream beside the node, once one has registered.
+    #[serde(rename = "u", alias = "upstream")]
     pub upstream: Option<Instance>,
 }
 
--- a/components/registry/src/spread.rs
+++ b/components/registry/src/spread.rs
@@ -2,21 +2,31 @@
 //!
 //! A change is told to every node of the own hall and to [`CONTACTS`] nodes of each other hall, which
 //! pass it on within theirs. What was lost on the way is found by comparison: a node tells the digest
-//! of what it knows, one that knows something else answers with the versions, and gets what it lacks.
+//! of what it knows, one that knows something else answers with the digests of the buckets, gets the
+//! versions in those that differ, and both get what they lack.
 
+use crate::digest::{is_in, BucketSet};
 use crate::fleet::Fleet;
 use crate::record::{Record, Version};
 use membership::rendezvous;
 use names::Name;
-use sha2::{Digest, Sha256};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap};
 
 /// Nodes of each other hall that are told of a change directly. Two, so that the loss of one during a
 /// change delays it to the next comparison only when both are lost.
 pub const CONTACTS: usize = 2;
 
-/// Which record of each VM a node knows.
-pub type Versions = Vec<(Name, Version)>;
+/// Which record of each VM a node knows, of the VMs in some buckets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// The buckets.
+    #[serde(rename = "b")]
+    pub buckets: BucketSet,
+    /// The records known there.
+    #[serde(rename = "k")]
+    pub known: Vec<(Name, Version)>,
+}
 
 /// What follows from another node's versions.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -62,35 +72,24 @@
     known.is_some_and(|record| record.hall != *own_hall)
 }
 
-/// A digest of all versions: nodes that know the same have the same.
-pub fn digest(fleet: &Fleet) -> u64 {
-    let mut hasher = Sha256::new();
-    for (vm, version) in versions(fleet) {
-        hasher.update(vm.as_str().as_bytes());
-        hasher.update([0]);
-        hasher.update(version.generation.to_le_bytes());
-        hasher.update(version.change.to_le_bytes());
+/// The version of every record known in these buckets, this node's own included.
+pub fn versions(fleet: &Fleet, buckets: BucketSet) -> Versions {
+    let records = fleet
+        .records()
+        .filter(|record| is_in(buckets, &record.vm))
+        .map(|record| (record.vm.clone(), record.version));
+    Versions {
+        buckets,
+        known: records.collect(),
     }
-    let bytes: [u8; 32] = hasher.finalize().into();
-    u64::from_le_bytes([
-        bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5], bytes[6], bytes[7],
-    ])
-}
-
-/// The version of every record known, this node's own included.
-pub fn versions(fleet: &Fleet) -> Versions {
-    let records = fleet.records();
-    records
-        .map(|record| (record.vm.clone(), record.version))
-        .collect()
 }
 
 /// Compares what another node knows with what this one does.
 pub fn compare(fleet: &Fleet, theirs: &Versions) -> Comparison {
-    let known: HashMap<&Name, Version> = theirs.iter().map(|(vm, at)| (vm, *at)).collect();
+    let known: HashMap<&Name, Version> = theirs.known.iter().map(|(vm, at)| (vm, *at)).collect();
     let is_news = |record: &&Record| {
         let at = known.get(&record.vm);
-        at.is_none_or(|at| *at < record.version)
+        is_in(theirs.buckets, &record.vm) && at.is_none_or(|at| *at < record.version)
     };
     let lacks = |(vm, at): &(Name, Version)| {
         let mine = fleet.record(vm);
@@ -98,6 +97,6 @@
     };
     Comparison {
         news: fleet.records().filter(is_news).cloned().collect(),
-        lacks: theirs.iter().any(lacks),
+        lacks: theirs.known.iter().any(lacks),
     }
 }
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -133,3 +133,16 @@
     let risen = own.rise_above(first.version);
     assert!(matches!(fleet.merge(risen), Merged::Taken(_)));
 }
+
+#[test]
+fn a_record_that_an_earlier_version_wrote_into_the_store_is_read() {
+    let known = record("vm", 2, 3, Some(instance("a", State::Draining)));
+    let earlier = r#"{"vm":"vm","hall":"north","peers":"10.0.0.1:81","boot":2,
+        "version":{"generation":2,"change":3},"serving":true,"upstream":{"id":"a","service":"prices",
+        "address":"10.0.0.1:80","slots":6,"state":"Draining"}}"#;
+    let read: Record = serde_json::from_str(earlier).expect("a record");
+    assert_eq!(read, known);
+    let written = serde_json::to_string(&known).expect("a record is written");
+    let again: Record = serde_json::from_str(&written).expect("a record");
+    assert_eq!(again, known);
+}
--- a/components/registry/tests/spread.rs
+++ b/components/registry/tests/spread.rs
@@ -3,7 +3,7 @@
 use names::{BootId, Name};
 use proptest::prelude::*;
 use registry::{
-    compare, contacts, digest, is_passed_on, told_of_change, versions, Fleet, Merged, Record,
+    compare, contacts, is_passed_on, told_of_change, versions, Digests, Fleet, Merged, Record,
     Version, CONTACTS,
 };
 use std::collections::VecDeque;
@@ -89,14 +89,22 @@
     if digest(&fleets[asker]) == digest(&fleets[other]) {
         return;
     }
-    let for_other = compare(&fleets[asker], &versions(&fleets[other]));
-    merge_all(&mut fleets[other], for_other.news);
-    if for_other.lacks {
-        let for_asker = compare(&fleets[other], &versions(&fleets[asker]));
-        merge_all(&mut fleets[asker], for_asker.news);
+    let told = fleets[other].digests().to_bytes();
+    let told = Digests::from_bytes(&told).expect("digests");
+    let differing = fleets[asker].digests().differing(&told);
+    let for_other_versions = versions(&fleets[asker], differing);
+    let for_asker = compare(&fleets[other], &for_other_versions);
+    merge_all(&mut fleets[asker], for_asker.news);
+    if for_asker.lacks {
+        let for_other = compare(&fleets[asker], &versions(&fleets[other], differing));
+        merge_all(&mut fleets[other], for_other.news);
     }
 }
 
+fn digest(fleet: &Fleet) -> u64 {
+    fleet.digests().whole()
+}
+
 fn merge_all(fleet: &mut Fleet, news: Vec<Record>) {
     for record in news {
         fleet.merge(record);
@@ -134,6 +142,30 @@
     assert_eq!(fleets[4].len(), 30);
 }
 
+#[test]
+fn a_single_difference_among_many_takes_the_versions_of_few_records() {
+    let mut fleets = fleets(300, 5);
+    let newer = fleets[7].change_own(|own| own.serving = false);
+    let differing = fleets[7].digests().differing(fleets[200].digests());
+    assert_eq!(differing.count_ones(), 1);
+    let told = versions(&fleets[7], differing);
+    assert!(told.known.len() <= 15, "{} versions", told.known.len());
+    assert!(told.known.contains(&(newer.vm.clone(), newer.version)));
+    fleets[200].merge(newer);
+    assert_eq!(digest(&fleets[7]), digest(&fleets[200]));
+}
+
+#[test]
+fn a_record_that_came_and_went_leaves_the_digests_as_they_were() {
+    let mut fleet = fleets(10, 2).remove(0);
+    let before = fleet.digests().clone();
+    let stranger = record(77, 2);
+    fleet.merge(stranger.clone());
+    assert_ne!(*fleet.digests(), before);
+    fleet.forget(&stranger.vm);
+    assert_eq!(*fleet.digests(), before);
+}
+
 #[test]
 fn nodes_prefer_different_contacts() {
     let fleets = fleets(60, 2);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -163,11 +163,14 @@
     },
     /// A node's record of itself and of the upstream beside it.
     Registered(Box<Record>),
-    /// The digest of the records that the sender knows; a receiver that knows others answers with
-    /// their versions.
+    /// The digest of the records that the sender knows; a receiver that knows others answers with the
+    /// digests of its buckets.
     RecordsDigest(u64),
-    /// The versions of the records that the sender knows; the receiver answers with those that the
-    /// sender lacks.
+    /// The digests of the buckets of records that the sender knows; the receiver answers with the versions
+    /// of its records where they differ.
+    RecordBuckets(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// The versions of the records that the sender knows in some buckets; the receiver answers with those
+    /// that the sender lacks.
     RecordVersions(Versions),
     /// Records that the receiver was found to lack.
     Records(Vec<Record>),
@@ -215,6 +218,7 @@
             Frame::Relayed { .. } => "relayed",
             Frame::Registered(_) => "registered",
             Frame::RecordsDigest(_) => "records-digest",
+            Frame::RecordBuckets(_) => "record-buckets",
             Frame::RecordVersions(_) => "record-versions",
             Frame::Records(_) => "records",
             Frame::Summary(_) => "summary",
