Waits end where an answer would come after its objective, and hopeless runs don't begin

Cause: after a loss of power upstreams work at half their speed for three seconds, while callers who waited and callers who come back ask for more than they can carry. Requests waited for a slot as long as at the usual pace (0.22 of the objective); what got one was answered late, 52 of 100 look-ups of the large site, and one run in six was for nothing: its deadline came before its end.

Change (components/home/src/duty/chances.rs): a request waits only while one and a half expected runs, by the upstream's own word on its pace, fit into its objective; a run whose deadline comes within seven tenths of the expected time is refused at once. At the usual pace both bounds lie beyond the patience.

--- a/components/home/src/attempt.rs
+++ b/components/home/src/attempt.rs
@@ -37,6 +37,7 @@
     id: AttemptId,
     deadline: Moment,
     latest_start: Moment,
+    objective: Option<Moment>,
     priority: u8,
     class: Class,
     may_queue: bool,
@@ -59,6 +60,17 @@
         self.latest_start
     }
 
+    /// The same attempt, refused if it still waits at `at`.
+    pub fn waits_until(mut self, at: Moment) -> Attempt<S> {
+        self.latest_start = self.latest_start.min(at);
+        self
+    }
+
+    /// Until when an answer has its full worth; none: until the deadline.
+    pub fn objective(&self) -> Option<Moment> {
+        self.objective
+    }
+
     /// Priority from the policy.
     pub fn priority(&self) -> u8 {
         self.priority
@@ -84,6 +96,7 @@
             id: self.id,
             deadline: self.deadline,
             latest_start: self.latest_start,
+            objective: self.objective,
             priority: self.priority,
             class: self.class,
             may_queue: self.may_queue,
@@ -103,6 +116,7 @@
             id: offer.id,
             deadline,
             latest_start: deadline.min(now + patience),
+            objective: offer.objective_us.map(|us| now + us),
             priority: offer.priority,
             class: Class {
                 level: offer.level,
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -1,6 +1,7 @@
 //! The home duty's state machine.
 
 mod admission;
+mod chances;
 mod holding;
 
 use crate::attempt::{Attempt, Queued, Started};
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -30,6 +30,11 @@
             self.queue.put(attempt.queue(now));
             return actions;
         }
+        if self.is_hopeless(now, &attempt) {
+            // Another upstream may be faster now.
+            self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
+            return actions;
+        }
         if !offer.may_queue && self.is_held(now, attempt.class()) {
             // Another upstream is asked next; if all are as slow, the request comes back to queue.
             self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
@@ -45,6 +50,7 @@
             self.start(attempt.start(now, percent), &mut actions);
             return actions;
         }
+        let attempt = self.in_time(now, attempt);
         if !offer.may_queue || !self.fits(now, &attempt, &running, limit) {
             self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
             return actions;
@@ -111,6 +117,7 @@
             let Some(attempt) = self.queue.take(id) else {
                 continue;
             };
+            let attempt = self.in_time(now, attempt);
             if attempt.may_queue() && self.fits(now, &attempt, &running, limit) {
                 self.counters.queued += 1;
                 self.queue.put(attempt);
--- a/components/home/src/pace.rs
+++ b/components/home/src/pace.rs
@@ -153,6 +153,20 @@
         *service += (at_usual - *service) * SERVICE_WEIGHT;
     }
 
+    /// How long a run of this class takes at the usual pace, in microseconds; none before one has ended.
+    pub fn service_us(&self, class: Class) -> Option<f64> {
+        self.services_us.get(&class).copied()
+    }
+
+    /// How long work takes that begins now and takes `usual_us` at the usual pace, in microseconds.
+    pub fn scaled_us(&self, now: Moment, usual_us: f64) -> f64 {
+        let percent = match self.word(now) {
+            0 => self.usual(),
+            word => word,
+        };
+        usual_us * f64::from(percent) / f64::from(USUAL_PERCENT)
+    }
+
     /// Whether a start has to wait for a new word.
     pub fn is_stale(&self, now: Moment) -> bool {
         let is_fresh = self.told.is_some_and(|told| now.since(told) <= FRESH_US);
