Model: recorded loads played through the decisions of all nodes, in virtual time

components/model carries out what entry and home decide for a whole site on one seeded clock: messages with delay, upstreams with slots, cold starts, slow phases and calls after their own work, callers who come back.

What the model can't show: processor time of nodes, losses, the platform.

--- /dev/null
+++ b/components/model/src/upstream.rs
@@ -0,0 +1,75 @@
+//! An upstream: slots, work, and a pace that changes.
+
+use crate::message::RequestId;
+use crate::site::{Class, Pace};
+use names::{AttemptId, Moment};
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand_distr::{Distribution, LogNormal};
+use std::collections::HashMap;
+
+/// The usual pace, in hundredths.
+const USUAL_PERCENT: f64 = 100.0;
+
+/// One attempt at work.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) req: RequestId,
+    pub(crate) deadline: Moment,
+    /// Calls that have not been answered.
+    pub(crate) waits_for: u32,
+    /// Calls made for it.
+    pub(crate) calls: Vec<RequestId>,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    up_at: Moment,
+    pub(crate) runs: HashMap<AttemptId, Run>,
+    phase: u64,
+    is_slow: bool,
+    rng: SmallRng,
+}
+
+impl Upstream {
+    pub(crate) fn new(up_at: Moment, rng: SmallRng) -> Upstream {
+        Upstream {
+            up_at,
+            runs: HashMap::new(),
+            phase: u64::MAX,
+            is_slow: false,
+            rng,
+        }
+    }
+
+    /// How long work takes that begins now, in hundredths of the usual.
+    pub(crate) fn percent(&mut self, now: Moment, pace: &Pace) -> u32 {
+        let phase = now.0 / pace.phase_us;
+        if phase != self.phase {
+            self.phase = phase;
+            self.is_slow = self.rng.random_bool(pace.slow_share);
+        }
+        let slow = if self.is_slow { pace.slow_factor } else { 1.0 };
+        let is_cold = now.since(self.up_at) < pace.cold_us;
+        let cold = if is_cold { pace.cold_factor } else { 1.0 };
+        (USUAL_PERCENT * slow * cold) as u32
+    }
+
+    /// How long the own work on a request takes that begins now, in microseconds.
+    pub(crate) fn work_us(&mut self, now: Moment, class: &Class, pace: &Pace) -> u64 {
+        let percent = f64::from(self.percent(now, pace));
+        let variance = (1.0 + class.spread * class.spread).ln();
+        let mean = class.work_us.ln() - variance / 2.0;
+        let drawn = match LogNormal::new(mean, variance.sqrt()) {
+            Ok(work) => work.sample(&mut self.rng),
+            Err(_) => class.work_us,
+        };
+        (drawn * percent / USUAL_PERCENT) as u64
+    }
+
+    /// Whether calls are made for a request.
+    pub(crate) fn makes_calls(&mut self, share: f64) -> bool {
+        self.rng.random_bool(share)
+    }
+}
--- /dev/null
+++ b/components/model/src/world.rs
@@ -0,0 +1,215 @@
+//! The event loop, and the carrying out of what the duties decide.
+
+mod entry_side;
+mod home_side;
+
+use crate::caller::{Caller, Told};
+use crate::load::Load;
+use crate::message::{Happening, Message, RequestId};
+use crate::report::Report;
+use crate::site::Site;
+use crate::upstream::Upstream;
+use entry::{Call, Entry, RetryRate, Rule};
+use home::{Config, Home};
+use names::{AttemptId, BootId, Moment, MILLISECOND};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::ops::Range;
+
+/// Time between two ticks of a home duty.
+const TICK_US: u64 = 5 * MILLISECOND;
+/// Bound on repeats as at the users' sites: share of the requests, and slack for each VM.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_SLACK_A_VM: f64 = 2.1;
+
+/// Who waits for a request's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asker {
+    Caller(usize),
+    /// An upstream, for an attempt that it runs.
+    Run {
+        vm: usize,
+        id: AttemptId,
+    },
+}
+
+/// A request at its entry node.
+#[derive(Debug)]
+struct Request {
+    class: usize,
+    vm: usize,
+    asker: Asker,
+    began: Moment,
+    deadline: Moment,
+    /// Level of the call: 0 for a caller's request.
+    level: u32,
+    priority: u8,
+    call: Call<bool>,
+}
+
+/// An attempt that a home duty has taken in.
+#[derive(Debug, Clone, Copy)]
+struct Job {
+    req: RequestId,
+    from: usize,
+    deadline: Moment,
+    priority: u8,
+    level: u32,
+    repeatable: bool,
+}
+
+struct Node {
+    entry: Entry,
+    home: Home<bool>,
+    jobs: HashMap<AttemptId, Job>,
+    upstream: Upstream,
+}
+
+/// Nodes, upstreams and callers on one clock.
+pub struct World {
+    site: Site,
+    now: Moment,
+    seq: u64,
+    queue: BTreeMap<(Moment, u64), Happening>,
+    nodes: Vec<Node>,
+    callers: Vec<Caller>,
+    requests: Vec<Request>,
+    runs: usize,
+    wasted: usize,
+    offers: usize,
+    rng: SmallRng,
+}
+
+impl World {
+    /// A site on which nothing has happened yet.
+    pub fn new(site: Site, seed: u64) -> World {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let nodes = (0..site.vms.len())
+            .map(|vm| node(&site, vm, &mut rng))
+            .collect();
+        World {
+            site,
+            now: Moment(0),
+            seq: 0,
+            queue: BTreeMap::new(),
+            nodes,
+            callers: Vec::new(),
+            requests: Vec::new(),
+            runs: 0,
+            wasted: 0,
+            offers: 0,
+            rng,
+        }
+    }
+
+    /// Plays a load to its end, and tells what became of the requests that came within `window`.
+    pub fn play(mut self, load: &Load, window: Range<Moment>) -> Report {
+        for arrival in &load.arrivals {
+            let caller = self.callers.len();
+            self.callers.push(Caller::new(*arrival));
+            self.at(arrival.at, Happening::Arrives { caller });
+        }
+        for vm in 0..self.nodes.len() {
+            let up_at = self.site.vms[vm].up_at;
+            self.at(up_at + vm as u64 % TICK_US, Happening::Tick { vm });
+        }
+        let last = load.arrivals.last().map_or(Moment(0), |last| last.at);
+        let longest = self.site.classes.iter().map(|class| class.deadline_us);
+        let end = last + longest.max().unwrap_or(0);
+        while let Some(((at, _), happening)) = self.queue.pop_first() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.happens(happening);
+        }
+        let runs = (self.runs, self.wasted);
+        Report::of(&self.site, &self.callers, window, runs, self.offers)
+    }
+
+    fn happens(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrives { caller } => self.arrives(caller),
+            Happening::Delivered { to, message } => self.delivered(to, message),
+            Happening::Expired { req } => self.step(req, entry::Event::Expired),
+            Happening::Worked { vm, id } => self.worked(vm, id),
+            Happening::RanOut { vm, id } => self.ran_out(vm, id),
+            Happening::Looked { vm } => self.looked(vm),
+            Happening::Tick { vm } => self.tick(vm),
+        }
+    }
+
+    fn delivered(&mut self, to: usize, message: Message) {
+        match message {
+            Message::Offer { from, req, offer } => self.offered(to, from, req, &offer),
+            Message::Cancel(id) => self.cancelled(to, id),
+            Message::Ended {
+                from,
+                req,
+                load,
+                event,
+            } => {
+                let vm = crate::site::vm_name(from);
+                self.nodes[to].entry.reported(self.now, &vm, load);
+                self.step(req, event);
+            }
+        }
+    }
+
+    fn at(&mut self, at: Moment, happening: Happening) {
+        self.seq += 1;
+        self.queue.insert((at, self.seq), happening);
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let (near_us, far_us) = self.site.way_us;
+        let way_us = if from == to {
+            0
+        } else if self.site.vms[from].hall == self.site.vms[to].hall {
+            near_us
+        } else {
+            far_us
+        };
+        self.at(self.now + way_us, Happening::Delivered { to, message });
+    }
+
+    fn arrives(&mut self, caller: usize) {
+        let arrival = self.callers[caller].arrival;
+        let class = &self.site.classes[arrival.class];
+        self.callers[caller].tries();
+        let deadline = self.callers[caller].deadline(class);
+        let deadline = deadline.min(self.now + class.timeout_us);
+        self.begin(arrival.class, arrival.vm, Asker::Caller(caller), deadline);
+    }
+
+    fn caller_told(&mut self, caller: usize, told: Told) {
+        let class = &self.site.classes[self.callers[caller].arrival.class];
+        if let Some(at) = self.callers[caller].told(self.now, class, told) {
+            self.at(at, Happening::Arrives { caller });
+        }
+    }
+}
+
+fn node(site: &Site, vm: usize, rng: &mut SmallRng) -> Node {
+    let boot = BootId(vm as u64 + 1);
+    let spec = &site.vms[vm];
+    let cfg = Config {
+        slots: site.services[spec.service].slots,
+        usable: site.usable,
+        adaptive: false,
+        looks: true,
+        seed: rng.random(),
+        ..Config::default()
+    };
+    let mut entry = Entry::new(boot, Rule::Priced, rng.random());
+    let vms = site.vms.len();
+    let slack = RETRY_SLACK_A_VM * vms as f64;
+    entry.set_retry_rate(RetryRate::share(RETRY_RATIO, slack, vms));
+    Node {
+        entry,
+        home: Home::new(boot, cfg),
+        jobs: HashMap::new(),
+        upstream: Upstream::new(spec.up_at, SmallRng::seed_from_u64(rng.random())),
+    }
+}
--- /dev/null
+++ b/components/model/src/world/home_side.rs
@@ -0,0 +1,169 @@
+//! Attempts at the nodes beside upstreams.
+
+use super::{Asker, Job, World, TICK_US};
+use crate::message::{Happening, Message, RequestId};
+use crate::upstream::Run;
+use entry::Event;
+use home::{Action, Looked, Offer, Verdict};
+use names::{AttemptId, MILLISECOND};
+
+/// Time that a look at an upstream's pace takes.
+const LOOK_US: u64 = MILLISECOND;
+
+impl World {
+    /// An offer reaches the node beside an upstream.
+    pub(super) fn offered(&mut self, vm: usize, from: usize, req: RequestId, offer: &Offer) {
+        let job = Job {
+            req,
+            from,
+            deadline: self.now + offer.remaining_us,
+            priority: offer.priority,
+            level: offer.level,
+            repeatable: offer.repeatable,
+        };
+        let node = &mut self.nodes[vm];
+        node.jobs.insert(offer.id, job);
+        let actions = node.home.offer(self.now, offer);
+        self.perform(vm, actions);
+    }
+
+    /// Nobody waits for an attempt any more.
+    pub(super) fn cancelled(&mut self, vm: usize, id: AttemptId) {
+        let node = &mut self.nodes[vm];
+        let is_running = node.home.cancel(self.now, id);
+        let is_repeatable = node.jobs.get(&id).is_some_and(|job| job.repeatable);
+        if !is_running {
+            node.jobs.remove(&id);
+        } else if is_repeatable {
+            self.end(vm, id, Verdict::Cancelled);
+        }
+    }
+
+    pub(super) fn tick(&mut self, vm: usize) {
+        let actions = self.nodes[vm].home.tick(self.now);
+        self.perform(vm, actions);
+        self.at(self.now + TICK_US, Happening::Tick { vm });
+    }
+
+    pub(super) fn looked(&mut self, vm: usize) {
+        let node = &mut self.nodes[vm];
+        let percent = node.upstream.percent(self.now, &self.site.pace);
+        let actions = node.home.looked(self.now, Looked::Percent(percent));
+        self.perform(vm, actions);
+    }
+
+    /// The upstream's own work on an attempt is done; calls may follow.
+    pub(super) fn worked(&mut self, vm: usize, id: AttemptId) {
+        let Some(run) = self.nodes[vm].upstream.runs.get_mut(&id) else {
+            return;
+        };
+        let deadline = run.deadline;
+        let class = self.requests[run.req].class;
+        let calls = self.site.classes[class].calls;
+        let upstream = &mut self.nodes[vm].upstream;
+        let calls = calls.filter(|calls| upstream.makes_calls(calls.share));
+        let Some(calls) = calls else {
+            self.end(vm, id, Verdict::Good);
+            return;
+        };
+        if let Some(run) = upstream.runs.get_mut(&id) {
+            run.waits_for = calls.times;
+        }
+        for _ in 0..calls.times {
+            self.begin(calls.class, vm, Asker::Run { vm, id }, deadline);
+        }
+    }
+
+    /// A call made for an attempt has ended.
+    pub(super) fn call_ended(&mut self, vm: usize, id: AttemptId, is_good: bool) {
+        let Some(run) = self.nodes[vm].upstream.runs.get_mut(&id) else {
+            return;
+        };
+        if !is_good {
+            self.end(vm, id, Verdict::Error);
+            return;
+        }
+        run.waits_for -= 1;
+        if run.waits_for == 0 {
+            self.end(vm, id, Verdict::Good);
+        }
+    }
+
+    pub(super) fn ran_out(&mut self, vm: usize, id: AttemptId) {
+        if self.nodes[vm].upstream.runs.contains_key(&id) {
+            self.end(vm, id, Verdict::Error);
+        }
+    }
+
+    /// An attempt ends; the calls made for it end with it.
+    fn end(&mut self, vm: usize, id: AttemptId, verdict: Verdict) {
+        let node = &mut self.nodes[vm];
+        let Some(run) = node.upstream.runs.remove(&id) else {
+            return;
+        };
+        if verdict != Verdict::Good {
+            self.wasted += 1;
+        }
+        let percent = node.upstream.percent(self.now, &self.site.pace);
+        node.home.told_slowness(self.now, percent);
+        let is_good = verdict == Verdict::Good;
+        let answer = (verdict != Verdict::Cancelled).then_some(is_good);
+        let actions = node.home.completed(self.now, id, verdict, answer);
+        for call in run.calls {
+            self.step(call, Event::HungUp);
+        }
+        let event = match answer {
+            Some(answer) => Event::Answered {
+                id,
+                answer,
+                error: !is_good,
+            },
+            None => Event::Broken(id),
+        };
+        self.tell_end(vm, id, event);
+        self.perform(vm, actions);
+    }
+
+    fn perform(&mut self, vm: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(id) => self.start(vm, id),
+                Action::Look => self.at(self.now + LOOK_US, Happening::Looked { vm }),
+                Action::Refuse(id, refusal) => self.tell_end(vm, id, Event::Refused(id, refusal)),
+                Action::Revoke(id) => self.tell_end(vm, id, Event::Revoked(id)),
+            }
+        }
+    }
+
+    fn start(&mut self, vm: usize, id: AttemptId) {
+        self.runs += 1;
+        let node = &mut self.nodes[vm];
+        let Job { req, deadline, .. } = node.jobs[&id];
+        let class = &self.site.classes[self.requests[req].class];
+        let work_us = node.upstream.work_us(self.now, class, &self.site.pace);
+        let run = Run {
+            req,
+            deadline,
+            waits_for: 0,
+            calls: Vec::new(),
+        };
+        node.upstream.runs.insert(id, run);
+        self.at(self.now + work_us, Happening::Worked { vm, id });
+        self.at(deadline, Happening::RanOut { vm, id });
+    }
+
+    fn tell_end(&mut self, vm: usize, id: AttemptId, event: Event<bool>) {
+        let node = &mut self.nodes[vm];
+        let Some(Job { req, from, .. }) = node.jobs.remove(&id) else {
+            return;
+        };
+        let load = node.home.load(self.now);
+        let message = Message::Ended {
+            from: vm,
+            req,
+            load,
+            event,
+        };
+        self.send(vm, from, message);
+    }
+}
