Changes of an upstream's pace are not told to the hall any more

Change: the node beside the upstream takes it in for its own choices; others hear of it with answers and refusals.

--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -2,7 +2,6 @@
 
 use crate::entry_driver::reported;
 use crate::home_driver::leaving_changed;
-use crate::links;
 use crate::node::{Job, Node, Whole};
 use crate::registration::{self, Registration};
 use crate::stats;
@@ -12,7 +11,7 @@
 use names::AttemptId;
 use std::rc::Rc;
 use std::time::Duration;
-use wire::{Answer, Frame};
+use wire::Answer;
 
 /// Names the attempt to an upstream whose platform lists the VMs.
 const ATTEMPT_HEADER: &str = "drumwheel-attempt";
@@ -118,7 +117,9 @@
     load.split(',').nth(3)?.trim().parse().ok()
 }
 
-/// Takes in how slow the upstream says that it is, and tells the nodes of this hall when it changed.
+/// Takes in how slow the upstream says that it is. Other nodes learn it with what they are told anyway: telling
+/// each change to the hall brought nothing (at most 0.005 of the worth either way on four sites of 13 VMs), and
+/// at 295 VMs was nine in ten of the messages between nodes.
 fn slowness(node: &Rc<Node>, percent: u32) {
     let now = node.now();
     let told = |home: &mut Home<Whole>| home.told_slowness(now, percent);
@@ -128,11 +129,9 @@
     }
 }
 
-/// Tells the nodes of this hall that the pace of the upstream beside this one has changed.
+/// Takes in for this node's own choices that the pace of the upstream beside it has changed.
 pub fn pace_changed(node: &Rc<Node>) {
-    let load = node.load();
-    reported(node, &node.cfg.vm, load);
-    links::tell_hall(node, &Frame::Alive { load });
+    reported(node, &node.cfg.vm, node.load());
 }
 
 /// Reads the headers by which an upstream says that it leaves or did not start the request.
