A node that says it is ready knows its upstreams

Cause: a test hung for nine minutes: its only request had been refused for no-upstream, and it waited for it to run without an end. Where the platform lists the VMs, a node now asks for one thing after the other at its start; the head came first, and ready means that its declarations are in force. (Ruled out: the planned stop, which the test's name names; its signal had not been sent yet.)

Change: the list of VMs is asked for first. The test's wait ends after 20 s with a failure. Test: a_node_that_says_it_is_ready_knows_its_upstreams, with a platform whose answers take 0.1 s, fails before.

--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -61,10 +61,12 @@
     Wait,
 }
 
+/// The VMs come first: a node with declarations says that it is ready, and without the list it would refuse
+/// what comes then.
 fn topics(node: &Node) -> &'static [Topic] {
     match node.registration {
         Some(_) => &[Topic::Declarations],
-        None => &[Topic::Head, Topic::Vms],
+        None => &[Topic::Vms, Topic::Head],
     }
 }
 
--- a/node/tests/node/fleet.rs
+++ b/node/tests/node/fleet.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 /// Longest wait for anything to come up.
-const PATIENCE: Duration = Duration::from_secs(20);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 /// First port of these tests.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(11_000);
 /// Key of the fleet in these tests.
@@ -59,6 +59,11 @@
 impl Fleet {
     /// Starts everything and waits until the first revision is in force.
     pub fn start(name: &str, beside: Beside) -> Fleet {
+        Fleet::start_on_slow_platform(name, beside, 0)
+    }
+
+    /// The same with a platform each of whose answers takes so many milliseconds.
+    pub fn start_on_slow_platform(name: &str, beside: Beside, slow_ms: u64) -> Fleet {
         let dir = std::env::temp_dir().join(format!("drumwheel-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the test");
         let platform = free();
@@ -69,6 +74,7 @@
         wait_for(platform);
         set_vms(platform, peers, operators);
         apply(platform);
+        control(platform, &format!("slow/{slow_ms}"), "");
         let settings = dir.join("node.ini");
         let text = format!(
             "[node]\nvm = vm-1\nhall = north\n\n[listen]\ncallers = {callers}\npeers = {peers}\n\
@@ -242,10 +248,15 @@
         "[{{\"name\":\"vm-1\",\"hall\":\"north\",\"peers\":\"{peers}\",\
          \"operators\":\"{operators}\",\"leaving\":false}}]"
     );
+    control(platform, "vms", &vms);
+}
+
+/// Tells the platform's stand-in what to do.
+fn control(platform: SocketAddr, what: &str, body: &str) {
     let text = format!(
-        "POST /control/vms HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\
-         Content-Length: {}\r\n\r\n{vms}",
-        vms.len()
+        "POST /control/{what} HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
     );
     let mut stream = connect(platform);
     stream.write_all(text.as_bytes()).expect("it is taken");
--- a/node/tests/node/stop.rs
+++ b/node/tests/node/stop.rs
@@ -1,19 +1,26 @@
 //! Deadlines and the planned stop.
 
-use crate::fleet::{connect, header, read_all, Beside, Fleet};
+use crate::fleet::{connect, header, read_all, Beside, Fleet, PATIENCE};
 use std::io::Write;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Sends a request and waits until it runs.
 fn start_one(fleet: &Fleet) -> TcpStream {
     let stream = send_one(fleet);
-    while fleet.metric("drumwheel_in_flight") < 1.0 {
-        std::thread::sleep(Duration::from_millis(10));
-    }
+    until_metric(fleet, "drumwheel_in_flight");
     stream
 }
 
+/// Waits until a counter or gauge is 1 or more.
+fn until_metric(fleet: &Fleet, name: &str) {
+    let began = Instant::now();
+    while fleet.metric(name) < 1.0 {
+        assert!(began.elapsed() < PATIENCE, "{name} stays below 1");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 fn send_one(fleet: &Fleet) -> TcpStream {
     let mut stream = connect(fleet.callers);
     stream
@@ -38,9 +45,7 @@
     let fleet = Fleet::start("stopping", Beside::Upstream(1_500_000));
     let mut stream = start_one(&fleet);
     fleet.terminate();
-    while fleet.metric("drumwheel_leaving") < 1.0 {
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    until_metric(&fleet, "drumwheel_leaving");
     let response = fleet.request("POST", "", "x");
     assert_eq!(header(&response, "drumwheel-outcome"), Some("not-run"));
     assert!(read_all(&mut stream).starts_with("HTTP/1.1 200"));
--- a/node/tests/node/upstreams.rs
+++ b/node/tests/node/upstreams.rs
@@ -105,3 +105,17 @@
     }
     assert_eq!(fleet.metric("drumwheel_started"), 1.0);
 }
+
+/// *Symptom.* A test waited for ever for its request to run.
+/// *Sequence.* The node said that it was ready, and refused the request that came next: `no-upstream`.
+/// *Cause.* It asked the platform for the head first and for the list of VMs then; ready means that the head's
+/// declarations are in force.
+/// *What settled it.* The counters of the node: one call refused for `no-upstream`, none in flight since.
+#[test]
+fn a_node_that_says_it_is_ready_knows_its_upstreams() {
+    let slow_ms = 100;
+    let fleet = Fleet::start_on_slow_platform("ready", Beside::Upstream(1_000), slow_ms);
+    let response = fleet.request("POST", "", "x");
+    let outcome = header(&response, "drumwheel-outcome");
+    assert_eq!(outcome, Some("answered"), "{response}");
+}
