Sight: nodes say how old their knowledge is

Cause: lines could not tell whether a node was behind because its own watch, the word of others or a copy had failed: the word 'watches' has no age, and nothing told when the platform was last known to hold nothing newer.

Change: summaries carry the time since then, aged by what a frame waits on its way; a line when what is in force is not confirmed for half of the bound and one when it is again; 'a revision is in force' tells how old the one before it had become; a peer's news tell how many copies were missed; a gauge. Nothing is decided by it yet.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -309,8 +309,8 @@
     );
 }
 
-/// Another node knows something newer, and this is what is done about it.
-pub fn newer_there(peer: &Name, mine: &Summary, theirs: &Summary, advice: Advice) {
+/// Another node knows something newer, and this is what is done about it. `missed` copies were asked for in vain.
+pub fn newer_there(peer: &Name, mine: &Summary, theirs: &Summary, advice: Advice, missed: u32) {
     if allowed(Kind::Declarations) {
         tracing::info!(
             peer = %peer,
@@ -319,6 +319,7 @@
             list_version = mine.list_version,
             their_list_version = theirs.list_version,
             ?advice,
+            missed,
             "a peer knows something newer"
         );
     }
@@ -332,12 +333,13 @@
     }
 }
 
-/// A revision is in force from now on.
-pub fn in_force(before: Option<&InForce>, after: &InForce) {
+/// A revision is in force from now on. The one before it was last confirmed `age_us` ago, if ever.
+pub fn in_force(before: Option<&InForce>, after: &InForce, age_us: Option<u64>) {
     tracing::info!(
         revision = after.configuration.head.revision,
         before = before.map_or(0, |before| before.configuration.head.revision),
         hosts = after.declarations.routes.len(),
+        confirmed_ms_ago = age_us.map(|age_us| age_us / 1_000),
         "a revision is in force"
     );
 }
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -56,7 +56,8 @@
         Offered::Taken => {
             if let Some(after) = node.in_force() {
                 node.fetch.borrow_mut().came();
-                audit::in_force(before.as_deref(), &after);
+                let age_us = node.watch.borrow().age_us(node.now());
+                audit::in_force(before.as_deref(), &after, age_us);
                 coordinator::groups_changed(node, before.as_deref(), &after);
             }
             node.refresh_budget();
@@ -85,6 +86,9 @@
 /// Content is sent only to who wants it.
 pub fn compare(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
     let mine = node.summary();
+    if theirs.is_level_with(&mine) {
+        watching::confirmed_by(node, theirs);
+    }
     if theirs.is_newer_than(&mine) {
         ask(node, from, theirs, reply);
     } else if mine.is_newer_than(theirs) {
@@ -112,7 +116,8 @@
         .fetch
         .borrow_mut()
         .told(now, from, standing, theirs.bytes);
-    audit::newer_there(from, &mine, theirs, told);
+    let missed = node.fetch.borrow().missed();
+    audit::newer_there(from, &mine, theirs, told, missed);
     match told {
         Advice::Ask => reply.send(node, Frame::Want(known)),
         Advice::Read => {
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -1,6 +1,8 @@
 //! Opening a connection to another node and reading from it.
 
-use super::{frames, lost, max_bytes, not_sent, socket, transmit_up, Link, Outlet, Reply, UpLink};
+use super::{
+    age, frames, lost, max_bytes, not_sent, socket, transmit_up, Link, Outlet, Reply, UpLink,
+};
 use super::{MAX_WAITING_FRAMES, REDIAL_US};
 use crate::node::Node;
 use crate::stats;
@@ -10,6 +12,7 @@
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
 use futures_util::stream::SplitStream;
+use home::Delay;
 use names::Name;
 use std::cell::Cell;
 use std::pin::pin;
@@ -164,6 +167,7 @@
         _ => return Error::new(Step::Frame, vm, "the connection was replaced"),
     };
     let reply = Reply::Peer(out);
+    let mut delay = Delay::default();
     loop {
         let bytes = match socket::receive(stream, vm.as_str()).await {
             Ok(bytes) => bytes,
@@ -171,14 +175,16 @@
         };
         up.heard.set(node.now());
         up.asked.set(None);
-        let frame = match wire::decode(vm.as_str(), &bytes) {
-            Ok(envelope) => envelope.frame,
+        let mut envelope = match wire::decode(vm.as_str(), &bytes) {
+            Ok(envelope) => envelope,
             Err(error) => {
                 stats::bad_input("peer");
                 return error;
             }
         };
-        frames::take_in(node, vm, frame, &reply);
+        let late_us = delay.observe(envelope.sent_us, node.now());
+        age(&mut envelope.frame, late_us);
+        frames::take_in(node, vm, envelope.frame, &reply);
     }
 }
 
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -328,7 +328,8 @@
         .collect()
 }
 
-/// Takes the time that a frame spent waiting on the way off the time that is left.
+/// Takes the time that a frame spent waiting on the way off the time that is left, and adds it to the age of
+/// what the frame tells.
 fn age(frame: &mut Frame, late_us: u64) {
     match frame {
         Frame::Offer { offer, .. } => {
@@ -342,6 +343,10 @@
             *remaining_us = remaining_us.saturating_sub(late_us);
             *waited_us = waited_us.saturating_add(late_us);
         }
+        Frame::Summary(summary) | Frame::Watch { summary, .. } => {
+            let confirmed_us_ago = summary.confirmed_us_ago;
+            summary.confirmed_us_ago = confirmed_us_ago.map(|us| us.saturating_add(late_us));
+        }
         _ => {}
     }
 }
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -334,6 +334,7 @@
             revision: rollout.revision(),
             bytes: rollout.bytes(),
             list_version: self.view.borrow().list().version,
+            confirmed_us_ago: self.watch.borrow().age_us(self.now()),
         }
     }
 
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -13,6 +13,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use metrics_exporter_prometheus::PrometheusHandle;
+use names::SECOND;
 use rollout::{Configuration, Offered};
 use serde::Serialize;
 use std::rc::Rc;
@@ -45,6 +46,8 @@
     pub change: String,
     /// Version of the platform's list.
     pub list_version: u64,
+    /// Time since the platform was last known to hold nothing newer, in microseconds; none if it never was.
+    pub confirmed_us_ago: Option<u64>,
     /// Whether the platform answered last time.
     pub platform_reachable: bool,
     /// Whether the upstream takes no new work.
@@ -200,6 +203,7 @@
             .map(|in_force| in_force.configuration.head.change.id.clone())
             .unwrap_or_default(),
         list_version: node.view.borrow().list().version,
+        confirmed_us_ago: node.watch.borrow().age_us(node.now()),
         platform_reachable: node.platform_state.borrow().reachable,
         leaving: load.leaving,
         in_flight: load.in_flight,
@@ -287,6 +291,9 @@
     for (name, value) in gauges {
         crate::stats::set(name, value);
     }
+    if let Some(us) = state.confirmed_us_ago {
+        crate::stats::set("drumwheel_confirmed_seconds_ago", us as f64 / SECOND as f64);
+    }
 }
 
 async fn livez(req: Request<Shared>) -> tide::Result {
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -4,10 +4,12 @@
 //! the platform: the head and the list of VMs ([`listed`]), or the operators' declarations ([`registered`]).
 
 mod calls;
+mod freshness;
 mod listed;
 mod registered;
 
 pub use calls::{called, Purpose};
+pub use freshness::confirmed_by;
 pub use registered::read_anew;
 
 use crate::configuration;
@@ -40,6 +42,8 @@
     pub reachable: bool,
     /// Version of the head object last read.
     pub head_version: u64,
+    /// Whether what is in force was not confirmed for too long.
+    pub is_stale: bool,
 }
 
 /// What the platform is asked for.
@@ -138,9 +142,11 @@
 }
 
 async fn follow(node: &Rc<Node>) -> Result<()> {
+    let asked = node.now();
     for topic in topics(node) {
         look(node, *topic, Manner::Now).await?;
     }
+    freshness::confirmed(node, asked);
     node.watch.borrow_mut().answered();
     set_reachable(node, true);
     tracing::info!("this node watches the platform for its hall");
@@ -169,6 +175,7 @@
     loop {
         let period_us = node.watch.borrow().period_us();
         task::sleep(Duration::from_micros(period_us)).await;
+        freshness::note(&node);
         if node.watch.borrow().is_watching() && !node.stopping.get() {
             tell(&node, Word::Watches);
         }
--- a/components/rollout/src/fetch.rs
+++ b/components/rollout/src/fetch.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Copies that were asked for in vain since something newer was in force.
+    pub fn missed(&self) -> u32 {
+        self.failures
+    }
+
     /// Something newer is in force: what was asked for is here, or is not needed any more.
     pub fn came(&mut self) {
         *self = Fetch::default();
--- a/components/rollout/src/node.rs
+++ b/components/rollout/src/node.rs
@@ -19,9 +19,17 @@
     /// Version of the platform's list; 0 for none.
     #[serde(rename = "l")]
     pub list_version: u64,
+    /// Time since the platform was last known to hold nothing newer, in microseconds; none if it never was.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub confirmed_us_ago: Option<u64>,
 }
 
 impl Summary {
+    /// Whether the same is known here as there.
+    pub fn is_level_with(&self, other: &Summary) -> bool {
+        self.revision == other.revision && self.list_version == other.list_version
+    }
+
     /// Whether something here is newer than `other` knows.
     pub fn is_newer_than(&self, other: &Summary) -> bool {
         self.revision > other.revision || self.list_version > other.list_version
--- a/components/watch/src/duty.rs
+++ b/components/watch/src/duty.rs
@@ -1,5 +1,6 @@
 //! The state machine of one node.
 
+use crate::freshness::Freshness;
 use crate::timing::Timing;
 use crate::word::Word;
 use membership::rendezvous;
@@ -62,6 +63,7 @@
     state: State,
     /// Other nodes that watch, and when they last said so.
     watchers: HashMap<Name, Moment>,
+    freshness: Freshness,
     /// When any other node last said anything.
     heard: Option<Moment>,
     need: Need,
@@ -80,6 +82,7 @@
             timing,
             state: State::Idle,
             watchers: HashMap::new(),
+            freshness: Freshness::default(),
             heard: None,
             need: Need::First,
             due: now,
@@ -174,6 +177,27 @@
         false
     }
 
+    /// The platform held nothing newer than this node does at `as_of`.
+    pub fn confirmed(&mut self, as_of: Moment) {
+        self.freshness.confirm(as_of);
+    }
+
+    /// Time since the platform was last known to hold nothing newer, in microseconds; none if it never was.
+    pub fn age_us(&self, now: Moment) -> Option<u64> {
+        self.freshness.age_us(now)
+    }
+
+    /// Whether that was too long ago.
+    pub fn is_stale(&self, now: Moment) -> bool {
+        self.age_us(now)
+            .is_none_or(|age_us| age_us >= self.timing.stale_us)
+    }
+
+    /// How many other nodes have lately said that they watch.
+    pub fn watchers(&self, now: Moment) -> usize {
+        self.lately(now).count()
+    }
+
     /// Whether this node watches and should say so.
     pub fn is_watching(&self) -> bool {
         self.state == State::Watching
--- a/components/watch/src/lib.rs
+++ b/components/watch/src/lib.rs
@@ -7,9 +7,11 @@
 //! platform itself within a part of the time that a change may take ([`Timing`]).
 
 mod duty;
+mod freshness;
 mod timing;
 mod word;
 
 pub use duty::{Advice, Watch, WANTED};
+pub use freshness::Freshness;
 pub use timing::Timing;
 pub use word::Word;
--- a/components/watch/src/timing.rs
+++ b/components/watch/src/timing.rs
@@ -6,6 +6,8 @@
 /// A watcher speaks this many times within the time after which it counts as silent, so that one word that
 /// comes late changes nothing.
 const WORDS_IN_QUIET: u64 = 2;
+/// What a node holds counts as stale when it was not confirmed for this part of the bound.
+const STALE_PART: u64 = 2;
 
 /// The times of one fleet, in microseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,6 +18,8 @@
     pub quiet_us: u64,
     /// Over which the nodes that find no watcher are spread, and for which they leave a try to another.
     pub spread_us: u64,
+    /// What was not confirmed for so long counts as stale.
+    pub stale_us: u64,
 }
 
 impl Timing {
@@ -26,6 +30,7 @@
             period_us: quiet_us / WORDS_IN_QUIET,
             quiet_us,
             spread_us: quiet_us / WORDS_IN_QUIET,
+            stale_us: bound_us / STALE_PART,
         }
     }
 }
