Watchers look anew when what they hold is not confirmed; who holds something stale asks itself

Cause: an open watch whose connection has fallen silent looks like one without news, for up to 11.5 s, and its node's word 'watches' kept a whole hall from asking. Class: a node relied on words and open connections without their age. Ruled out for this sequence by the lines of all nodes: copies (none was asked for), checks (1 to 2 ms).

Change: a watcher asks anew once what it holds was not confirmed for a third of the bound, spread over a twelfth; if that brings what its watch should have told, the watch is begun anew. A node whose knowledge is older than half of the bound asks itself, whatever watchers say. Ages travel with the words and are never made younger on the way. Same cause nearby, found in reading: a position in the store was noted before what came up to there was taken in, and a check that its caller gave up left its revision 'being checked' for ever; neither can happen now. An object that can't be read is told in a line and passed over.

The test that two nodes watch now counts looks apart (66 a minute at most); its bound on the other calls stands.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -257,6 +257,19 @@
     );
 }
 
+/// An object of the store could not be read; what is in force stays.
+pub fn unreadable(object: &Stored, error: &Error) {
+    if allowed(Kind::Declarations) {
+        tracing::warn!(
+            name = %object.name,
+            store_revision = object.revision,
+            bytes = object.value.len(),
+            %error,
+            "an object in the store can't be read"
+        );
+    }
+}
+
 /// A call to the platform ended.
 pub fn platform_called(purpose: Purpose, took_us: u64, error: Option<&Error>) {
     if allowed(Kind::Platform) {
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -30,7 +30,20 @@
 
 /// Takes in a revision; tells peers when it is new. Requests are served by the one before it until it
 /// is checked.
+///
+/// The check goes on when the caller is given up meanwhile: a revision whose check was dropped half-way would
+/// count as being checked for ever, and be taken from nobody.
 pub async fn take_in(node: &Rc<Node>, configuration: Configuration, origin: Origin) -> Offered {
+    let (tx, rx) = async_channel::bounded(1);
+    let node = node.clone();
+    local::spawn(async move {
+        let offered = check_and_take(&node, configuration, origin).await;
+        tx.try_send(offered).ok();
+    });
+    rx.recv().await.unwrap_or(Offered::UnderWay)
+}
+
+async fn check_and_take(node: &Rc<Node>, configuration: Configuration, origin: Origin) -> Offered {
     let revision = configuration.head.revision;
     let bytes = configuration.size();
     let began = node.now();
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -18,17 +18,18 @@
 use crate::node::Node;
 use async_std::task;
 use errors::Result;
-use futures_util::future::select_all;
+use futures_util::future::{select, select_all, Either};
 use names::Name;
 use rand::Rng;
 use rollout::Summary;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use watch::{Advice, Word};
 use wire::Frame;
 
-/// How long one watch waits. A watch whose answer is lost on the way is noticed when it should have
-/// ended; until then the other watchers tell of changes.
+/// How long one watch waits. One whose connection has fallen silent is found by a look of its own
+/// ([`overtaken`]), long before it should have ended.
 const WATCH: Duration = Duration::from_secs(10);
 /// Shortest pause after a failed call; it doubles with each further one.
 pub const LEAST_PAUSE_MS: u64 = 100;
@@ -142,19 +143,51 @@
 }
 
 async fn follow(node: &Rc<Node>) -> Result<()> {
+    look_at_all(node).await?;
+    node.watch.borrow_mut().answered();
+    set_reachable(node, true);
+    tracing::info!("this node watches the platform for its hall");
+    loop {
+        tell(node, Word::Watches);
+        let all = topics(node)
+            .iter()
+            .map(|topic| Box::pin(keep(node, *topic)));
+        match select(select_all(all), pin!(overtaken(node))).await {
+            Either::Left(((ended, _, _), _)) => return ended,
+            Either::Right((looked, _)) => looked?,
+        }
+    }
+}
+
+/// Asks for what is newer, at once.
+async fn look_at_all(node: &Rc<Node>) -> Result<()> {
     let asked = node.now();
     for topic in topics(node) {
         look(node, *topic, Manner::Now).await?;
     }
     freshness::confirmed(node, asked);
-    node.watch.borrow_mut().answered();
-    set_reachable(node, true);
-    tracing::info!("this node watches the platform for its hall");
-    tell(node, Word::Watches);
-    let all = topics(node)
-        .iter()
-        .map(|topic| Box::pin(keep(node, *topic)));
-    select_all(all).await.0
+    Ok(())
+}
+
+/// Asks anew whenever what this node holds was not confirmed for a while, until that brings something that
+/// the open watches should have told: they say nothing any more. Without it a change was in force nowhere for
+/// ten seconds after the connections of all watches had fallen silent.
+async fn overtaken(node: &Rc<Node>) -> Result<()> {
+    loop {
+        let now = node.now();
+        let due = node.watch.borrow().confirm_at(now);
+        if due > now {
+            task::sleep(Duration::from_micros(due.since(now))).await;
+            continue;
+        }
+        let before = node.summary();
+        look_at_all(node).await?;
+        if !node.summary().is_level_with(&before) {
+            tracing::info!("an open watch did not tell of a change and is begun anew");
+            return Ok(());
+        }
+        tell(node, Word::Watches);
+    }
 }
 
 /// Waits for news, again and again; ends when the duty does.
--- a/components/daemon/src/watching/registered.rs
+++ b/components/daemon/src/watching/registered.rs
@@ -34,8 +34,8 @@
     let watch = store.watch(kind, after, wait);
     match called(node, Purpose::Watch, watch).await? {
         Watched::Changes { at, changed } => {
-            registration.store_at.set(Some(at));
-            take_all(node, &registration, &changed).await?;
+            take_all(node, &registration, &changed).await;
+            read_up_to(&registration, at);
             if !changed.is_empty() && manner == Manner::Wait {
                 task::sleep(PAUSE).await;
             }
@@ -61,10 +61,18 @@
     let (kind, _) = registration.adapter.declarations();
     let list = registration.adapter.store().list(kind, reading);
     let listing = called(node, Purpose::Declarations, list).await?;
+    take_all(node, &registration, &listing.objects).await;
     if reading == Reading::Newest {
-        registration.store_at.set(Some(listing.at));
+        read_up_to(&registration, listing.at);
     }
-    take_all(node, &registration, &listing.objects).await
+    Ok(())
+}
+
+/// Later calls ask for what came after `at`. Noted only once everything up to there is taken in: a call may be
+/// given up in between, and what it brought would be asked for by nobody.
+fn read_up_to(registration: &Registration, at: u64) {
+    let before = registration.store_at.get();
+    registration.store_at.set(before.max(Some(at)));
 }
 
 fn registration(node: &Rc<Node>) -> Result<Rc<Registration>> {
@@ -72,11 +80,17 @@
     registration.ok_or_else(|| Error::new(Step::Platform, "-", "no nodes register here"))
 }
 
-async fn take_all(node: &Rc<Node>, registration: &Registration, objects: &[Stored]) -> Result<()> {
+async fn take_all(node: &Rc<Node>, registration: &Registration, objects: &[Stored]) {
     let (_, name) = registration.adapter.declarations();
     for object in objects.iter().filter(|object| object.name.as_str() == name) {
         let began = node.now();
-        let written = registration.adapter.translate(&object.value)?;
+        let written = match registration.adapter.translate(&object.value) {
+            Ok(written) => written,
+            Err(error) => {
+                audit::unreadable(object, &error);
+                continue;
+            }
+        };
         let translate_us = node.now().since(began);
         stats::worked(Work::Translate, translate_us);
         audit::declarations_read(written.version, object, translate_us);
@@ -86,7 +100,6 @@
         task::sleep(BREATH).await;
         configuration::take_in(node, to_configuration(written), Origin::Store).await;
     }
-    Ok(())
 }
 
 /// A revision of this product from what the platform's operators wrote. Every node makes the same
--- a/components/watch/src/duty.rs
+++ b/components/watch/src/duty.rs
@@ -52,7 +52,8 @@
     First,
 }
 
-/// Whether this node asks the platform, or relies on others of its hall that do.
+/// Whether this node asks the platform, or relies on others of its hall that do. It relies on them for as long as
+/// what it holds is known to have been the newest a moment ago, not for as long as they say that they watch.
 ///
 /// Calls to the platform are the scarcest thing that nodes share: where each of 295 nodes watched for itself,
 /// a day of 48 s took 10 to 22 calls a node.
@@ -64,6 +65,10 @@
     /// Other nodes that watch, and when they last said so.
     watchers: HashMap<Name, Moment>,
     freshness: Freshness,
+    /// When this node asks anew while it watches: this long after the time at which watchers may.
+    confirm_draw_us: u64,
+    /// Draws that time, so that looks of watchers don't change how other nodes are spread.
+    confirm_rng: SmallRng,
     /// When any other node last said anything.
     heard: Option<Moment>,
     need: Need,
@@ -83,6 +88,8 @@
             state: State::Idle,
             watchers: HashMap::new(),
             freshness: Freshness::default(),
+            confirm_draw_us: 0,
+            confirm_rng: SmallRng::seed_from_u64(!seed),
             heard: None,
             need: Need::First,
             due: now,
@@ -179,7 +186,17 @@
 
     /// The platform held nothing newer than this node does at `as_of`.
     pub fn confirmed(&mut self, as_of: Moment) {
-        self.freshness.confirm(as_of);
+        if self.freshness.confirm(as_of) {
+            let most_us = self.timing.confirm_spread_us;
+            self.confirm_draw_us = self.confirm_rng.random_range(0..=most_us);
+        }
+    }
+
+    /// When this node, which watches, asks the platform anew unless what it holds is confirmed meanwhile.
+    pub fn confirm_at(&self, now: Moment) -> Moment {
+        let wait_us = self.timing.confirm_us + self.confirm_draw_us;
+        let age_us = self.age_us(now).unwrap_or(wait_us);
+        now + wait_us.saturating_sub(age_us)
     }
 
     /// Time since the platform was last known to hold nothing newer, in microseconds; none if it never was.
@@ -209,6 +226,10 @@
     }
 
     fn need(&self, now: Moment) -> Need {
+        if self.is_stale(now) {
+            // There may be watchers, but what they say is of no use.
+            return Need::First;
+        }
         match self.lately(now).count() {
             0 => Need::First,
             known if known < WANTED => Need::Second,
--- a/components/watch/src/freshness.rs
+++ b/components/watch/src/freshness.rs
@@ -10,9 +10,14 @@
 }
 
 impl Freshness {
-    /// The platform held nothing newer at `as_of`: it said so itself, or another node passed that on.
-    pub fn confirm(&mut self, as_of: Moment) {
-        self.as_of = self.as_of.max(Some(as_of));
+    /// The platform held nothing newer at `as_of`: it said so itself, or another node passed that on. Returns
+    /// whether that was not known yet.
+    pub fn confirm(&mut self, as_of: Moment) -> bool {
+        let is_later = self.as_of < Some(as_of);
+        if is_later {
+            self.as_of = Some(as_of);
+        }
+        is_later
     }
 
     /// Time since then, in microseconds; none if it was never known.
--- a/components/watch/src/timing.rs
+++ b/components/watch/src/timing.rs
@@ -6,7 +6,13 @@
 /// A watcher speaks this many times within the time after which it counts as silent, so that one word that
 /// comes late changes nothing.
 const WORDS_IN_QUIET: u64 = 2;
-/// What a node holds counts as stale when it was not confirmed for this part of the bound.
+/// A watcher asks anew when what it holds was not confirmed for this part of the bound, whatever its open watch
+/// says: a connection that has fallen silent looks like one without news.
+const CONFIRM_PART: u64 = 3;
+/// The watchers of a hall are spread over this part of the bound, so that mostly one of them asks.
+const CONFIRM_SPREAD_PART: u64 = 12;
+/// What a node holds counts as stale when it was not confirmed for this part of the bound: the watchers have
+/// had their turn by then. The rest is for a call that fails, and for one that brings the change.
 const STALE_PART: u64 = 2;
 
 /// The times of one fleet, in microseconds.
@@ -18,6 +24,10 @@
     pub quiet_us: u64,
     /// Over which the nodes that find no watcher are spread, and for which they leave a try to another.
     pub spread_us: u64,
+    /// A watcher asks anew once what it holds was not confirmed for so long.
+    pub confirm_us: u64,
+    /// Over which the watchers are spread then.
+    pub confirm_spread_us: u64,
     /// What was not confirmed for so long counts as stale.
     pub stale_us: u64,
 }
@@ -30,6 +40,8 @@
             period_us: quiet_us / WORDS_IN_QUIET,
             quiet_us,
             spread_us: quiet_us / WORDS_IN_QUIET,
+            confirm_us: bound_us / CONFIRM_PART,
+            confirm_spread_us: bound_us / CONFIRM_SPREAD_PART,
             stale_us: bound_us / STALE_PART,
         }
     }
--- a/components/watch/tests/watch/main.rs
+++ b/components/watch/tests/watch/main.rs
@@ -22,6 +22,52 @@
         world.run(60 * SECOND);
         // Two watches of 10 s each, for 60 s.
         assert!(world.calls_since(from) <= 14, "seed {seed}");
+        // One look of the hall each third of the bound, and in one case of ten both watchers look.
+        let looks = world.looks.iter().filter(|at| **at >= from).count();
+        assert!(looks <= 66, "{looks} looks, seed {seed}");
+    }
+}
+
+#[test]
+fn a_hall_whose_open_watches_have_fallen_silent_holds_a_change_within_half_of_the_bound() {
+    for seed in 0..20 {
+        let mut world = World::new(NODES, true, seed);
+        world.run(30 * SECOND + seed * 70 * MILLISECOND);
+        world.mute_watches();
+        world.change();
+        world.run(BOUND_US / 2);
+        assert_eq!(world.informed().len(), NODES, "seed {seed}");
+        // The watches are open again, so that the next change comes at once.
+        world.change();
+        world.run(100 * MILLISECOND);
+        assert_eq!(world.informed().len(), NODES, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_hall_whose_watchers_the_platform_leaves_without_an_answer_holds_a_change_within_the_bound() {
+    for seed in 0..20 {
+        let mut world = World::new(NODES, true, seed);
+        world.run(30 * SECOND + seed * 70 * MILLISECOND);
+        for index in world.watchers() {
+            world.set_unanswered(index, true);
+        }
+        world.change();
+        world.run(BOUND_US * 9 / 10);
+        assert_eq!(world.informed().len(), NODES, "seed {seed}");
+    }
+}
+
+#[test]
+fn what_nodes_hold_is_never_older_than_half_of_the_bound_while_nothing_is_wrong() {
+    for seed in 0..5 {
+        let mut world = World::new(NODES, true, seed);
+        world.run(30 * SECOND);
+        for _ in 0..300 {
+            world.run(100 * MILLISECOND);
+            let oldest_us = world.oldest_us();
+            assert!(oldest_us < BOUND_US / 2, "{oldest_us} us, seed {seed}");
+        }
     }
 }
 
--- a/components/watch/tests/watch/world.rs
+++ b/components/watch/tests/watch/world.rs
@@ -1,4 +1,4 @@
-//! A hall of nodes on one clock, with a platform that answers some of them.
+//! A hall of nodes on one clock, with a platform that answers some of them and whose connections may fall silent.
 
 use names::{Moment, Name, MILLISECOND, SECOND};
 use watch::{Advice, Timing, Watch, Word};
@@ -8,6 +8,8 @@
 /// Time that a word takes, and a call to the platform.
 const WAY_US: u64 = MILLISECOND;
 const CALL_US: u64 = 10 * MILLISECOND;
+/// How long a call waits for a platform that says nothing.
+const SILENCE_US: u64 = 1_500 * MILLISECOND;
 /// How long one watch waits.
 const WATCH_US: u64 = 10 * SECOND;
 /// Step of the clock.
@@ -19,13 +21,19 @@
     name: Name,
     watch: Watch,
     look_at: Moment,
-    /// End of the call under way.
-    call_ends: Option<Moment>,
+    /// Begin and end of the call under way.
+    call: Option<(Moment, Moment)>,
+    /// Version that it holds.
+    knows: u64,
+    /// Whether its open watch says nothing any more.
+    is_mute: bool,
     watch_ends: Moment,
     word_at: Moment,
     is_up: bool,
     /// Whether the platform answers it.
     is_served: bool,
+    /// Whether the platform leaves it without any answer.
+    is_unanswered: bool,
     /// Whether it hears the others and they hear it.
     is_connected: bool,
 }
@@ -34,9 +42,23 @@
 pub struct World {
     pub now: Moment,
     nodes: Vec<Node>,
-    words: Vec<(Moment, usize, Word)>,
-    /// Calls to the platform: when, and by whom.
+    words: Vec<Said>,
+    /// Newest version at the platform.
+    newest: u64,
+    /// Calls to the platform by which nodes began to watch, or went on: when, and by whom.
     pub calls: Vec<(Moment, usize)>,
+    /// Calls by which watchers asked whether they had missed anything.
+    pub looks: Vec<Moment>,
+}
+
+/// A word on its way.
+struct Said {
+    arrives: Moment,
+    from: usize,
+    word: Word,
+    knows: u64,
+    /// When the speaker's version was last known to be the newest.
+    as_of: Option<Moment>,
 }
 
 impl World {
@@ -50,11 +72,14 @@
                 name,
                 watch,
                 look_at: Moment(seed * 7_919 % LOOK_US),
-                call_ends: None,
+                call: None,
+                knows: 0,
+                is_mute: false,
                 watch_ends: Moment(0),
                 word_at: Moment(0),
                 is_up: true,
                 is_served: true,
+                is_unanswered: false,
                 is_connected: true,
             }
         });
@@ -62,7 +87,9 @@
             now: Moment(0),
             nodes: nodes.collect(),
             words: Vec::new(),
+            newest: 0,
             calls: Vec::new(),
+            looks: Vec::new(),
         }
     }
 
@@ -104,46 +131,113 @@
         self.nodes[index].is_connected = is_connected;
     }
 
+    /// Open watches say nothing any more; new calls work.
+    pub fn mute_watches(&mut self) {
+        for node in &mut self.nodes {
+            node.is_mute = true;
+        }
+    }
+
+    /// The platform leaves a node without any answer, or answers it again.
+    pub fn set_unanswered(&mut self, index: usize, is_unanswered: bool) {
+        self.nodes[index].is_unanswered = is_unanswered;
+    }
+
+    /// A change is confirmed.
+    pub fn change(&mut self) {
+        self.newest += 1;
+    }
+
+    /// The nodes that hold the newest version.
+    pub fn informed(&self) -> Vec<usize> {
+        let indexes = 0..self.nodes.len();
+        indexes
+            .filter(|index| self.nodes[*index].knows == self.newest)
+            .collect()
+    }
+
+    /// The oldest knowledge of any node that runs, in microseconds.
+    pub fn oldest_us(&self) -> u64 {
+        let running = self.nodes.iter().filter(|node| node.is_up);
+        let ages = running.map(|node| node.watch.age_us(self.now).unwrap_or(u64::MAX));
+        ages.max().unwrap_or(0)
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
-        let due: Vec<_> = self.words.extract_due(now);
-        for (from, word) in due {
-            if !self.nodes[from].is_connected {
+        let (due, rest): (Vec<_>, Vec<_>) =
+            self.words.drain(..).partition(|said| said.arrives <= now);
+        self.words = rest;
+        for said in due {
+            if !self.nodes[said.from].is_connected {
                 continue;
             }
-            let name = self.nodes[from].name.clone();
+            let name = self.nodes[said.from].name.clone();
             for (index, node) in self.nodes.iter_mut().enumerate() {
-                if index != from && node.is_up && node.is_connected {
-                    node.watch.heard(now, &name, word);
+                if index == said.from || !node.is_up || !node.is_connected {
+                    continue;
+                }
+                node.watch.heard(now, &name, said.word);
+                // Copies take no time here.
+                node.knows = node.knows.max(said.knows);
+                if let Some(as_of) = said.as_of.filter(|_| node.knows == said.knows) {
+                    node.watch.confirmed(as_of);
                 }
             }
         }
     }
 
+    fn say(&mut self, index: usize, word: Word) {
+        let node = &self.nodes[index];
+        let age_us = node.watch.age_us(self.now);
+        self.words.push(Said {
+            arrives: self.now + WAY_US,
+            from: index,
+            word,
+            knows: node.knows,
+            as_of: age_us.map(|age_us| Moment(self.now.0 - age_us)),
+        });
+    }
+
     fn step(&mut self, index: usize) {
         let now = self.now;
+        let newest = self.newest;
         let node = &mut self.nodes[index];
-        if node.call_ends.is_some_and(|at| at <= now) {
-            node.call_ends = None;
-            let word = if node.is_served {
-                node.watch.answered();
-                node.watch_ends = now + WATCH_US;
+        if let Some((began, ends)) = node.call {
+            if ends > now {
+                return;
+            }
+            node.call = None;
+            let word = if node.is_served && !node.is_unanswered {
+                let was_told = node.knows == newest;
+                node.knows = newest;
+                node.watch.confirmed(began);
+                let watched = node.watch.is_watching();
+                if !watched || !was_told {
+                    // What a watch should have told came by another call: it is begun anew.
+                    node.watch.answered();
+                    node.watch_ends = now + WATCH_US;
+                    node.is_mute = false;
+                }
+                if watched && !was_told {
+                    self.calls.push((now, index));
+                }
                 node.word_at = now + node.watch.period_us();
                 Word::Watches
             } else {
                 node.watch.failed(now);
                 Word::Failed
             };
-            self.words.push((now + WAY_US, index, word));
+            self.say(index, word);
             return;
         }
         if node.watch.is_watching() {
             self.keep_watching(index);
-        } else if node.call_ends.is_none() && node.look_at <= now {
+        } else if node.look_at <= now {
             node.look_at = now + LOOK_US;
             if node.watch.advice(now) == Advice::Ask {
                 node.watch.asks();
-                self.words.push((now + WAY_US, index, Word::Asks));
+                self.say(index, Word::Asks);
                 self.call(index);
             }
         }
@@ -157,39 +251,44 @@
             self.call(index);
             return;
         }
+        if !node.is_mute && !node.is_unanswered && node.knows < self.newest {
+            node.knows = self.newest;
+            self.say(index, Word::Watches);
+            self.calls.push((now, index));
+            return;
+        }
+        if node.watch.confirm_at(now) <= now {
+            self.looks.push(now);
+            self.begin(index);
+            return;
+        }
         if node.watch_ends <= now {
             if node.watch.renews(now) {
                 node.watch_ends = now + WATCH_US;
+                node.is_mute = false;
                 self.calls.push((now, index));
             }
             return;
         }
         if node.word_at <= now {
             node.word_at = now + node.watch.period_us();
-            self.words.push((now + WAY_US, index, Word::Watches));
+            self.say(index, Word::Watches);
         }
     }
 
     fn call(&mut self, index: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[index];
-        if node.call_ends.is_none() {
-            node.call_ends = Some(now + CALL_US);
-            self.calls.push((now, index));
-        }
+        self.calls.push((self.now, index));
+        self.begin(index);
     }
-}
 
-trait ExtractDue {
-    fn extract_due(&mut self, now: Moment) -> Vec<(usize, Word)>;
-}
-
-impl ExtractDue for Vec<(Moment, usize, Word)> {
-    fn extract_due(&mut self, now: Moment) -> Vec<(usize, Word)> {
-        let (due, rest): (Vec<_>, Vec<_>) = self.drain(..).partition(|(at, _, _)| *at <= now);
-        *self = rest;
-        due.into_iter()
-            .map(|(_, from, word)| (from, word))
-            .collect()
+    fn begin(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let lasts_us = if node.is_unanswered {
+            SILENCE_US
+        } else {
+            CALL_US
+        };
+        node.call = Some((now, now + lasts_us));
     }
 }
