Looks are shared between halls

Cause: each hall looked for itself whether it had missed a change; one answer of the store serves the fleet.

Change: after a look its watcher tells one node of each other hall, which passes it on in its own; the age travels with it. A hall that is cut off from the others looks for itself, as before.

--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -100,7 +100,7 @@
 pub fn compare(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
     let mine = node.summary();
     if theirs.is_level_with(&mine) {
-        watching::confirmed_by(node, theirs);
+        watching::confirmed_by(node, from, theirs);
     }
     if theirs.is_newer_than(&mine) {
         ask(node, from, theirs, reply);
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -7,7 +7,9 @@
 mod records;
 
 pub use door::serve as serve_door;
-pub use peers::{buckets_told, digest_told, run_dials, taken, versions_told, Source};
+pub use peers::{
+    buckets_told, digest_told, run_dials, taken, tell_other_halls, versions_told, Source,
+};
 pub use records::{run as run_records, withdraw};
 
 use crate::audit;
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// Sends a frame to one node of each other hall.
+pub fn tell_other_halls(node: &Rc<Node>, registration: &Registration, frame: &Frame) {
+    let fleet = registration.fleet.borrow();
+    let told = registry::far_contacts(&fleet, 1, |vm| links::has_failed(node, vm));
+    drop(fleet);
+    for vm in told {
+        links::send(node, &vm, frame);
+    }
+}
+
 /// Where a record came from.
 #[derive(Debug, Clone, Copy)]
 pub enum Source<'a> {
--- a/components/daemon/src/watching/freshness.rs
+++ b/components/daemon/src/watching/freshness.rs
@@ -1,8 +1,13 @@
-//! How old what is in force may be, as far as this node knows: notes it, and says when it becomes stale.
+//! How old what is in force may be, as far as this node knows: notes it, passes it on, and says when it becomes
+//! stale.
 
+use crate::links;
 use crate::node::Node;
-use names::{Moment, MILLISECOND};
+use crate::registration;
+use names::{Moment, Name, MILLISECOND};
 use rollout::Summary;
+use std::rc::Rc;
+use wire::Frame;
 
 /// The platform held nothing newer at `as_of`, as it said itself.
 pub fn confirmed(node: &Node, as_of: Moment) {
@@ -14,8 +19,17 @@
     note(node);
 }
 
-/// Another node that holds the same as this one told when that was confirmed.
-pub fn confirmed_by(node: &Node, theirs: &Summary) {
+/// Tells other halls that what is in force here was confirmed a moment ago, so that one look serves the fleet.
+pub fn tell_other_halls(node: &Rc<Node>) {
+    if let Some(registration) = &node.registration {
+        let frame = Frame::Summary(node.summary());
+        registration::tell_other_halls(node, registration, &frame);
+    }
+}
+
+/// Another node that holds the same as this one told when that was confirmed. What comes from another hall is
+/// passed on in this one, with its age.
+pub fn confirmed_by(node: &Rc<Node>, from: &Name, theirs: &Summary) {
     let Some(age_us) = theirs.confirmed_us_ago else {
         return;
     };
@@ -23,8 +37,15 @@
     if age_us > now.0 {
         return;
     }
+    let before_us = node.watch.borrow().age_us(now);
     node.watch.borrow_mut().confirmed(Moment(now.0 - age_us));
     note(node);
+    let period_us = node.watch.borrow().period_us();
+    let is_news = before_us.is_none_or(|before_us| before_us > age_us + period_us);
+    let is_far = node.hall_of(from).is_some_and(|hall| hall != node.cfg.hall);
+    if is_news && is_far {
+        links::tell_hall(node, &Frame::Summary(node.summary()));
+    }
 }
 
 /// Writes a line when what is in force becomes stale, and when it is confirmed again.
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -187,6 +187,7 @@
             return Ok(());
         }
         tell(node, Word::Watches);
+        freshness::tell_other_halls(node);
     }
 }
 
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -14,5 +14,6 @@
 pub use local::{Change, Heartbeat, Local, Verdict};
 pub use record::{Instance, Record, State, Version};
 pub use spread::{
-    compare, contacts, is_passed_on, told_of_change, versions, Comparison, Versions, CONTACTS,
+    compare, contacts, far_contacts, is_passed_on, told_of_change, versions, Comparison, Versions,
+    CONTACTS,
 };
--- a/components/registry/src/spread.rs
+++ b/components/registry/src/spread.rs
@@ -43,13 +43,21 @@
     let own_hall = &fleet.own().hall;
     let near = fleet.others().filter(|record| record.hall == *own_hall);
     let mut told: Vec<Name> = near.map(|record| record.vm.clone()).collect();
+    told.extend(far_contacts(fleet, CONTACTS, unreachable));
+    told
+}
+
+/// Up to `count` contacts of each other hall among those that are not known to be `unreachable`.
+pub fn far_contacts(fleet: &Fleet, count: usize, unreachable: impl Fn(&Name) -> bool) -> Vec<Name> {
+    let own_hall = &fleet.own().hall;
     let others = fleet.others().map(|record| &record.hall);
     let halls: BTreeSet<&Name> = others.filter(|hall| *hall != own_hall).collect();
+    let mut found = Vec::new();
     for hall in halls {
         let ranked = contacts(fleet, hall).into_iter();
-        told.extend(ranked.filter(|vm| !unreachable(vm)).take(CONTACTS));
+        found.extend(ranked.filter(|vm| !unreachable(vm)).take(count));
     }
-    told
+    found
 }
 
 /// The nodes of a hall in the order in which this node prefers them as contacts. Each node has an
