--- a/components/rollout/tests/rollout/fetch.rs
+++ b/components/rollout/tests/rollout/fetch.rs
@@ -14,6 +14,10 @@
     store_asked: true,
     can_read: true,
 };
+/// The shortest time within which users' changes have to be in force, in microseconds.
+const SHORTEST_BOUND_US: u64 = 2_000_000;
+/// A node hears a word of some watcher so often, in microseconds.
+const WORD_US: u64 = SHORTEST_BOUND_US / 12;
 /// Bytes of a small revision.
 const SMALL: u64 = 5_000;
 
@@ -92,6 +96,36 @@
     assert_eq!(fetch.told(Moment(2), &peer(1), ALONE, SMALL), Advice::Ask);
 }
 
+/// A node that had been told of a change asked a node that was paused just then, and waited 2 s, then 4 s for its
+/// copy, whatever others told it: longer than a change may take. Where nodes heard one another and their answers
+/// were lost, a change was not in force on three of eight nodes 6 s after it was confirmed; their lines showed
+/// "a peer knows something newer", advice "Wait", again and again.
+#[test]
+fn three_nodes_that_do_not_answer_leave_time_to_read_the_store_within_the_bound() {
+    let mut fetch = Fetch::default();
+    let mut asked = 0;
+    let mut read_at = None;
+    for step in 0..SHORTEST_BOUND_US / WORD_US {
+        let now = Moment(step * WORD_US);
+        match fetch.told(now, &peer(step as u8 % 4), ALONE, SMALL) {
+            Advice::Ask => asked += 1,
+            Advice::Read => read_at = read_at.or(Some(now)),
+            Advice::Hold(_) | Advice::Wait => {}
+        }
+    }
+    assert!((2..=3).contains(&asked), "{asked} nodes were asked");
+    let read_at = read_at.expect("the store is read");
+    assert!(read_at.0 <= SHORTEST_BOUND_US * 3 / 4, "{read_at:?}");
+}
+
+#[test]
+fn a_watcher_that_is_told_of_a_change_waits_for_its_own_watch_for_a_sixth_of_the_bound() {
+    let mut fetch = Fetch::default();
+    fetch.told(Moment(0), &peer(0), STORE_ASKED, SMALL);
+    let sixth = Moment(SHORTEST_BOUND_US / 6);
+    assert_eq!(fetch.told(sixth, &peer(0), STORE_ASKED, SMALL), Advice::Ask);
+}
+
 #[test]
 fn what_does_not_come_is_asked_for_elsewhere_with_more_patience() {
     let mut fetch = Fetch::default();
