Connections between nodes that say nothing are given up, also where nothing waits

Cause: what was told on a connection that had fallen silent went nowhere; a connection at which nothing waits counted as open until it was unused for a minute.

Change: where something was told and nothing heard for 2 s, one heartbeat is sent, one connection each 50 ms; without an answer for 1 s the connection is given up and opened anew. It says nothing of load, so it has a limit of its own and takes nothing from the measuring budget, on which heartbeats of waiting requests hang.

--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -94,6 +94,7 @@
         heard: Cell::new(now),
         asked: Cell::new(None),
         used: Cell::new(now),
+        told: Cell::new(now),
     };
     Ok(Opened {
         up,
--- a/components/daemon/src/links/heartbeat.rs
+++ b/components/daemon/src/links/heartbeat.rs
@@ -1,7 +1,9 @@
-//! Finding out that another node is frozen, while something waits there.
+//! Finding out that another node is frozen, or that a connection has fallen silent.
 //!
-//! A heartbeat is a measuring act and passes the budget. Nothing is sent to a node at which
-//! nothing waits, or from which anything was heard lately.
+//! While something waits at a node it is asked a few times a second: such a heartbeat is a measuring act and
+//! passes the budget. Where nothing waits, a connection on which something was told and nothing was heard for
+//! seconds is asked once, and given up without an answer. That says nothing of the node's load, and has a limit
+//! of its own.
 
 use super::{push, questions_lost, Link, UpLink};
 use crate::entry_driver;
@@ -24,6 +26,15 @@
 /// A connection on which nothing was heard for so long, although something waits there and a
 /// heartbeat was not answered, is given up, in microseconds: the VM may be gone without a word.
 const DEAD_US: u64 = 3_000 * MILLISECOND;
+/// A connection on which something was told is asked when nothing was heard for so long, in microseconds, and
+/// given up when the answer takes longer than the second time. Words on a connection that has fallen silent go
+/// nowhere: without them each node of a site asked the platform for itself until the connections were closed as
+/// unused.
+const UNHEARD_US: u64 = 2_000 * MILLISECOND;
+const UNANSWERED_US: u64 = 1_000 * MILLISECOND;
+/// Connections that are asked so in one look at most: 20 a second, so that one that tells a hall of 60 nodes has
+/// asked each within 3 s.
+const ASKED_PER_LOOK: usize = 1;
 /// A connection unused for so long is closed, in microseconds.
 const IDLE_US: u64 = 60_000 * MILLISECOND;
 
@@ -42,22 +53,45 @@
                 _ => None,
             })
             .collect();
+        let mut may_ask = ASKED_PER_LOOK;
         for (vm, up) in links {
             let attempts = waiting.get(&vm).map_or(&[][..], |ids| ids.as_slice());
-            look(&node, &vm, &up, attempts, questions.contains(&vm));
+            if attempts.is_empty() && !questions.contains(&vm) {
+                look_at_quiet(&node, &up, &mut may_ask);
+            } else {
+                look(&node, &vm, &up, attempts);
+            }
         }
     }
 }
 
-fn look(node: &Rc<Node>, vm: &Name, up: &UpLink, attempts: &[AttemptId], questions: bool) {
+/// Looks at a connection at whose end nothing waits.
+fn look_at_quiet(node: &Rc<Node>, up: &UpLink, may_ask: &mut usize) {
     let now = node.now();
-    if attempts.is_empty() && !questions {
-        up.asked.set(None);
-        if now.since(up.used.get()) > IDLE_US {
-            up.out.close();
-        }
+    if now.since(up.used.get()) > IDLE_US {
+        up.out.close();
         return;
     }
+    let heard = up.heard.get().max(up.opened);
+    match up.asked.get() {
+        Some(asked) if now.since(asked) > UNANSWERED_US && now.since(heard) > UNHEARD_US => {
+            // A full channel means that the connection is being given up already.
+            up.cut.try_send(()).ok();
+        }
+        Some(_) => {}
+        None => {
+            let was_told = up.told.get().max(up.used.get()) > heard;
+            let is_due = was_told && now.since(heard) > UNHEARD_US && *may_ask > 0;
+            if is_due && push(node, &up.out, &Frame::Heartbeat) {
+                *may_ask -= 1;
+                up.asked.set(Some(now));
+            }
+        }
+    }
+}
+
+fn look(node: &Rc<Node>, vm: &Name, up: &UpLink, attempts: &[AttemptId]) {
+    let now = node.now();
     match up.asked.get() {
         Some(asked) if now.since(asked) > SILENT_US => {
             for id in attempts {
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -90,6 +90,8 @@
     pub asked: Cell<Option<Moment>>,
     /// When the last frame that isn't a heartbeat was sent.
     pub used: Cell<Moment>,
+    /// When the last word to the whole hall was sent. Such words don't keep a connection open.
+    pub told: Cell<Moment>,
 }
 
 /// Where the end of an attempt is told.
@@ -155,12 +157,14 @@
         .filter(|(_, same_hall)| *same_hall)
         .map(|(vm, _)| vm)
         .collect();
-    let bytes = wire::encode(node.now().0, frame);
+    let now = node.now();
+    let bytes = wire::encode(now.0, frame);
     let links = node.links.borrow();
     for vm in near {
         if let Some(Link::Up(up)) = links.get(&vm) {
             // A connection whose queue is full is given up by whoever waits there for an answer.
             up.out.send(frame.kind(), bytes.clone());
+            up.told.set(now);
         }
     }
 }
