An upstream's start is its identity and the time that it names

Cause: starts of an upstream were told apart by identity alone. One that starts again under its identity counts its heartbeats anew, so that they were taken for late ones, and what the earlier start had said held for it.

Change: the adapter decodes 'born' once into the start (registry::Incarnation); registrations, farewells, records, what stands in the store and the request's expected upstream hang on it. A start that says it came before the present one is not acknowledged; it is taken once it has gone on for 4 s while the present one said nothing (its clock was set back). One that was wrongly taken for gone returns with its next word; one that was told as gone doesn't. Servers that name no time are told apart by identity, as before. Found in reading: a 421 that came after another start had registered ended the new start; it ends the one that was meant now. A connection that was in use when its upstream started again went back to the later start's idle ones.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -14,7 +14,7 @@
 use logs::Limiter;
 use names::{AttemptId, Name};
 use platform::Stored;
-use registry::{Instance, Record, Verdict};
+use registry::{Farewell, Incarnation, Instance, Record, Verdict};
 use rollout::{Advice, InForce, Offered, Summary};
 use std::cell::RefCell;
 use std::time::Instant;
@@ -187,6 +187,7 @@
 pub fn registered(instance: &Instance, sequence: u64, verdict: Verdict) {
     tracing::info!(
         instance = %instance.id,
+        born_ms = instance.born_ms,
         service = %instance.service,
         address = instance.address,
         slots = instance.slots,
@@ -198,8 +199,8 @@
 }
 
 /// The upstream beside this node said that it ends.
-pub fn leaves(instance: &Name, changed: bool) {
-    tracing::info!(instance = %instance, changed, "an upstream leaves");
+pub fn leaves(incarnation: &Incarnation, farewell: Farewell) {
+    tracing::info!(instance = %incarnation.id, born_ms = incarnation.born_ms, ?farewell, "an upstream leaves");
 }
 
 /// The run that an earlier start of this node knew was found again.
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -9,6 +9,7 @@
 use async_std::future::timeout;
 use home::{Home, Verdict};
 use names::AttemptId;
+use registry::Incarnation;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::Answer;
@@ -25,9 +26,10 @@
     };
     let left = node.clock.until(job.deadline);
     let overrun = Duration::from_millis(node.cfg.overrun_ms);
-    let terms = terms(node, id, job, left);
+    let expected = node.registration.as_deref().and_then(registration::current);
+    let terms = terms(node, id, job, left, expected.as_ref());
     match timeout(left + overrun, pool.exchange(&job.req, &terms)).await {
-        Ok(Ok(answer)) => judge(node, job, answer),
+        Ok(Ok(answer)) => judge(node, job, expected.as_ref(), answer),
         Ok(Err(Failure::NotSent(error))) => {
             stats::upstream_failed("not-sent");
             tracing::info!(id = %job.req.id, %error, "the upstream was not reached");
@@ -45,15 +47,21 @@
     }
 }
 
-/// What the upstream is told beside the request.
-fn terms<'a>(node: &'a Node, id: AttemptId, job: &'a Job, left: Duration) -> Terms<'a> {
+/// What the upstream is told beside the request; `expected` is the start of it that is meant.
+fn terms<'a>(
+    node: &'a Node,
+    id: AttemptId,
+    job: &'a Job,
+    left: Duration,
+    expected: Option<&Incarnation>,
+) -> Terms<'a> {
     let names = &node.cfg.headers;
     let mut headers = vec![(names.deadline_ms.as_str(), left.as_millis().to_string())];
     match &node.registration {
-        Some(registration) => {
-            let instance = registration::current_id(registration);
+        Some(_) => {
             let name = names.expected_instance.as_deref();
-            headers.extend(name.zip(instance).map(|(name, id)| (name, id.to_string())));
+            let given = name.zip(expected);
+            headers.extend(given.map(|(name, expected)| (name, expected.id.to_string())));
         }
         None => {
             headers.push((names.level.as_str(), (job.req.level + 1).to_string()));
@@ -74,18 +82,19 @@
 fn judge_registered(
     node: &Rc<Node>,
     registration: &Rc<Registration>,
+    expected: Option<&Incarnation>,
     answer: Answer,
 ) -> (Verdict, Option<Answer>) {
     let names = &node.cfg.headers;
     if answer.status == WRONG_INSTANCE {
-        let expected = registration::current_id(registration);
         let other = names
             .instance
             .as_deref()
             .and_then(|name| http1::value(&answer.headers, name));
         tracing::info!(?expected, other, "another upstream stands at the address");
         if let Some(expected) = expected {
-            if registration.local.borrow_mut().is_not(&expected) {
+            // The one that was meant, which need not be the one that stands here by now.
+            if registration.local.borrow_mut().is_not(expected) {
                 registration::local_changed(node, registration);
             }
         }
@@ -135,9 +144,14 @@
 }
 
 /// Reads the headers by which an upstream says that it leaves or did not start the request.
-fn judge(node: &Rc<Node>, job: &Job, mut answer: Answer) -> (Verdict, Option<Answer>) {
+fn judge(
+    node: &Rc<Node>,
+    job: &Job,
+    expected: Option<&Incarnation>,
+    mut answer: Answer,
+) -> (Verdict, Option<Answer>) {
     if let Some(registration) = &node.registration {
-        return judge_registered(node, registration, answer);
+        return judge_registered(node, registration, expected, answer);
     }
     let in_force = node.in_force();
     let service = in_force
--- a/components/daemon/src/look.rs
+++ b/components/daemon/src/look.rs
@@ -14,7 +14,6 @@
 use async_std::future::timeout;
 use budget::Act;
 use home::Looked;
-use names::Name;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::{Answer, Request};
@@ -87,8 +86,9 @@
         .instance
         .as_deref()
         .and_then(|name| http1::value(&answer.headers, name));
-    let expected: Option<Name> = registration::current_id(registration);
-    if instance.is_some() && instance != expected.as_ref().map(Name::as_str) {
+    let expected = registration::current(registration);
+    let expected = expected.as_ref().map(|expected| expected.id.as_str());
+    if instance.is_some() && instance != expected {
         return failed("another upstream answers");
     }
     let Some(percent) = exchange::told_percent(node, answer) else {
--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -10,7 +10,7 @@
 use async_std::task;
 use http1::{request_framing, Connection, Fault};
 use platform::Registration as Told;
-use registry::{Change, Verdict};
+use registry::{Change, Farewell, Verdict};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -68,15 +68,22 @@
         .registration(&head.method, &head.target, &body);
     let (status, text) = match read {
         Ok(told) => {
-            take_in(node, registration, told);
-            (200, "{}".to_string())
+            if take_in(node, registration, told) {
+                (200, "{}".to_string())
+            } else {
+                (503, "another start stands here".to_string())
+            }
         }
         Err(error) => {
             tracing::warn!(%error, "a registration was refused");
             (400, error.to_string())
         }
     };
-    let phrase = if status == 200 { "OK" } else { "Bad Request" };
+    let phrase = match status {
+        200 => "OK",
+        503 => "Service Unavailable",
+        _ => "Bad Request",
+    };
     let json = [("Content-Type".to_string(), "application/json".to_string())];
     let bytes = http1::response_bytes(status, phrase, &json, text.as_bytes(), None);
     let mut stream = connection.stream().clone();
@@ -85,25 +92,28 @@
 }
 
 /// Takes in what the upstream said. What follows from it has been done when this returns, so that
-/// the answer may acknowledge it.
-fn take_in(node: &Rc<Node>, registration: &Rc<Registration>, told: Told) {
-    let changed = match told {
+/// the answer may acknowledge it; false when it must not, since another start may be the one that runs.
+fn take_in(node: &Rc<Node>, registration: &Rc<Registration>, told: Told) -> bool {
+    let (changed, acknowledged) = match told {
         Told::Heartbeat(heartbeat) => {
             let instance = heartbeat.instance.clone();
             let sequence = heartbeat.sequence;
-            let verdict = registration.local.borrow_mut().heartbeat(heartbeat);
+            let now = node.now();
+            let verdict = registration.local.borrow_mut().heartbeat(now, heartbeat);
             if verdict != Verdict::Taken(Change::None) {
                 audit::registered(&instance, sequence, verdict);
             }
-            matches!(verdict, Verdict::Taken(Change::Updated | Change::Replaced))
+            let changed = matches!(verdict, Verdict::Taken(Change::Updated | Change::Replaced));
+            (changed, verdict != Verdict::Doubted)
         }
-        Told::Leaves(id) => {
-            let changed = registration.local.borrow_mut().leaves(id.as_str());
-            audit::leaves(&id, changed);
-            changed
+        Told::Leaves(incarnation) => {
+            let farewell = registration.local.borrow_mut().leaves(&incarnation);
+            audit::leaves(&incarnation, farewell);
+            (farewell == Farewell::Taken, farewell != Farewell::Doubted)
         }
     };
     if changed {
         local_changed(node, registration);
     }
+    acknowledged
 }
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -16,9 +16,9 @@
 use crate::home_driver;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
-use names::{BootId, Name};
+use names::BootId;
 use platform::Adapter;
-use registry::{Fleet, Instance, Local, Record, Version};
+use registry::{Fleet, Incarnation, Instance, Local, Record, Version};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -84,8 +84,12 @@
 pub fn local_changed(node: &Rc<Node>, registration: &Registration) {
     let current = registration.local.borrow().current().cloned();
     let before = registration.fleet.borrow().own().upstream.clone();
-    let is_new = current.as_ref().map(|run| &run.id) != before.as_ref().map(|run| &run.id);
-    if let Some(current) = current.as_ref().filter(|_| is_new) {
+    let was_known = |run: &&Instance| {
+        let run = run.incarnation();
+        let mut before = before.iter();
+        before.any(|before| before.incarnation().is(&run))
+    };
+    if let Some(current) = current.as_ref().filter(|run| !was_known(run)) {
         home_driver::upstream_replaced(node, current);
     }
     home_driver::leaving_changed(node);
@@ -109,8 +113,8 @@
     registration.store_soon();
 }
 
-/// The run of the upstream beside this node, by its identity.
-pub fn current_id(registration: &Registration) -> Option<Name> {
+/// The start of the upstream that stands beside this node.
+pub fn current(registration: &Registration) -> Option<Incarnation> {
     let local = registration.local.borrow();
-    local.current().map(|run| run.id.clone())
+    local.current().map(Instance::incarnation)
 }
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -13,10 +13,9 @@
 use async_std::future::timeout;
 use async_std::task;
 use errors::{Error, Result, Step};
-use names::Name;
 use platform::{Put, Reading, Stored};
 use rand::Rng;
-use registry::{Record, State};
+use registry::{Incarnation, Instance, Record, State};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,7 +39,7 @@
 struct Stands {
     revision: Option<u64>,
     peers: String,
-    upstream: Option<Name>,
+    upstream: Option<Incarnation>,
 }
 
 /// Learns of the other nodes and keeps this node's record, for as long as the node runs.
@@ -163,7 +162,7 @@
     let fleet = registration.fleet.borrow();
     let run = fleet.own().upstream.as_ref();
     let ready = run.filter(|run| run.state == State::Ready);
-    ready.is_some_and(|run| stands.upstream.as_ref() != Some(&run.id))
+    ready.is_some_and(|run| stands.upstream.as_ref() != Some(&run.incarnation()))
 }
 
 async fn write_until_done(node: &Rc<Node>, registration: &Rc<Registration>, stands: &mut Stands) {
@@ -215,7 +214,7 @@
     fn wrote(&mut self, revision: u64, record: &Record) {
         self.revision = Some(revision);
         self.peers = record.peers.clone();
-        self.upstream = record.upstream.as_ref().map(|run| run.id.clone());
+        self.upstream = record.upstream.as_ref().map(Instance::incarnation);
     }
 }
 
--- a/components/daemon/src/upstream.rs
+++ b/components/daemon/src/upstream.rs
@@ -62,6 +62,8 @@
     warm: Cell<usize>,
     end_by_close: EndByClose,
     idle: RefCell<Vec<Idle>>,
+    /// Starts of the upstream so far: what is open to an earlier one is never used for a later one.
+    starts: Cell<u64>,
 }
 
 impl Pool {
@@ -83,6 +85,7 @@
             warm: Cell::new(warm),
             end_by_close,
             idle: RefCell::new(Vec::new()),
+            starts: Cell::new(0),
         }
     }
 
@@ -91,6 +94,7 @@
         self.address.set(address);
         self.warm.set(warm);
         self.idle.borrow_mut().clear();
+        self.starts.set(self.starts.get() + 1);
     }
 
     /// Sends a request and reads its whole answer.
@@ -100,6 +104,7 @@
         terms: &Terms<'_>,
     ) -> std::result::Result<Answer, Failure> {
         let bytes = request_bytes(req, terms);
+        let start = self.starts.get();
         let mut connection = self
             .take(terms.repeatable)
             .await
@@ -123,7 +128,7 @@
         };
         let (answered, whole) = answered;
         let (answer, reusable) = answered.map_err(|error| self.broken(error))?;
-        if whole && !connection.has_bytes() {
+        if whole && !connection.has_bytes() && self.starts.get() == start {
             if let Some(usable_for) = reusable {
                 self.put_back(connection, usable_for);
             }
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -4,7 +4,7 @@
 use declarations::Bundle;
 use errors::Result;
 use names::Name;
-use registry::Heartbeat;
+use registry::{Heartbeat, Incarnation};
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
@@ -90,8 +90,8 @@
 pub enum Registration {
     /// It runs.
     Heartbeat(Heartbeat),
-    /// The run with this identity ends soon.
-    Leaves(Name),
+    /// This start ends soon.
+    Leaves(Incarnation),
 }
 
 /// Declarations as the platform's operators write them.
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -5,13 +5,15 @@
 
 mod digest;
 mod fleet;
+mod incarnation;
 mod local;
 mod record;
 mod spread;
 
 pub use digest::{BucketSet, Digests, BUCKETS};
 pub use fleet::{Fleet, Merged};
-pub use local::{Change, Heartbeat, Local, Verdict};
+pub use incarnation::Incarnation;
+pub use local::{Change, Farewell, Heartbeat, Local, Verdict, DOUBT_US};
 pub use record::{Instance, Record, State, Version};
 pub use spread::{
     compare, contacts, far_contacts, is_passed_on, told_of_change, versions, Comparison, Versions,
--- a/components/registry/src/local.rs
+++ b/components/registry/src/local.rs
@@ -1,21 +1,26 @@
 //! What the node beside an upstream learns from its registrations.
 //!
-//! Registrations may come late and out of order, also from a run that has ended. A run that was
-//! told as gone, or that another one followed, never comes back.
+//! Registrations may come late and out of order, also from a start that has ended. A start that was
+//! told as gone, or that another one followed, never comes back; a later one may have its identity.
 
+use crate::incarnation::Incarnation;
 use crate::record::{Instance, State};
-use names::Name;
+use names::{Moment, SECOND};
 use std::collections::VecDeque;
 
-/// Ended runs that are remembered.
+/// Ended starts that are remembered.
 const MAX_ENDED: usize = 64;
+/// A start that says it came before the present one is taken for its successor, with a clock that was set back,
+/// when it has gone on for so long while the present one said nothing, in microseconds: twice the users' time
+/// between two registrations (1.5 s), and a second for one that is late.
+pub const DOUBT_US: u64 = 4 * SECOND;
 
 /// One registration of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
-    /// The run, with what it says of itself.
+    /// The start, with what it says of itself.
     pub instance: Instance,
-    /// Rises with each registration of the run.
+    /// Rises with each registration of the start.
     pub sequence: u64,
     /// How much longer the upstream is slow from its start, in milliseconds.
     pub cold_ms: u64,
@@ -26,9 +31,9 @@
 pub enum Change {
     /// Nothing.
     None,
-    /// The state or the slots of the run that was known.
+    /// The state or the slots of the start that was known.
     Updated,
-    /// Another run stands beside the node now.
+    /// Another start stands beside the node now.
     Replaced,
 }
 
@@ -37,10 +42,41 @@
 pub enum Verdict {
     /// News.
     Taken(Change),
-    /// Older than a registration of the same run that came before.
+    /// Older than a registration of the same start that came before.
     Late,
-    /// From a run that has ended.
+    /// From a start that has ended.
     Ended,
+    /// From a start that says it came before the present one. It is taken once it has gone on for [`DOUBT_US`]
+    /// while the present one said nothing: its clock was set back. Until then it must not be acknowledged.
+    Doubted,
+}
+
+/// What became of a start's word that it ends soon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Farewell {
+    /// It gets no new work from now on.
+    Taken,
+    /// It got none before.
+    Known,
+    /// From a start that says it came before the present one of the same identity, and may be the one that
+    /// runs: it must not be acknowledged.
+    Doubted,
+}
+
+/// A start that says it came before the present one.
+#[derive(Debug, Clone)]
+struct Doubted {
+    incarnation: Incarnation,
+    since: Moment,
+    sequence: u64,
+}
+
+/// A start that takes no work any more.
+#[derive(Debug, Clone)]
+struct Ended {
+    incarnation: Incarnation,
+    /// Whether it or somebody else said so; otherwise another start took its place.
+    was_told: bool,
 }
 
 /// The upstream beside this node.
@@ -48,124 +84,194 @@
 pub struct Local {
     current: Option<Instance>,
     sequence: u64,
-    ended: VecDeque<Name>,
+    ended: VecDeque<Ended>,
+    doubted: Option<Doubted>,
 }
 
 impl Local {
-    /// The run beside this node, in whatever state.
+    /// The start beside this node, in whatever state.
     pub fn current(&self) -> Option<&Instance> {
         self.current.as_ref()
     }
 
     /// Takes in a registration.
-    pub fn heartbeat(&mut self, heartbeat: Heartbeat) -> Verdict {
-        let instance = heartbeat.instance;
-        if self.ended.contains(&instance.id) {
-            return Verdict::Ended;
+    pub fn heartbeat(&mut self, now: Moment, heartbeat: Heartbeat) -> Verdict {
+        let incarnation = heartbeat.instance.incarnation();
+        let current = self.current.as_ref().map(Instance::incarnation);
+        if let Some(ended) = self.ended(&incarnation) {
+            // One that was wrongly taken for an earlier start than another goes on.
+            let returns = current.is_some_and(|current| current.claims_to_precede(&incarnation));
+            if ended.was_told || !returns {
+                return Verdict::Ended;
+            }
+            return self.follows(heartbeat);
         }
-        let known = self
-            .current
-            .as_ref()
-            .filter(|known| known.id == instance.id);
-        let Some(known) = known else {
-            self.replace(instance);
-            self.sequence = heartbeat.sequence;
-            return Verdict::Taken(Change::Replaced);
-        };
-        if heartbeat.sequence < self.sequence {
-            return Verdict::Late;
+        match current {
+            Some(current) if current.is(&incarnation) => self.again(heartbeat),
+            Some(current) if incarnation.claims_to_precede(&current) => {
+                self.precedes(now, heartbeat)
+            }
+            _ => self.follows(heartbeat),
         }
-        self.sequence = heartbeat.sequence;
-        // A run that drains never takes work again.
-        let state = known.state.max(instance.state);
-        let next = Instance { state, ..instance };
-        let change = if *known == next {
-            Change::None
-        } else {
-            Change::Updated
-        };
-        self.current = Some(next);
-        Verdict::Taken(change)
     }
 
-    /// Takes in that a run will end soon: it gets no new work from now on. Returns whether that
-    /// changed anything.
-    pub fn leaves(&mut self, id: &str) -> bool {
+    /// Takes in that a start will end soon: it gets no new work from now on.
+    pub fn leaves(&mut self, incarnation: &Incarnation) -> Farewell {
+        let is_known = self.ended(incarnation).is_some();
         match self.current.as_mut() {
-            Some(current) if current.id.as_str() == id => {
+            Some(current) if current.incarnation().is(incarnation) => {
                 let before = current.state;
                 current.state = State::Gone;
-                before == State::Ready
+                if before == State::Ready {
+                    return Farewell::Taken;
+                }
+                Farewell::Known
+            }
+            Some(current)
+                if !is_known
+                    && current.id == incarnation.id
+                    && incarnation.claims_to_precede(&current.incarnation()) =>
+            {
+                Farewell::Doubted
             }
             _ => {
-                self.end(Name::from(id));
-                false
+                self.end(incarnation.clone(), true);
+                Farewell::Known
             }
         }
     }
 
-    /// Takes in a run that was found by a look at its address or told by another node, unless
+    /// Takes in a start that was found by a look at its address or told by another node, unless
     /// something is known already. Returns whether it was taken.
     pub fn found(&mut self, instance: Instance) -> bool {
-        if self.current.is_some() || self.ended.contains(&instance.id) {
+        if self.current.is_some() || self.ended(&instance.incarnation()).is_some() {
             return false;
         }
-        self.replace(instance);
-        self.sequence = 0;
+        self.replace(instance, 0);
         true
     }
 
-    /// Takes in what another node remembers of a run: a state that was reached is never left.
+    /// Takes in what another node remembers of a start: a state that was reached is never left.
     /// Returns whether that changed anything.
     pub fn remembered(&mut self, instance: &Instance) -> bool {
         if instance.state == State::Ready {
             return false;
         }
+        let incarnation = instance.incarnation();
         match self.current.as_mut() {
-            Some(current) if current.id == instance.id && current.state < instance.state => {
+            Some(current)
+                if current.incarnation().is(&incarnation) && current.state < instance.state =>
+            {
                 current.state = instance.state;
                 true
             }
             Some(_) => false,
             None => {
                 if instance.state == State::Gone {
-                    self.end(instance.id.clone());
+                    self.end(incarnation, true);
                     return false;
                 }
-                self.replace(instance.clone());
-                self.sequence = 0;
+                self.replace(instance.clone(), 0);
                 true
             }
         }
     }
 
-    /// Takes in that another run answers at the address of `id`. Returns whether that changed
+    /// Takes in that something else answers at the address of `incarnation`. Returns whether that changed
     /// anything.
-    pub fn is_not(&mut self, id: &Name) -> bool {
+    pub fn is_not(&mut self, incarnation: &Incarnation) -> bool {
         let matches = self
             .current
             .as_ref()
-            .is_some_and(|current| current.id == *id);
+            .is_some_and(|current| current.incarnation().is(incarnation));
         if matches {
             self.current = None;
         }
-        self.end(id.clone());
+        self.end(incarnation.clone(), true);
         matches
     }
 
-    fn replace(&mut self, instance: Instance) {
+    /// A further registration of the present start.
+    fn again(&mut self, heartbeat: Heartbeat) -> Verdict {
+        if heartbeat.sequence < self.sequence {
+            return Verdict::Late;
+        }
+        self.sequence = heartbeat.sequence;
+        self.doubted = None;
+        let Some(known) = self.current.as_ref() else {
+            return Verdict::Late;
+        };
+        let next = Instance {
+            // A start that drains never takes work again.
+            state: known.state.max(heartbeat.instance.state),
+            born_ms: known.born_ms.or(heartbeat.instance.born_ms),
+            ..heartbeat.instance
+        };
+        let change = if *known == next {
+            Change::None
+        } else {
+            Change::Updated
+        };
+        self.current = Some(next);
+        Verdict::Taken(change)
+    }
+
+    /// A registration of a start that says it came before the present one. A word of an earlier start that was
+    /// held back comes alone; one whose clock was set back goes on, and the present one says nothing any more.
+    fn precedes(&mut self, now: Moment, heartbeat: Heartbeat) -> Verdict {
+        let incarnation = heartbeat.instance.incarnation();
+        let before = self.doubted.as_mut();
+        match before.filter(|doubted| doubted.incarnation == incarnation) {
+            Some(doubted) if doubted.sequence >= heartbeat.sequence => Verdict::Doubted,
+            Some(doubted) if now.since(doubted.since) >= DOUBT_US => self.follows(heartbeat),
+            Some(doubted) => {
+                doubted.sequence = heartbeat.sequence;
+                Verdict::Doubted
+            }
+            None => {
+                self.doubted = Some(Doubted {
+                    incarnation,
+                    since: now,
+                    sequence: heartbeat.sequence,
+                });
+                Verdict::Doubted
+            }
+        }
+    }
+
+    /// The first registration of a start that takes the place of the present one.
+    fn follows(&mut self, heartbeat: Heartbeat) -> Verdict {
+        self.replace(heartbeat.instance, heartbeat.sequence);
+        Verdict::Taken(Change::Replaced)
+    }
+
+    fn replace(&mut self, instance: Instance, sequence: u64) {
+        let incarnation = instance.incarnation();
+        self.ended.retain(|ended| ended.incarnation != incarnation);
         if let Some(before) = self.current.replace(instance) {
-            self.end(before.id);
+            self.end(before.incarnation(), false);
         }
+        self.sequence = sequence;
+        self.doubted = None;
+    }
+
+    fn ended(&self, incarnation: &Incarnation) -> Option<&Ended> {
+        let mut ended = self.ended.iter();
+        ended.find(|ended| ended.incarnation == *incarnation)
     }
 
-    fn end(&mut self, id: Name) {
-        if self.ended.contains(&id) {
+    fn end(&mut self, incarnation: Incarnation, was_told: bool) {
+        let mut ended = self.ended.iter_mut();
+        if let Some(known) = ended.find(|known| known.incarnation == incarnation) {
+            known.was_told |= was_told;
             return;
         }
         if self.ended.len() >= MAX_ENDED {
             self.ended.pop_front();
         }
-        self.ended.push_back(id);
+        self.ended.push_back(Ended {
+            incarnation,
+            was_told,
+        });
     }
 }
--- a/components/registry/src/record.rs
+++ b/components/registry/src/record.rs
@@ -3,6 +3,7 @@
 //! The names of fields are short on the way and in the store: records are most of what nodes of different
 //! halls tell one another. The long ones are read as well, since earlier versions wrote them.
 
+use crate::incarnation::Incarnation;
 use names::{BootId, Name};
 use serde::{Deserialize, Serialize};
 
@@ -28,12 +29,15 @@
     }
 }
 
-/// One run of an upstream.
+/// One start of an upstream, with what it says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
-    /// Its identity; each run has another.
+    /// Its identity, which a later start may have again.
     #[serde(rename = "i", alias = "id")]
     pub id: Name,
+    /// When it started, in ms since 1970 by its own clock; none if its platform doesn't say.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub born_ms: Option<u64>,
     /// Service that it belongs to.
     #[serde(rename = "s", alias = "service")]
     pub service: Name,
@@ -48,6 +52,16 @@
     pub state: State,
 }
 
+impl Instance {
+    /// Which start this is.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+}
+
 /// Orders the records of one VM: the generation rises with each start of its node, the change with
 /// each change of the record.
 #[derive(
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -1,13 +1,15 @@
 //! What a node makes of registrations and records.
 
-use names::{BootId, Name};
+use names::{BootId, Moment, Name};
 use registry::{
-    Change, Fleet, Heartbeat, Instance, Local, Merged, Record, State, Verdict, Version,
+    Change, Farewell, Fleet, Heartbeat, Incarnation, Instance, Local, Merged, Record, State,
+    Verdict, Version, DOUBT_US,
 };
 
 fn instance(id: &str, state: State) -> Instance {
     Instance {
         id: Name::from(id),
+        born_ms: None,
         service: Name::from("prices"),
         address: "10.0.0.1:80".to_string(),
         slots: 6,
@@ -15,6 +17,33 @@
     }
 }
 
+const NOW: Moment = Moment(0);
+
+fn incarnation(id: &str) -> Incarnation {
+    Incarnation {
+        id: Name::from(id),
+        born_ms: None,
+    }
+}
+
+/// A registration of the start of `a` that began at `born_ms`.
+fn born(born_ms: u64, state: State, sequence: u64) -> Heartbeat {
+    let mut heartbeat = heartbeat("a", state, sequence);
+    heartbeat.instance.born_ms = Some(born_ms);
+    heartbeat
+}
+
+fn started(born_ms: u64) -> Incarnation {
+    Incarnation {
+        id: Name::from("a"),
+        born_ms: Some(born_ms),
+    }
+}
+
+fn state_of(local: &Local) -> Option<(Option<u64>, State)> {
+    local.current().map(|run| (run.born_ms, run.state))
+}
+
 fn heartbeat(id: &str, state: State, sequence: u64) -> Heartbeat {
     Heartbeat {
         instance: instance(id, state),
@@ -43,20 +72,118 @@
 #[test]
 fn a_registration_that_comes_late_changes_nothing() {
     let mut local = Local::default();
-    local.heartbeat(heartbeat("a", State::Ready, 1));
-    local.heartbeat(heartbeat("a", State::Draining, 5));
+    local.heartbeat(NOW, heartbeat("a", State::Ready, 1));
+    local.heartbeat(NOW, heartbeat("a", State::Draining, 5));
     assert_eq!(
-        local.heartbeat(heartbeat("a", State::Ready, 4)),
+        local.heartbeat(NOW, heartbeat("a", State::Ready, 4)),
         Verdict::Late
     );
     assert_eq!(local.current().map(|run| run.state), Some(State::Draining));
 }
 
+#[test]
+fn a_later_start_of_the_same_identity_takes_work_whatever_the_earlier_one_said() {
+    let mut local = Local::default();
+    local.heartbeat(NOW, born(100, State::Draining, 90));
+    let verdict = local.heartbeat(NOW, born(200, State::Ready, 0));
+    assert_eq!(verdict, Verdict::Taken(Change::Replaced));
+    assert_eq!(
+        local.heartbeat(NOW, born(100, State::Draining, 91)),
+        Verdict::Ended
+    );
+    assert_eq!(local.leaves(&started(100)), Farewell::Known);
+    assert_eq!(state_of(&local), Some((Some(200), State::Ready)));
+    // Twice in a row.
+    local.heartbeat(NOW, born(300, State::Ready, 0));
+    assert_eq!(
+        local.heartbeat(NOW, born(200, State::Draining, 5)),
+        Verdict::Ended
+    );
+    assert_eq!(state_of(&local), Some((Some(300), State::Ready)));
+}
+
+#[test]
+fn a_word_of_an_earlier_start_that_was_never_known_is_not_acknowledged_and_changes_nothing() {
+    let mut local = Local::default();
+    local.heartbeat(NOW, born(200, State::Ready, 3));
+    assert_eq!(
+        local.heartbeat(NOW, born(100, State::Draining, 50)),
+        Verdict::Doubted
+    );
+    assert_eq!(local.leaves(&started(100)), Farewell::Doubted);
+    assert_eq!(state_of(&local), Some((Some(200), State::Ready)));
+}
+
+#[test]
+fn several_late_words_do_not_take_the_place_of_a_start_that_goes_on() {
+    let mut local = Local::default();
+    let mut now = NOW;
+    for step in 0..20 {
+        now = now + DOUBT_US / 2;
+        local.heartbeat(now, born(200, State::Ready, step));
+        let late = local.heartbeat(now + 1, born(100, State::Draining, 50 + step));
+        assert_eq!(late, Verdict::Doubted);
+    }
+    assert_eq!(state_of(&local), Some((Some(200), State::Ready)));
+}
+
+#[test]
+fn a_start_whose_clock_was_set_back_is_taken_once_it_goes_on_alone() {
+    let mut local = Local::default();
+    local.heartbeat(NOW, born(200, State::Draining, 3));
+    let mut sequence = 0;
+    let mut now = NOW;
+    while now < NOW + DOUBT_US {
+        let verdict = local.heartbeat(now, born(100, State::Ready, sequence));
+        assert_eq!(verdict, Verdict::Doubted);
+        sequence += 1;
+        now = now + DOUBT_US / 3 + 1;
+    }
+    // The same word again proves nothing.
+    let again = local.heartbeat(now, born(100, State::Ready, sequence - 1));
+    assert_eq!(again, Verdict::Doubted);
+    let verdict = local.heartbeat(now, born(100, State::Ready, sequence));
+    assert_eq!(verdict, Verdict::Taken(Change::Replaced));
+    assert_eq!(state_of(&local), Some((Some(100), State::Ready)));
+}
+
+#[test]
+fn a_start_that_was_wrongly_taken_for_a_gone_one_returns_with_its_next_word() {
+    let mut local = Local::default();
+    local.heartbeat(NOW, born(200, State::Ready, 3));
+    // Cut off, while words of the earlier start still arrive.
+    local.heartbeat(NOW, born(100, State::Ready, 50));
+    local.heartbeat(NOW + DOUBT_US, born(100, State::Ready, 51));
+    assert_eq!(state_of(&local), Some((Some(100), State::Ready)));
+    let verdict = local.heartbeat(NOW + DOUBT_US + 1, born(200, State::Ready, 4));
+    assert_eq!(verdict, Verdict::Taken(Change::Replaced));
+    assert_eq!(state_of(&local), Some((Some(200), State::Ready)));
+    // One that said that it ends does not.
+    assert_eq!(local.leaves(&started(200)), Farewell::Taken);
+    assert_eq!(
+        local.heartbeat(NOW + DOUBT_US + 2, born(200, State::Ready, 5)),
+        Verdict::Taken(Change::None)
+    );
+    assert_eq!(state_of(&local), Some((Some(200), State::Gone)));
+}
+
+#[test]
+fn a_start_that_does_not_say_when_it_began_is_known_by_its_identity() {
+    let mut local = Local::default();
+    local.heartbeat(NOW, heartbeat("a", State::Ready, 3));
+    assert_eq!(
+        local.heartbeat(NOW, born(100, State::Ready, 4)),
+        Verdict::Taken(Change::Updated)
+    );
+    assert_eq!(state_of(&local), Some((Some(100), State::Ready)));
+    assert_eq!(local.leaves(&incarnation("a")), Farewell::Taken);
+}
+
 #[test]
 fn a_run_that_drains_never_takes_work_again() {
     let mut local = Local::default();
-    local.heartbeat(heartbeat("a", State::Draining, 1));
-    let verdict = local.heartbeat(heartbeat("a", State::Ready, 2));
+    local.heartbeat(NOW, heartbeat("a", State::Draining, 1));
+    let verdict = local.heartbeat(NOW, heartbeat("a", State::Ready, 2));
     assert_eq!(verdict, Verdict::Taken(Change::None));
     assert_eq!(local.current().map(|run| run.state), Some(State::Draining));
 }
@@ -64,10 +191,10 @@
 #[test]
 fn a_run_that_was_followed_by_another_never_comes_back() {
     let mut local = Local::default();
-    local.heartbeat(heartbeat("a", State::Ready, 9));
-    local.heartbeat(heartbeat("b", State::Ready, 1));
+    local.heartbeat(NOW, heartbeat("a", State::Ready, 9));
+    local.heartbeat(NOW, heartbeat("b", State::Ready, 1));
     assert_eq!(
-        local.heartbeat(heartbeat("a", State::Ready, 10)),
+        local.heartbeat(NOW, heartbeat("a", State::Ready, 10)),
         Verdict::Ended
     );
     assert_eq!(local.current().map(|run| run.id.as_str()), Some("b"));
@@ -76,9 +203,9 @@
 #[test]
 fn a_run_that_left_stays_gone_whatever_it_says_later() {
     let mut local = Local::default();
-    local.heartbeat(heartbeat("a", State::Ready, 1));
-    assert!(local.leaves("a"));
-    local.heartbeat(heartbeat("a", State::Ready, 2));
+    local.heartbeat(NOW, heartbeat("a", State::Ready, 1));
+    assert_eq!(local.leaves(&incarnation("a")), Farewell::Taken);
+    local.heartbeat(NOW, heartbeat("a", State::Ready, 2));
     assert_eq!(local.current().map(|run| run.state), Some(State::Gone));
 }
 
