Entries that another writer left are passed over, and all others hold

Change: each entry is decoded for itself; what can't be read, is no text, or stands under another VM's name is told in one line and passed over. A record in this node's place that can't be read is written over under its revision.

Not covered: a whole answer that is no JSON, and frames between nodes, which end their connection.

--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -143,7 +143,13 @@
     let listing = called(node, Purpose::Fleet, list).await?;
     audit::listed(listing.objects.len(), listing.at);
     for object in &listing.objects {
-        let record = decode(object)?;
+        let record = match decode(object) {
+            Ok(record) => record,
+            Err(error) => {
+                audit::unreadable(object, &error);
+                continue;
+            }
+        };
         if object.name == node.cfg.vm {
             *stands = Stands::of(object, &record);
         }
@@ -194,10 +200,16 @@
             }
             Put::Conflict(None) => stands.revision = None,
             Put::Conflict(Some(object)) => {
-                let found = decode(&object)?;
-                *stands = Stands::of(&object, &found);
-                if found.boot != own.boot {
-                    succeed(node, registration, found);
+                stands.revision = Some(object.revision);
+                match decode(&object) {
+                    Ok(found) => {
+                        *stands = Stands::of(&object, &found);
+                        if found.boot != own.boot {
+                            succeed(node, registration, found);
+                        }
+                    }
+                    // Another writer's: it is written over.
+                    Err(error) => audit::unreadable(&object, &error),
                 }
             }
         }
@@ -231,7 +243,13 @@
     }
 }
 
+/// The record that stands in an object of its VM's name.
 fn decode(object: &Stored) -> Result<Record> {
-    serde_json::from_slice(&object.value)
-        .map_err(|error| Error::new(Step::Platform, &object.name, error))
+    let bad = |cause: String| Error::new(Step::Platform, &object.name, cause);
+    let record: Record =
+        serde_json::from_slice(&object.value).map_err(|error| bad(error.to_string()))?;
+    if record.vm != object.name {
+        return Err(bad(format!("it names the VM {}", record.vm)));
+    }
+    Ok(record)
 }
