A look that confirms nothing is followed by a pause

Found in reading: while a large revision was being checked, a look did not confirm what is in force, and the next one was due at once: the store would have been asked without a pause until the check ended.

--- a/components/daemon/src/watching/freshness.rs
+++ b/components/daemon/src/watching/freshness.rs
@@ -9,14 +9,15 @@
 use std::rc::Rc;
 use wire::Frame;
 
-/// The platform held nothing newer at `as_of`, as it said itself.
-pub fn confirmed(node: &Node, as_of: Moment) {
+/// The platform held nothing newer at `as_of`, as it said itself. Returns whether that holds for what is in force
+/// here: not while something newer is still being checked.
+pub fn confirmed(node: &Node, as_of: Moment) -> bool {
     if node.rollout.borrow().newest() > node.rollout.borrow().revision() {
-        // Something newer came and is still being checked.
-        return;
+        return false;
     }
     node.watch.borrow_mut().confirmed(as_of);
     note(node);
+    true
 }
 
 /// Tells other halls that what is in force here was confirmed a moment ago, so that one look serves the fleet.
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -159,14 +159,13 @@
     }
 }
 
-/// Asks for what is newer, at once.
-async fn look_at_all(node: &Rc<Node>) -> Result<()> {
+/// Asks for what is newer, at once. Returns whether what is in force is confirmed by that.
+async fn look_at_all(node: &Rc<Node>) -> Result<bool> {
     let asked = node.now();
     for topic in topics(node) {
         look(node, *topic, Manner::Now).await?;
     }
-    freshness::confirmed(node, asked);
-    Ok(())
+    Ok(freshness::confirmed(node, asked))
 }
 
 /// Asks anew whenever what this node holds was not confirmed for a while, until that brings something that
@@ -181,13 +180,19 @@
             continue;
         }
         let before = node.summary();
-        look_at_all(node).await?;
+        let confirmed = look_at_all(node).await?;
         if !node.summary().is_level_with(&before) {
             tracing::info!("an open watch did not tell of a change and is begun anew");
             return Ok(());
         }
-        tell(node, Word::Watches);
-        freshness::tell_other_halls(node);
+        if confirmed {
+            tell(node, Word::Watches);
+            freshness::tell_other_halls(node);
+        } else {
+            // A large revision is checked for up to seconds; looks without a pause would bring nothing new.
+            let period_us = node.watch.borrow().period_us();
+            task::sleep(Duration::from_micros(period_us)).await;
+        }
     }
 }
 
