No look beside a change that is arriving, or being taken in

Cause: a watcher whose knowledge came of age looked while the answer of its open watch was arriving, between its end and the beginning of its check, or during the check, and was sent the whole set beside it.

Change: an answer counts as coming from its first byte until it is in force; no node asks meanwhile, and a look that began before the first byte is given up when a second answer begins.

--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -35,6 +35,8 @@
     pub has_listed: Cell<bool>,
     /// The store's revision up to which the declarations were read; none when it is not known.
     pub store_at: Cell<Option<u64>>,
+    /// Answers of the store with declarations that are being taken in.
+    pub taking_in: Cell<u32>,
     /// Whether something was learned by a comparison of which nearby nodes have not been told.
     pub has_learned: Cell<bool>,
     /// Says that this node's record has changed and has to be stored.
@@ -62,6 +64,7 @@
             fleet: RefCell::new(Fleet::new(own)),
             has_listed: Cell::new(false),
             store_at: Cell::new(None),
+            taking_in: Cell::new(0),
             has_learned: Cell::new(false),
             changed: async_channel::bounded(1),
         }
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -31,6 +31,8 @@
 /// How long one watch waits. One whose connection has fallen silent is found by a look of its own
 /// ([`overtaken`]), long before it should have ended.
 const WATCH: Duration = Duration::from_secs(10);
+/// Time between two looks whether two answers arrive at once: 12 KB on a link of 10 Mbit/s.
+const DOUBLED_LOOK: Duration = Duration::from_millis(10);
 /// Shortest pause after a failed call; it doubles with each further one.
 pub const LEAST_PAUSE_MS: u64 = 100;
 /// Longest pause after a failed call.
@@ -91,6 +93,7 @@
         let now = node.now();
         let advice = node.watch.borrow_mut().advice(now);
         match advice {
+            Advice::Ask if is_coming(&node) => pause(&node).await,
             Advice::Ask => watch(&node).await,
             Advice::Rest(until) => {
                 let period_us = node.watch.borrow().period_us();
@@ -101,6 +104,34 @@
     }
 }
 
+/// Whether something newer is on its way from the platform or being checked. To ask beside it would bring the same
+/// once more: a set of 0.5 MB went over a slow link twice.
+fn is_coming(node: &Node) -> bool {
+    let registration = node.registration.as_ref();
+    let is_taken_in = registration.is_some_and(|registration| registration.taking_in.get() > 0);
+    let rollout = node.rollout.borrow();
+    is_taken_in || receiving(node) > 0 || rollout.newest() > rollout.revision()
+}
+
+/// Answers of the platform of which a part has come.
+fn receiving(node: &Node) -> u32 {
+    let registration = node.registration.as_ref();
+    registration.map_or(0, |registration| registration.adapter.store().receiving())
+}
+
+/// Ends once two answers arrive at the same time.
+async fn doubled(node: &Node) {
+    while receiving(node) < 2 {
+        task::sleep(DOUBLED_LOOK).await;
+    }
+}
+
+/// The time between two words of a watcher.
+async fn pause(node: &Node) {
+    let period_us = node.watch.borrow().period_us();
+    task::sleep(Duration::from_micros(period_us)).await;
+}
+
 /// Asks once for each topic, until the platform has answered or other nodes have told.
 async fn learn(node: &Rc<Node>) {
     let mut pause = LEAST_PAUSE_MS;
@@ -168,6 +199,16 @@
     Ok(freshness::confirmed(node, asked))
 }
 
+/// The same, given up if another answer begins to arrive beside it: both would bring the same.
+async fn look_unless_doubled(node: &Rc<Node>) -> Result<Option<bool>> {
+    let looking = pin!(look_at_all(node));
+    let doubled = pin!(doubled(node));
+    match select(looking, doubled).await {
+        Either::Left((confirmed, _)) => confirmed.map(Some),
+        Either::Right(_) => Ok(None),
+    }
+}
+
 /// Asks anew whenever what this node holds was not confirmed for a while, until that brings something that
 /// the open watches should have told: they say nothing any more. Without it a change was in force nowhere for
 /// ten seconds after the connections of all watches had fallen silent.
@@ -179,8 +220,15 @@
             task::sleep(Duration::from_micros(due.since(now))).await;
             continue;
         }
+        if is_coming(node) {
+            pause(node).await;
+            continue;
+        }
         let before = node.summary();
-        let confirmed = look_at_all(node).await?;
+        let Some(confirmed) = look_unless_doubled(node).await? else {
+            // The open watch has begun to answer: it is not silent.
+            continue;
+        };
         if !node.summary().is_level_with(&before) {
             tracing::info!("an open watch did not tell of a change and is begun anew");
             return Ok(());
@@ -189,9 +237,7 @@
             tell(node, Word::Watches);
             freshness::tell_other_halls(node);
         } else {
-            // A large revision is checked for up to seconds; looks without a pause would bring nothing new.
-            let period_us = node.watch.borrow().period_us();
-            task::sleep(Duration::from_micros(period_us)).await;
+            pause(node).await;
         }
     }
 }
--- a/components/daemon/src/watching/registered.rs
+++ b/components/daemon/src/watching/registered.rs
@@ -10,6 +10,7 @@
 use errors::{Error, Result, Step};
 use platform::{Reading, Stored, Watched};
 use rollout::{split, Change, Configuration, Head};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -80,7 +81,24 @@
     registration.ok_or_else(|| Error::new(Step::Platform, "-", "no nodes register here"))
 }
 
+/// Counts an answer as being taken in for as long as it lives, also when that is given up.
+struct TakingIn<'a>(&'a Cell<u32>);
+
+impl<'a> TakingIn<'a> {
+    fn begin(count: &'a Cell<u32>) -> TakingIn<'a> {
+        count.set(count.get() + 1);
+        TakingIn(count)
+    }
+}
+
+impl Drop for TakingIn<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 async fn take_all(node: &Rc<Node>, registration: &Registration, objects: &[Stored]) {
+    let _taking_in = TakingIn::begin(&registration.taking_in);
     let (_, name) = registration.adapter.declarations();
     for object in objects.iter().filter(|object| object.name.as_str() == name) {
         let began = node.now();
--- a/components/http1/src/call.rs
+++ b/components/http1/src/call.rs
@@ -47,6 +47,31 @@
     body: &[u8],
     most: u64,
     patience: Patience,
+) -> Result<(ResponseHead, Vec<u8>), Fault> {
+    call_noting(
+        address,
+        method,
+        target,
+        headers,
+        body,
+        most,
+        patience,
+        || {},
+    )
+    .await
+}
+
+/// The same; `begins` is called when the first piece of the answer comes.
+#[allow(clippy::too_many_arguments)]
+pub async fn call_noting(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    most: u64,
+    patience: Patience,
+    begins: impl FnOnce() + Unpin,
 ) -> Result<(ResponseHead, Vec<u8>), Fault> {
     let host = address.to_string();
     let fixed = [("Host", host.as_str()), ("Connection", "close")];
@@ -56,7 +81,7 @@
         .await
         .map_err(|_| Fault::Io(io::Error::new(io::ErrorKind::TimedOut, "not sent in time")))?
         .map_err(Fault::Io)?;
-    let mut connection = Connection::new(Patient::new(stream, patience));
+    let mut connection = Connection::new(Patient::new(stream, patience, begins));
     let head = connection.response_head(MAX_HEAD_BYTES).await?;
     let framing = response_framing(method, &head, EndByClose::Fault)?;
     let body = connection.body(framing, most).await?;
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -11,7 +11,7 @@
 mod patience;
 mod write;
 
-pub use call::{call, notice_silence};
+pub use call::{call, call_noting, notice_silence};
 pub use connection::{Connection, Fault};
 pub use framing::{request_framing, response_framing, EndByClose, Framing};
 pub use head::{is_hop_header, single, value, Header, RequestHead, ResponseHead};
--- a/components/http1/src/patience.rs
+++ b/components/http1/src/patience.rs
@@ -29,19 +29,21 @@
 }
 
 /// A stream whose reads fail once nothing has come for too long.
-#[derive(Debug)]
-pub(crate) struct Patient<S> {
+pub(crate) struct Patient<S, F> {
     stream: S,
+    /// Called when the first piece comes.
+    begins: Option<F>,
     timer: Timer,
     between: Duration,
     /// Whether something came since the timer was set.
     heard: bool,
 }
 
-impl<S> Patient<S> {
-    pub(crate) fn new(stream: S, patience: Patience) -> Patient<S> {
+impl<S, F> Patient<S, F> {
+    pub(crate) fn new(stream: S, patience: Patience, begins: F) -> Patient<S, F> {
         Patient {
             stream,
+            begins: Some(begins),
             timer: Timer::after(patience.first),
             between: patience.between,
             heard: false,
@@ -49,7 +51,7 @@
     }
 }
 
-impl<S: Read + Unpin> Read for Patient<S> {
+impl<S: Read + Unpin, F: FnOnce() + Unpin> Read for Patient<S, F> {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -58,6 +60,9 @@
         let this = self.get_mut();
         if let Poll::Ready(read) = Pin::new(&mut this.stream).poll_read(cx, buf) {
             this.heard = true;
+            if let Some(begins) = this.begins.take() {
+                begins();
+            }
             return Poll::Ready(read);
         }
         if std::mem::take(&mut this.heard) {
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -83,6 +83,8 @@
     fn remove<'a>(&'a self, kind: &'a str, name: &'a str) -> Call<'a, ()>;
     /// Calls made so far.
     fn calls(&self) -> u64;
+    /// Answers of which a part has come, and the end has not.
+    fn receiving(&self) -> u32;
 }
 
 /// What an upstream tells the node beside it.
--- a/components/rollout/src/fetch.rs
+++ b/components/rollout/src/fetch.rs
@@ -2,10 +2,13 @@
 
 use names::{Moment, Name, MILLISECOND};
 
-/// A node that asks the store itself leaves it so long to answer, in microseconds: a sixth of the shortest time
+/// A node that asks the store itself leaves it so long to answer, in microseconds, where the revision is small: a sixth of the shortest time
 /// within which users' changes have to be in force (2 s). Its watch brings a small revision within milliseconds
 /// of the first word of it, or its connection has fallen silent.
-pub const HOLD_US: u64 = 333 * MILLISECOND;
+pub const SMALL_HOLD_US: u64 = 333 * MILLISECOND;
+/// The same for a large revision: on a link of 10 Mbit/s the store's answer of 0.74 MB takes 0.6 s, and a second
+/// copy beside it would double that.
+pub const HOLD_US: u64 = 1_000 * MILLISECOND;
 /// A small copy that was asked for is waited for so long, in microseconds, before another node is asked: a sixth
 /// of the same time. 32 KB take 26 ms on a link of 10 Mbit/s.
 pub const SMALL_PATIENCE_US: u64 = 333 * MILLISECOND;
@@ -87,7 +90,12 @@
         if standing.waits_for_store() {
             match self.hold {
                 None => {
-                    let hold = now + HOLD_US;
+                    let hold_us = if bytes > LARGE_BYTES {
+                        HOLD_US
+                    } else {
+                        SMALL_HOLD_US
+                    };
+                    let hold = now + hold_us;
                     self.hold = Some(hold);
                     return Advice::Hold(hold);
                 }
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -13,6 +13,8 @@
 
 pub use apply::{Apply, ApplyAction, ApplyEvent, ApplyOutcome, Plan};
 pub use diff::diff;
-pub use fetch::{Advice, Fetch, Standing, HOLD_US, LARGE_BYTES, PATIENCE_US, SMALL_PATIENCE_US};
+pub use fetch::{
+    Advice, Fetch, Standing, HOLD_US, LARGE_BYTES, PATIENCE_US, SMALL_HOLD_US, SMALL_PATIENCE_US,
+};
 pub use head::{content_key, digest, split, Change, Digest, FileRef, Head, HEAD_KEY, PART_BYTES};
 pub use node::{Checking, Configuration, InForce, Offered, Rollout, RolloutCounters, Summary};
--- a/components/rollout/tests/rollout/fetch.rs
+++ b/components/rollout/tests/rollout/fetch.rs
@@ -2,7 +2,9 @@
 
 use names::{Moment, Name};
 use proptest::prelude::*;
-use rollout::{Advice, Fetch, Standing, HOLD_US, LARGE_BYTES, PATIENCE_US, SMALL_PATIENCE_US};
+use rollout::{
+    Advice, Fetch, Standing, HOLD_US, LARGE_BYTES, PATIENCE_US, SMALL_HOLD_US, SMALL_PATIENCE_US,
+};
 
 const ALONE: Standing = Standing {
     revision: 3,
@@ -37,17 +39,22 @@
 
 #[test]
 fn the_store_has_its_time_before_another_node_is_asked() {
-    let mut fetch = Fetch::default();
-    let hold = Moment(5) + HOLD_US;
-    assert_eq!(
-        fetch.told(Moment(5), &peer(0), STORE_ASKED, SMALL),
-        Advice::Hold(hold)
-    );
-    assert_eq!(
-        fetch.told(hold - 1, &peer(1), STORE_ASKED, SMALL),
-        Advice::Wait
-    );
-    assert_eq!(fetch.told(hold, &peer(1), STORE_ASKED, SMALL), Advice::Ask);
+    for (bytes, hold_us, next) in [
+        (SMALL, SMALL_HOLD_US, Advice::Ask),
+        (LARGE_BYTES + 1, HOLD_US, Advice::Read),
+    ] {
+        let mut fetch = Fetch::default();
+        let hold = Moment(5) + hold_us;
+        assert_eq!(
+            fetch.told(Moment(5), &peer(0), STORE_ASKED, bytes),
+            Advice::Hold(hold)
+        );
+        assert_eq!(
+            fetch.told(hold - 1, &peer(1), STORE_ASKED, bytes),
+            Advice::Wait
+        );
+        assert_eq!(fetch.told(hold, &peer(1), STORE_ASKED, bytes), next);
+    }
 }
 
 #[test]
