Sight: lines name what copies of a request have in common, and say that an upstream ended

Cause: of 13 nodes' lines none told which requests were copies of one another, or that an upstream had ended under them: `broken` stands for one broken connection as well. Change: `request routed` has the fingerprint (digest of method, host, target and body) and the calling service; `the upstream ended` names the start, the cause and what was at work, when an exchange broke and connections are refused. Nothing of a body is shown. No decision is changed. Conclusion: an end can be followed to the copies of its request over all nodes.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -18,7 +18,7 @@
 use rollout::{Advice, InForce, Offered, Summary};
 use std::cell::RefCell;
 use std::time::Instant;
-use wire::RelayOutcome;
+use wire::{RelayOutcome, Request};
 
 /// Lines of one kind in each second.
 const LINES_PER_SECOND: u32 = 200;
@@ -63,22 +63,25 @@
     })
 }
 
-/// A route and a service were found for a request.
+/// A route and a service were found for a request, whose caller waits for `deadline_ms`.
 pub fn routed(
     node: &Node,
-    call: &CallerRequest,
+    req: &Request,
     route: &Route,
-    service: &Name,
     in_force: &InForce,
+    deadline_ms: Option<u64>,
 ) {
     if allowed(Kind::Routed) {
+        let caller = node.caller_service();
         tracing::info!(
-            id = %call.id,
+            id = %req.id,
             route = %route.name,
-            service = %service,
+            service = %req.service,
+            fingerprint = %req.fingerprint(),
+            caller = caller.as_ref().map_or("-", Name::as_str),
             revision = in_force.configuration.head.revision,
-            level = call.level,
-            deadline_ms = call.deadline_ms.unwrap_or(0),
+            level = req.level,
+            deadline_ms = deadline_ms.unwrap_or(0),
             timeout_ms = route.treatment.deadline_ms,
             objective_ms = route.objective_ms,
             open = node.open_calls.get(),
@@ -94,6 +97,21 @@
     }
 }
 
+/// The upstream beside this node ended while it ran these requests: an exchange broke, and nothing stands at its
+/// address any more.
+pub fn upstream_ended(instance: Option<&Incarnation>, cause: &Error, running: &[&Request]) {
+    let ids: Vec<&str> = running.iter().map(|req| req.id.as_str()).collect();
+    let fingerprints = running.iter().map(|req| req.fingerprint().to_string());
+    let fingerprints: Vec<String> = fingerprints.collect();
+    tracing::info!(
+        instance = instance.map_or("-", |instance| instance.id.as_str()),
+        %cause,
+        ids = ids.join(","),
+        fingerprints = fingerprints.join(","),
+        "the upstream ended"
+    );
+}
+
 /// A look at the upstream's pace brought nothing; work starts without a word for a while.
 pub fn look_failed(cause: &str) {
     if allowed(Kind::Home) {
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -142,7 +142,6 @@
         return too_late(&call);
     };
     let service = node.share_of(route);
-    audit::routed(node, &call, route, &service, in_force);
     let is_inner = call.parent.is_some();
     let priority = call.parent.map_or(ruled.priority, |parent| {
         parent.priority.saturating_add(INNER_PRIORITY)
@@ -157,10 +156,13 @@
     if is_inner {
         node.entry.borrow_mut().called_below(&service);
     }
+    let deadline_ms = call.deadline_ms;
+    let req = Arc::new(request(node, &service, call));
+    audit::routed(node, &req, route, in_force, deadline_ms);
     let plan = Plan {
         candidates: candidates::registered(node, &service),
         treatment,
-        req: Arc::new(request(node, &service, call)),
+        req,
         key: None,
         deadline,
         objective_us: route.objective_ms * MILLISECOND,
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One request at the upstream beside this node: what the upstream is told, and what its answer means.
 
+use crate::audit;
 use crate::entry_driver::reported;
 use crate::home_driver::leaving_changed;
 use crate::node::{Job, Node, Whole};
@@ -7,12 +8,13 @@
 use crate::stats;
 use crate::upstream::{Failure, Terms};
 use async_std::future::timeout;
+use errors::Error;
 use home::{Home, Verdict};
 use names::AttemptId;
 use registry::Incarnation;
 use std::rc::Rc;
 use std::time::Duration;
-use wire::Answer;
+use wire::{Answer, Request};
 
 /// Names the attempt to an upstream whose platform lists the VMs.
 const ATTEMPT_HEADER: &str = "drumwheel-attempt";
@@ -38,6 +40,9 @@
         Ok(Err(Failure::Broken(error))) => {
             stats::upstream_failed("broken");
             tracing::info!(id = %job.req.id, %error, "the upstream broke off");
+            if pool.is_refused().await {
+                ended(node, expected.as_ref(), &error);
+            }
             (Verdict::Broken, None)
         }
         Err(_) => {
@@ -47,6 +52,14 @@
     }
 }
 
+/// The upstream ended while it ran what is at work now.
+fn ended(node: &Rc<Node>, instance: Option<&Incarnation>, cause: &Error) {
+    let jobs = node.jobs.borrow();
+    let running = jobs.values().filter(|job| job.started.is_some());
+    let running: Vec<&Request> = running.map(|job| job.req.as_ref()).collect();
+    audit::upstream_ended(instance, cause, &running);
+}
+
 /// What the upstream is told beside the request; `expected` is the start of it that is meant.
 fn terms<'a>(
     node: &'a Node,
--- a/components/daemon/src/upstream.rs
+++ b/components/daemon/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Exchanges with the upstream beside this node, over connections kept open.
 
 use async_std::future::timeout;
-use async_std::io::WriteExt;
+use async_std::io::{ErrorKind, WriteExt};
 use async_std::net::TcpStream;
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
@@ -14,6 +14,8 @@
 
 /// Longest wait for a new connection to the upstream, which is on this VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for the word that nothing stands at the upstream's address, which its VM gives at once.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 /// Idle connections older than this are closed rather than used, unless the upstream names a time.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 /// Part of the time named by `Keep-Alive` for which a connection is used: the upstream's clock for
@@ -151,6 +153,14 @@
         self.connect().await.is_ok()
     }
 
+    /// Whether nothing stands at the upstream's address: a connection is refused. One that is not answered says
+    /// nothing, since a paused upstream does not answer either.
+    pub async fn is_refused(&self) -> bool {
+        let connecting = TcpStream::connect(self.address.get());
+        let connected = timeout(REFUSAL_TIMEOUT, connecting).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// The answer to this request, and for how long the connection may be used again. Answers that
     /// name another request are surplus ones of earlier requests and belong to nobody.
     async fn read_answer(
--- /dev/null
+++ b/components/quarantine/src/fingerprint.rs
@@ -0,0 +1,38 @@
+//! What copies of a request have in common.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+
+/// Bytes of the digest that are kept: two different requests share them with a chance of 1 in 10^19 even where
+/// a billion are compared.
+const BYTES: usize = 16;
+
+/// Digest of method, host, target and body. The identity of a try, its deadline and the VM at which it arrives
+/// differ between copies of one request and don't enter; nothing of a body can be read from it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fingerprint([u8; BYTES]);
+
+impl Fingerprint {
+    /// The fingerprint of a request to `target` on `host`.
+    pub fn of(method: &str, host: &str, target: &str, body: &[u8]) -> Fingerprint {
+        let mut hasher = Sha256::new();
+        for part in [method.as_bytes(), host.as_bytes(), target.as_bytes(), body] {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let digest = hasher.finalize();
+        let mut kept = [0; BYTES];
+        kept.copy_from_slice(&digest[..BYTES]);
+        Fingerprint(kept)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
--- a/components/wire/src/http.rs
+++ b/components/wire/src/http.rs
@@ -1,6 +1,7 @@
 //! Whole requests and answers, as nodes pass them on.
 
 use names::Name;
+use quarantine::Fingerprint;
 use serde::{Deserialize, Serialize};
 
 /// A whole request of a caller.
@@ -29,6 +30,16 @@
     pub id: String,
 }
 
+impl Request {
+    /// What copies of this request have in common.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let is_host = |name: &str| name.eq_ignore_ascii_case("host");
+        let host = self.headers.iter().find(|(name, _)| is_host(name));
+        let host = host.map_or("", |(_, value)| value.as_str());
+        Fingerprint::of(&self.method, host, &self.target, &self.body)
+    }
+}
+
 /// A whole answer of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
