--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -152,12 +152,18 @@
         None => one(&head.headers, "host")?,
     };
     let host = host.ok_or_else(|| bad(400, "no host".to_string()))?;
+    let mut headers = end_to_end(head.headers.clone());
+    if let Some(host) = target_host {
+        // The host of an absolute target goes before the header's (RFC 9112, 3.2.2), for upstreams as well.
+        headers.retain(|(name, _)| !name.eq_ignore_ascii_case("host"));
+        headers.push(("Host".to_string(), host.to_string()));
+    }
     Ok(CallerRequest {
         host: without_port(host).to_lowercase(),
         path: target.split(['?', '#']).next().unwrap_or("/").to_string(),
         target: target.to_string(),
-        method: head.method,
-        headers: end_to_end(head.headers),
+        method: head.method.clone(),
+        headers,
         body,
         deadline_ms,
         level: level as u32,
