--- a/components/daemon/benches/decisions.rs
+++ b/components/daemon/benches/decisions.rs
@@ -32,6 +32,7 @@
         repeatable: true,
         may_queue: true,
         repeat: false,
+        suspicion: home::Suspicion::None,
     }
 }
 
--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -14,6 +14,7 @@
 use logs::Limiter;
 use names::{AttemptId, Name};
 use platform::Stored;
+use quarantine::{Fingerprint, Standing, Suspect};
 use registry::{Farewell, Incarnation, Instance, Record, Verdict};
 use rollout::{Advice, InForce, Offered, Summary};
 use std::cell::RefCell;
@@ -32,9 +33,10 @@
     Ended,
     Declarations,
     Platform,
+    Contained,
 }
 
-const KINDS: usize = 6;
+const KINDS: usize = 7;
 
 thread_local! {
     static LIMITERS: RefCell<([Limiter; KINDS], Option<Instant>)> =
@@ -99,9 +101,14 @@
 
 /// The upstream beside this node ended while it ran these requests: an exchange broke, and nothing stands at its
 /// address any more.
-pub fn upstream_ended(instance: Option<&Incarnation>, cause: &Error, running: &[&Request]) {
-    let ids: Vec<&str> = running.iter().map(|req| req.id.as_str()).collect();
-    let fingerprints = running.iter().map(|req| req.fingerprint().to_string());
+pub fn upstream_ended(
+    instance: Option<&Incarnation>,
+    cause: &Error,
+    running: &[(String, Suspect)],
+) {
+    let ids: Vec<&str> = running.iter().map(|(id, _)| id.as_str()).collect();
+    let fingerprints = running.iter();
+    let fingerprints = fingerprints.map(|(_, suspect)| suspect.fingerprint.to_string());
     let fingerprints: Vec<String> = fingerprints.collect();
     tracing::info!(
         instance = instance.map_or("-", |instance| instance.id.as_str()),
@@ -112,6 +119,34 @@
     );
 }
 
+/// An upstream ended while it ran a request; `ends` are known now.
+pub fn suspected(suspect: &Suspect, standing: Standing, ends: usize) {
+    if allowed(Kind::Contained) {
+        tracing::info!(
+            fingerprint = %suspect.fingerprint,
+            end = %suspect.end,
+            alone = suspect.alone,
+            ends,
+            ?standing,
+            "an upstream ended under a request"
+        );
+    }
+}
+
+/// A request is held because another node holds it.
+pub fn held(fingerprint: Fingerprint, vm: &Name) {
+    if allowed(Kind::Contained) {
+        tracing::info!(%fingerprint, %vm, "a request is held");
+    }
+}
+
+/// A request under suspicion has run to its end.
+pub fn cleared(fingerprint: Fingerprint) {
+    if allowed(Kind::Contained) {
+        tracing::info!(%fingerprint, "a request is cleared");
+    }
+}
+
 /// A look at the upstream's pace brought nothing; work starts without a word for a while.
 pub fn look_failed(cause: &str) {
     if allowed(Kind::Home) {
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -4,6 +4,7 @@
 use super::response::{self, Response};
 use crate::audit;
 use crate::candidates;
+use crate::containment;
 use crate::entry_driver::{run_call, Plan};
 use crate::node::Node;
 use crate::relay::{self, Relay};
@@ -16,6 +17,7 @@
 use keys::KEY_DEADLINE_US;
 use names::{Moment, Name, MILLISECOND};
 use policy::Input;
+use quarantine::Standing;
 use rollout::InForce;
 use std::future::Future;
 use std::pin::pin;
@@ -101,10 +103,15 @@
     };
     let key = call.key.clone().filter(|_| !ruled.repeatable);
     let req = Arc::new(request(node, &service.name, call));
+    let order = match order_of(node, &req) {
+        Ok(order) => order,
+        Err(refusal) => return RelayOutcome::NotRun(refusal),
+    };
     if let Some(key) = key {
         return owned(node, &in_force, key, treatment.priority, req, deadline).await;
     }
     let plan = Plan {
+        order,
         candidates: node.candidates(&in_force, service),
         treatment,
         req,
@@ -159,7 +166,12 @@
     let deadline_ms = call.deadline_ms;
     let req = Arc::new(request(node, &service, call));
     audit::routed(node, &req, route, in_force, deadline_ms);
+    let order = match order_of(node, &req) {
+        Ok(order) => order,
+        Err(refusal) => return RelayOutcome::NotRun(refusal),
+    };
     let plan = Plan {
+        order,
         candidates: candidates::registered(node, &service),
         treatment,
         req,
@@ -171,6 +183,19 @@
     direct(node, plan, hung_up).await
 }
 
+/// Where a request may run under which an upstream has ended; none if there was no such end. A request that is
+/// held is refused at once.
+fn order_of(node: &Node, req: &Request) -> Result<Option<Vec<Name>>, Refusal> {
+    match containment::standing(node, req) {
+        Standing::Free => Ok(None),
+        Standing::Suspect => {
+            let order = containment::order(node, &req.service, req.fingerprint());
+            Ok(Some(order))
+        }
+        Standing::Held => Err(containment::held()),
+    }
+}
+
 /// When the request must have its answer; none when that has passed already.
 fn deadline(node: &Node, ruled: &policy::Treatment, call: &CallerRequest) -> Option<Moment> {
     let limit_ms = call
--- /dev/null
+++ b/components/daemon/src/containment.rs
@@ -0,0 +1,393 @@
+//! Keeps requests under which upstreams ended from further ones, and tells the other nodes.
+//!
+//! The decisions are in `quarantine`. Here they meet what is at work beside this node, the other nodes and the
+//! store: a node's record names the requests it holds, so that who starts or comes back knows them with the
+//! records that it reads anyway.
+
+use crate::audit;
+use crate::home_driver;
+use crate::links;
+use crate::local;
+use crate::node::{Job, Node};
+use crate::registration::{self, Registration};
+use crate::stats;
+use async_std::task;
+use entry::Event;
+use errors::Error;
+use home::{Offer, Reason, Refusal, Suspicion};
+use names::{AttemptId, Moment, Name, SECOND};
+use quarantine::{Fingerprint, Quarantine, Standing, Suspect};
+use registry::{Incarnation, Record};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{Frame, Request};
+
+/// Told to callers of a request that is held, in milliseconds: it will be held then as well, and each return is of
+/// no use to them.
+const HELD_RETRY_AFTER_MS: u64 = 60_000;
+/// Told to callers of a copy while another one runs, in milliseconds: how that one ends decides, and most requests
+/// of the users' sites have ended by then.
+const COPY_RETRY_AFTER_MS: u64 = 500;
+/// Exchanges that break within this time of one another, at one start of the upstream, broke by one end, in
+/// microseconds. An upstream takes longer than that to start again.
+const ONE_END_US: u64 = SECOND / 2;
+/// Requests that a node's record holds at most; the oldest go first. They are sent with each change of the record:
+/// 34 bytes each.
+const MOST_IN_RECORD: usize = 64;
+/// Time between two looks for what is old.
+const FORGET_EVERY: Duration = Duration::from_secs(60);
+/// Time between two reads of the store because an upstream ended, in microseconds: many end together.
+const LOOK_EVERY_US: u64 = 5 * SECOND;
+
+/// What a node keeps of requests under which upstreams ended.
+#[derive(Debug, Default)]
+pub struct Containment {
+    /// What is known of them.
+    known: RefCell<Quarantine>,
+    /// The last end of the upstream beside this node.
+    last_end: Cell<Option<LastEnd>>,
+    /// When the store was last asked what other nodes hold.
+    looked: Cell<Option<Moment>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LastEnd {
+    id: AttemptId,
+    /// Which start of the upstream it was.
+    start: u64,
+    at: Moment,
+}
+
+/// How a request is treated that a caller sends.
+pub fn standing(node: &Node, req: &Request) -> Standing {
+    let known = node.containment.known.borrow();
+    if known.is_empty() {
+        return Standing::Free;
+    }
+    known.standing(req.fingerprint())
+}
+
+/// Number of requests that are held.
+fn held_count(node: &Node) -> usize {
+    node.containment.known.borrow().held().count()
+}
+
+/// What a caller is told whose request is held.
+pub fn held() -> Refusal {
+    Refusal {
+        reason: Reason::Quarantined,
+        retry_after_ms: HELD_RETRY_AFTER_MS,
+    }
+}
+
+/// The VMs at which a suspect may run, the best first.
+pub fn order(node: &Node, service: &Name, fingerprint: Fingerprint) -> Vec<Name> {
+    if let Some(registration) = &node.registration {
+        let fleet = registration.fleet.borrow();
+        let halls = fleet.ready(service.as_str());
+        let ready = halls.flat_map(|(_, vms)| vms.iter().cloned());
+        return quarantine::order(fingerprint, ready);
+    }
+    let Some(in_force) = node.in_force() else {
+        return Vec::new();
+    };
+    let Some(service) = in_force.declarations.services.get(service) else {
+        return Vec::new();
+    };
+    let candidates = node.candidates(&in_force, service).into_iter();
+    quarantine::order(fingerprint, candidates.map(|candidate| candidate.vm))
+}
+
+/// Why an offer is refused before the home duty sees it, for what is known of its request. The entry node may not
+/// have heard of it yet, nor this one.
+pub fn barred(node: &Node, offer: &Offer, req: &Request) -> Option<Refusal> {
+    let standing = standing(node, req);
+    if standing == Standing::Held {
+        return Some(held());
+    }
+    let is_suspect = standing == Standing::Suspect || !offer.suspicion.is_none();
+    if !is_suspect {
+        return None;
+    }
+    let jobs = node.jobs.borrow();
+    let fingerprint = req.fingerprint();
+    if jobs
+        .values()
+        .any(|job| job.req.fingerprint() == fingerprint)
+    {
+        return Some(Refusal {
+            reason: Reason::Quarantined,
+            retry_after_ms: COPY_RETRY_AFTER_MS,
+        });
+    }
+    let is_crowded = offer.suspicion != Suspicion::Shared && jobs.values().any(|job| job.suspect);
+    is_crowded.then_some(Refusal {
+        reason: Reason::Busy,
+        retry_after_ms: COPY_RETRY_AFTER_MS,
+    })
+}
+
+/// Whether an offered request is under suspicion.
+pub fn is_suspect(node: &Node, offer: &Offer, req: &Request) -> bool {
+    !offer.suspicion.is_none() || standing(node, req) == Standing::Suspect
+}
+
+/// Takes in that the upstream beside this node ended, as an exchange found that broke at `at`: what was at work
+/// there is told to all.
+pub fn upstream_ended(
+    node: &Rc<Node>,
+    start: u64,
+    instance: Option<&Incarnation>,
+    at: Moment,
+    cause: &Error,
+) {
+    let last = node.containment.last_end.get();
+    let is_same = |last: &LastEnd| last.start == start && at.since(last.at) < ONE_END_US;
+    let (id, is_known) = match last.filter(is_same) {
+        Some(last) => (last.id, true),
+        None => (node.next_question(), false),
+    };
+    if !is_known {
+        let end = LastEnd { id, start, at };
+        node.containment.last_end.set(Some(end));
+        stats::upstream_ended();
+    }
+    let suspects = suspects(node, id, at);
+    if suspects.is_empty() {
+        return;
+    }
+    audit::upstream_ended(instance, cause, &suspects);
+    let news: Vec<Suspect> = suspects.into_iter().map(|(_, suspect)| suspect).collect();
+    learn(node, &news);
+    tell(node, &Frame::Ended(news));
+    look_in_store(node);
+}
+
+/// What was at work at an end and has not been told of it: the identity that its caller gave it, and what follows.
+fn suspects(node: &Node, end: AttemptId, at: Moment) -> Vec<(String, Suspect)> {
+    let mut jobs = node.jobs.borrow_mut();
+    let was_at_work = |job: &&mut Job| job.started.is_some_and(|started| started <= at);
+    let mut at_work: Vec<&mut Job> = jobs.values_mut().filter(was_at_work).collect();
+    let count = at_work.len();
+    let under_suspicion = at_work.iter().filter(|job| job.suspect).count();
+    let mut found = Vec::new();
+    for job in &mut at_work {
+        if job.ended.is_some() {
+            continue;
+        }
+        let suspect = Suspect {
+            fingerprint: job.req.fingerprint(),
+            end,
+            alone: count == 1 || job.suspect && under_suspicion == 1,
+        };
+        job.ended = Some(suspect);
+        found.push((job.req.id.clone(), suspect));
+    }
+    found
+}
+
+/// Takes in what another node saw at the end of its upstream, and passes it on where its hall can't.
+pub fn told(node: &Rc<Node>, from: &Name, suspects: Vec<Suspect>) {
+    let news = learn(node, &suspects);
+    if news && is_passed_on(node, from) {
+        links::tell_hall_surely(node, &Frame::Ended(suspects));
+    }
+}
+
+/// Takes in that an upstream ended under requests. Returns whether any of it is news.
+fn learn(node: &Rc<Node>, suspects: &[Suspect]) -> bool {
+    let now = node.now();
+    let mut is_news = false;
+    for suspect in suspects {
+        let fingerprint = suspect.fingerprint;
+        let (news, standing, ends) = {
+            let mut known = node.containment.known.borrow_mut();
+            let news = known.ended(now, *suspect);
+            (news, known.standing(fingerprint), known.ends(fingerprint))
+        };
+        if !news {
+            continue;
+        }
+        is_news = true;
+        audit::suspected(suspect, standing, ends);
+        apply(node, fingerprint, standing);
+    }
+    publish(node);
+    is_news
+}
+
+/// What follows for the call whose attempt ran when its upstream ended.
+pub fn event(node: &Rc<Node>, id: AttemptId, suspect: Suspect) -> Event<crate::node::Whole> {
+    learn(node, &[suspect]);
+    let service = {
+        let waiters = node.waiters.borrow();
+        waiters.get(&id).map(|waiter| waiter.service.clone())
+    };
+    let standing = node
+        .containment
+        .known
+        .borrow()
+        .standing(suspect.fingerprint);
+    let order = match (standing, service) {
+        (Standing::Held, _) | (_, None) => Vec::new(),
+        (_, Some(service)) => order(node, &service, suspect.fingerprint),
+    };
+    Event::Ended { id, order }
+}
+
+/// Takes in what another node holds, from its record.
+pub fn record_taken(node: &Rc<Node>, record: &Record) {
+    let now = node.now();
+    for fingerprint in &record.held {
+        let is_news = node.containment.known.borrow_mut().hold(now, *fingerprint);
+        if is_news {
+            audit::held(*fingerprint, &record.vm);
+            apply(node, *fingerprint, Standing::Held);
+        }
+    }
+}
+
+/// Takes in that the upstream beside this node has run a request to its end.
+pub fn ran(node: &Rc<Node>, req: &Request) {
+    if node.containment.known.borrow().is_empty() {
+        return;
+    }
+    let fingerprint = req.fingerprint();
+    if clear(node, fingerprint) {
+        tell(node, &Frame::Cleared(fingerprint));
+    }
+}
+
+/// Takes in that a request has run to its end elsewhere.
+pub fn cleared(node: &Rc<Node>, from: &Name, fingerprint: Fingerprint) {
+    if clear(node, fingerprint) && is_passed_on(node, from) {
+        links::tell_hall_surely(node, &Frame::Cleared(fingerprint));
+    }
+}
+
+fn clear(node: &Rc<Node>, fingerprint: Fingerprint) -> bool {
+    let was_known = node.containment.known.borrow_mut().ran(fingerprint);
+    if was_known {
+        audit::cleared(fingerprint);
+        stats::held(held_count(node));
+        for job in node.jobs.borrow_mut().values_mut() {
+            if job.suspect && job.req.fingerprint() == fingerprint {
+                job.suspect = false;
+            }
+        }
+        publish(node);
+    }
+    was_known
+}
+
+/// Forgets what is old, for as long as the node runs.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        task::sleep(FORGET_EVERY).await;
+        let now = node.now();
+        node.containment.known.borrow_mut().tick(now);
+        stats::held(held_count(&node));
+        publish(&node);
+    }
+}
+
+/// Brings what waits or runs beside this node in line with what is known of a request: what is held does not
+/// start, and what may be repeated is cut off before it ends this upstream too.
+fn apply(node: &Rc<Node>, fingerprint: Fingerprint, standing: Standing) {
+    let mut copies = Vec::new();
+    for (id, job) in node.jobs.borrow_mut().iter_mut() {
+        if job.ended.is_none() && job.req.fingerprint() == fingerprint {
+            job.suspect = true;
+            copies.push(*id);
+        }
+    }
+    if standing != Standing::Held {
+        return;
+    }
+    stats::held(held_count(node));
+    for id in copies {
+        home_driver::withdraw(node, id, held());
+    }
+}
+
+/// Brings this node's record in line with what it holds: requests under which it saw an end, and those that its
+/// record named before.
+fn publish(node: &Rc<Node>) {
+    let Some(registration) = node.registration.clone() else {
+        return;
+    };
+    let before = registration.fleet.borrow().own().held.clone();
+    let after = {
+        let known = node.containment.known.borrow();
+        let mut after: Vec<Fingerprint> = before.clone();
+        after.retain(|fingerprint| known.standing(*fingerprint) == Standing::Held);
+        let seen = known
+            .held()
+            .filter(|fingerprint| known.was_seen_by(node.boot, *fingerprint));
+        let mut new: Vec<Fingerprint> = seen
+            .filter(|fingerprint| !after.contains(fingerprint))
+            .collect();
+        new.sort_unstable();
+        after.extend(new);
+        let surplus = after.len().saturating_sub(MOST_IN_RECORD);
+        after.split_off(surplus)
+    };
+    if after != before {
+        registration::hold(node, &registration, after);
+    }
+}
+
+/// An earlier start of this node held these requests: its record goes on naming them.
+pub fn succeed(node: &Rc<Node>, registration: &Registration, earlier: &Record) {
+    if earlier.boot == node.boot {
+        return;
+    }
+    record_taken(node, earlier);
+    let mut held = registration.fleet.borrow().own().held.clone();
+    let before = held.len();
+    for fingerprint in &earlier.held {
+        if !held.contains(fingerprint) {
+            held.push(*fingerprint);
+        }
+    }
+    if held.len() > before {
+        registration::hold(node, registration, held);
+    }
+}
+
+/// Tells the other nodes: all of this hall and a few of each other one, which pass it on.
+fn tell(node: &Rc<Node>, frame: &Frame) {
+    let told = match &node.registration {
+        Some(registration) => {
+            let fleet = registration.fleet.borrow();
+            registry::told_of_change(&fleet, |vm| links::has_failed(node, vm))
+        }
+        None => node.others().into_iter().map(|(vm, _)| vm).collect(),
+    };
+    for vm in told {
+        links::send(node, &vm, frame);
+    }
+}
+
+fn is_passed_on(node: &Node, from: &Name) -> bool {
+    let Some(registration) = &node.registration else {
+        return false;
+    };
+    registry::is_passed_on(&registration.fleet.borrow(), from)
+}
+
+/// Reads in the store what other nodes hold: halls that are cut off from one another tell each other nothing else.
+fn look_in_store(node: &Rc<Node>) {
+    let Some(registration) = node.registration.clone() else {
+        return;
+    };
+    let now = node.now();
+    let looked = node.containment.looked.get();
+    if looked.is_some_and(|looked| now.since(looked) < LOOK_EVERY_US) {
+        return;
+    }
+    node.containment.looked.set(Some(now));
+    let node = node.clone();
+    local::spawn(async move { registration::look(&node, &registration).await });
+}
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -222,6 +222,7 @@
             origin: Origin::Client,
         };
         let plan = Plan {
+            order: None,
             candidates: self.candidates(),
             treatment,
             req: self.relay.req.clone(),
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -9,7 +9,7 @@
 use async_std::future::timeout;
 use entry::{Action, Call, Candidate, Event, Outcome, Price, Treatment};
 use futures_util::future::{select, Either};
-use home::{Load, Offer};
+use home::{Load, Offer, Suspicion};
 use keys::KeyHash;
 use names::{AttemptId, Moment, Name};
 use std::future::Future;
@@ -58,6 +58,8 @@
     pub objective_us: u64,
     /// Whether offers may wait for a slot until the deadline.
     pub patient: bool,
+    /// The VMs at which it may run, the best first, if an upstream ended while it ran a copy.
+    pub order: Option<Vec<Name>>,
 }
 
 /// Takes a request to its outcome.
@@ -71,6 +73,10 @@
         plan.candidates,
     )
     .with_price(price);
+    let call = match plan.order {
+        Some(order) => call.with_order(order),
+        None => call,
+    };
     let mut running = Running {
         node,
         req: plan.req,
@@ -146,7 +152,8 @@
                     to,
                     may_queue,
                     repeat,
-                } => self.offer(id, to, may_queue, repeat),
+                    suspicion,
+                } => self.offer(id, to, may_queue, repeat, suspicion),
                 Action::Ask { id, to } => links::ask(self.node, &to, id),
                 Action::Cancel { id, to } => self.cancel(id, &to),
             }
@@ -154,7 +161,14 @@
         outcome
     }
 
-    fn offer(&mut self, id: AttemptId, to: Name, may_queue: bool, repeat: bool) {
+    fn offer(
+        &mut self,
+        id: AttemptId,
+        to: Name,
+        may_queue: bool,
+        repeat: bool,
+        suspicion: Suspicion,
+    ) {
         let node = self.node;
         let left = self.call.deadline().since(node.now());
         let offer = Offer {
@@ -167,6 +181,7 @@
             repeatable: self.treatment.repeatable,
             may_queue,
             repeat,
+            suspicion,
         };
         let local = to == node.cfg.vm;
         stats::attempt_offered(local);
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -1,20 +1,20 @@
 //! One request at the upstream beside this node: what the upstream is told, and what its answer means.
 
-use crate::audit;
+use crate::containment;
 use crate::entry_driver::reported;
 use crate::home_driver::leaving_changed;
 use crate::node::{Job, Node, Whole};
 use crate::registration::{self, Registration};
 use crate::stats;
-use crate::upstream::{Failure, Terms};
+use crate::upstream::{Failure, Pool, Terms};
 use async_std::future::timeout;
 use errors::Error;
 use home::{Home, Verdict};
-use names::AttemptId;
+use names::{AttemptId, Moment};
 use registry::Incarnation;
 use std::rc::Rc;
 use std::time::Duration;
-use wire::{Answer, Request};
+use wire::Answer;
 
 /// Names the attempt to an upstream whose platform lists the VMs.
 const ATTEMPT_HEADER: &str = "drumwheel-attempt";
@@ -30,6 +30,7 @@
     let overrun = Duration::from_millis(node.cfg.overrun_ms);
     let expected = node.registration.as_deref().and_then(registration::current);
     let terms = terms(node, id, job, left, expected.as_ref());
+    let start = pool.starts();
     match timeout(left + overrun, pool.exchange(&job.req, &terms)).await {
         Ok(Ok(answer)) => judge(node, job, expected.as_ref(), answer),
         Ok(Err(Failure::NotSent(error))) => {
@@ -40,10 +41,12 @@
         Ok(Err(Failure::Broken(error))) => {
             stats::upstream_failed("broken");
             tracing::info!(id = %job.req.id, %error, "the upstream broke off");
-            if pool.is_refused().await {
-                ended(node, expected.as_ref(), &error);
-            }
-            (Verdict::Broken, None)
+            let broke = Break {
+                start,
+                at: node.now(),
+                cause: error,
+            };
+            (end_of(node, &pool, expected.as_ref(), broke).await, None)
         }
         Err(_) => {
             stats::upstream_failed("overrun");
@@ -52,12 +55,28 @@
     }
 }
 
-/// The upstream ended while it ran what is at work now.
-fn ended(node: &Rc<Node>, instance: Option<&Incarnation>, cause: &Error) {
-    let jobs = node.jobs.borrow();
-    let running = jobs.values().filter(|job| job.started.is_some());
-    let running: Vec<&Request> = running.map(|job| job.req.as_ref()).collect();
-    audit::upstream_ended(instance, cause, &running);
+/// An exchange that broke.
+struct Break {
+    /// Which start of the upstream it was with.
+    start: u64,
+    at: Moment,
+    cause: Error,
+}
+
+/// Tells the end of one exchange from the end of the upstream, under which what was at work may be what ended it. One
+/// that was to leave ends as planned, and says nothing against a request.
+async fn end_of(
+    node: &Rc<Node>,
+    pool: &Pool,
+    instance: Option<&Incarnation>,
+    broke: Break,
+) -> Verdict {
+    let has_ended = pool.starts() != broke.start || pool.is_refused().await;
+    if !has_ended || node.is_leaving() {
+        return Verdict::Broken;
+    }
+    containment::upstream_ended(node, broke.start, instance, broke.at, &broke.cause);
+    Verdict::Ended
 }
 
 /// What the upstream is told beside the request; `expected` is the start of it that is meant.
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -2,6 +2,7 @@
 
 use crate::audit;
 use crate::boot_record;
+use crate::containment;
 use crate::exchange;
 use crate::links::Reply;
 use crate::local;
@@ -39,11 +40,21 @@
     reply: Reply,
 ) {
     let now = node.now();
+    if let Some(refusal) = containment::barred(node, &offer, &req) {
+        refuse_at_door(node, offer.id, refusal, &reply);
+        return;
+    }
     if let Some(reason) = barred(node, from, &offer, key) {
-        refuse_at_door(node, offer.id, reason, &reply);
+        let refusal = Refusal {
+            reason,
+            retry_after_ms: DOOR_RETRY_AFTER_MS,
+        };
+        refuse_at_door(node, offer.id, refusal, &reply);
         return;
     }
     let job = Job {
+        suspect: containment::is_suspect(node, &offer, &req),
+        ended: None,
         req,
         reply: reply.clone(),
         deadline: now + offer.remaining_us,
@@ -98,16 +109,12 @@
 }
 
 /// The attempt has no record here: a question about it must find it refused.
-fn refuse_at_door(node: &Rc<Node>, id: AttemptId, reason: Reason, reply: &Reply) {
-    stats::attempt_refused(reason.as_str());
+fn refuse_at_door(node: &Rc<Node>, id: AttemptId, refusal: Refusal, reply: &Reply) {
+    stats::attempt_refused(refusal.reason.as_str());
     let now = node.now();
     if let Some(home) = node.home.borrow_mut().as_mut() {
         home.ask(now, id, node.boot);
     }
-    let refusal = Refusal {
-        reason,
-        retry_after_ms: DOOR_RETRY_AFTER_MS,
-    };
     let load = node.load();
     reply.send(node, Frame::Refused { id, refusal, load });
 }
@@ -152,6 +159,20 @@
     }
 }
 
+/// Takes an attempt back that has not started, and cuts a running one off that may run more than once.
+pub fn withdraw(node: &Rc<Node>, id: AttemptId, refusal: Refusal) {
+    let is_queued = |home: &Home<Whole>| home.is_queued(id);
+    if node.home.borrow().as_ref().is_some_and(is_queued) {
+        let now = node.now();
+        with_home(node, |home| {
+            home.cancel(now, id);
+            vec![Action::Refuse(id, refusal)]
+        });
+    } else {
+        cancel(node, id);
+    }
+}
+
 /// Takes in that another run of the upstream stands beside this node.
 pub fn upstream_replaced(node: &Rc<Node>, run: &registry::Instance) {
     match run.address.parse() {
@@ -357,13 +378,22 @@
             node.claims.borrow_mut().not_run(key, id);
         }
     }
+    if matches!(verdict, Verdict::Good | Verdict::Error) {
+        let job = node.jobs.borrow().get(&id).cloned();
+        if let Some(job) = job {
+            containment::ran(node, &job.req);
+        }
+    }
     let answer = answer.map(Arc::new);
     let kept = answer.clone();
     with_home(node, |home| home.completed(now, id, verdict, kept));
     let load = node.load();
     match answer {
         Some(answer) => end_job(node, id, Frame::Answered { id, answer, load }),
-        None => end_job(node, id, Frame::Broken { id, load }),
+        None => {
+            let ended = node.jobs.borrow().get(&id).and_then(|job| job.ended);
+            end_job(node, id, Frame::Broken { id, load, ended });
+        }
     }
 }
 
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod clock;
 mod configuration;
+mod containment;
 mod coordinator;
 mod entry_driver;
 mod exchange;
@@ -82,6 +83,7 @@
     local::spawn(links::run_heartbeats(node.clone()));
     local::spawn(watching::run(node.clone()));
     local::spawn(home_driver::run_ticks(node.clone()));
+    local::spawn(containment::run(node.clone()));
     local::spawn(operators::run_commands(node.clone(), rx));
     if let Some(pool) = node.pool.clone().filter(|_| node.registration.is_none()) {
         local::spawn(async move { pool.warm_up().await });
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -4,7 +4,9 @@
 use crate::audit::Origin;
 use crate::entry_driver::{deliver, reported};
 use crate::node::Node;
-use crate::{configuration, coordinator, home_driver, recovery, registration, relay, watching};
+use crate::{
+    configuration, containment, coordinator, home_driver, recovery, registration, relay, watching,
+};
 use entry::Event;
 use home::AskReply;
 use names::Name;
@@ -43,10 +45,16 @@
             let error = answer.is_error();
             deliver(node, id, Event::Answered { id, answer, error });
         }
-        Frame::Broken { id, load } => {
+        Frame::Broken { id, load, ended } => {
             reported(node, from, load);
-            deliver(node, id, Event::Broken(id));
+            let event = match ended {
+                Some(suspect) => containment::event(node, id, suspect),
+                None => Event::Broken(id),
+            };
+            deliver(node, id, event);
         }
+        Frame::Ended(suspects) => containment::told(node, from, suspects),
+        Frame::Cleared(fingerprint) => containment::cleared(node, from, fingerprint),
         Frame::Told { id, reply } => told(node, id, reply),
         Frame::Alive { load } => {
             reported(node, from, load);
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -1,6 +1,7 @@
 //! The state of a node, shared by its tasks on one thread.
 
 use crate::clock::Clock;
+use crate::containment::Containment;
 use crate::links::{Link, Reply};
 use crate::registration::Registration;
 use crate::relay::Relayed;
@@ -16,6 +17,7 @@
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
+use quarantine::Suspect;
 use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -75,6 +77,10 @@
     pub repeatable: bool,
     /// Whether another upstream has seen it before.
     pub repeat: bool,
+    /// Whether an upstream has ended while it ran a copy.
+    pub suspect: bool,
+    /// What follows from the upstream's end, once it has ended while it ran this.
+    pub ended: Option<Suspect>,
     /// Tells the running exchange that nobody waits for it.
     pub cancel: Option<Sender<()>>,
 }
@@ -167,6 +173,8 @@
     pub platform: Rc<Client>,
     /// The registered fleet; none where the platform lists the VMs.
     pub registration: Option<Rc<Registration>>,
+    /// Requests under which upstreams ended.
+    pub containment: Containment,
     /// Turns of the services among which routes are split.
     pub splits: RefCell<HashMap<Name, Split>>,
     /// What the platform last said of itself.
@@ -240,6 +248,7 @@
             watch: RefCell::new(watch(&cfg, clock.now(), boot)),
             platform: Rc::new(Client::new(cfg.platform.clone())),
             registration,
+            containment: Containment::default(),
             splits: RefCell::default(),
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -10,7 +10,7 @@
 pub use peers::{
     buckets_told, digest_told, run_dials, taken, tell_other_halls, versions_told, Source,
 };
-pub use records::{run as run_records, withdraw};
+pub use records::{look, run as run_records, withdraw};
 
 use crate::audit;
 use crate::home_driver;
@@ -18,6 +18,7 @@
 use async_channel::{Receiver, Sender};
 use names::BootId;
 use platform::Adapter;
+use quarantine::Fingerprint;
 use registry::{Fleet, Incarnation, Instance, Local, Record, Version};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -57,6 +58,7 @@
             },
             serving: true,
             upstream: None,
+            held: Vec::new(),
         };
         Registration {
             adapter,
@@ -116,6 +118,17 @@
     registration.store_soon();
 }
 
+/// Changes which requests this node's record holds, and tells the store and the other nodes.
+pub fn hold(node: &Rc<Node>, registration: &Registration, held: Vec<Fingerprint>) {
+    let own = registration
+        .fleet
+        .borrow_mut()
+        .change_own(|own| own.held = held);
+    audit::own_record(&own);
+    peers::tell_all(node, registration, &own);
+    registration.store_soon();
+}
+
 /// The start of the upstream that stands beside this node.
 pub fn current(registration: &Registration) -> Option<Incarnation> {
     let local = registration.local.borrow();
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -6,6 +6,7 @@
 
 use super::{health, Registration};
 use crate::audit;
+use crate::containment;
 use crate::links::{self, Reply};
 use crate::local;
 use crate::node::Node;
@@ -78,6 +79,7 @@
     let vm = record.vm.clone();
     let boot = record.boot;
     let earlier = record.upstream.clone();
+    let offered = record.clone();
     let merged = registration.fleet.borrow_mut().merge(record);
     match merged {
         Merged::Taken(before) => {
@@ -86,6 +88,7 @@
                 return;
             };
             audit::record_taken(after, before.as_ref());
+            let held_there = after.clone();
             let moved = before
                 .as_ref()
                 .is_none_or(|before| before.peers != after.peers);
@@ -106,6 +109,7 @@
                 node.entry.borrow_mut().forget(&vm);
             }
             node.fleet_changed();
+            containment::record_taken(node, &held_there);
             let direct = reply.filter(|_| sender == Some(&vm));
             if let (Some(before), Some(reply), true) = (before, direct, renewed) {
                 // The new start may not know what the one before it has told.
@@ -124,6 +128,7 @@
             }
         }
         Merged::Own(version) => {
+            containment::succeed(node, registration, &offered);
             let own = registration.fleet.borrow_mut().rise_above(version);
             audit::own_record(&own);
             tell_all(node, registration, &own);
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -7,6 +7,7 @@
 
 use super::{health, peers, Registration, Source};
 use crate::audit;
+use crate::containment;
 use crate::local;
 use crate::node::Node;
 use crate::watching::{called, rest, set_reachable, Purpose, LEAST_PAUSE_MS};
@@ -14,6 +15,7 @@
 use async_std::task;
 use errors::{Error, Result, Step};
 use platform::{Put, Reading, Stored};
+use quarantine::Fingerprint;
 use rand::Rng;
 use registry::{Incarnation, Instance, Record, State};
 use std::rc::Rc;
@@ -40,6 +42,7 @@
     revision: Option<u64>,
     peers: String,
     upstream: Option<Incarnation>,
+    held: Vec<Fingerprint>,
 }
 
 /// Learns of the other nodes and keeps this node's record, for as long as the node runs.
@@ -61,14 +64,39 @@
     registration.store_soon();
     while registration.changed.1.recv().await.is_ok() {
         let after_ms = rand::rng().random_range(WRITE_AFTER_MS..=2 * WRITE_AFTER_MS);
-        task::sleep(Duration::from_millis(after_ms)).await;
-        registration.changed.1.try_recv().ok();
-        if !leads_here(&registration, &stands) || names_another_run(&registration, &stands) {
+        rest_or_hold(&registration, &stands, Duration::from_millis(after_ms)).await;
+        let is_due = !leads_here(&registration, &stands)
+            || names_another_run(&registration, &stands)
+            || holds_others(&registration, &stands);
+        if is_due {
             write_until_done(&node, &registration, &mut stands).await;
         }
     }
 }
 
+/// Lets time pass before a write, unless other requests are held than the store says: all nodes may lose power the
+/// next moment, and would let them end further upstreams.
+async fn rest_or_hold(registration: &Registration, stands: &Stands, pause: Duration) {
+    let changed = async {
+        while !holds_others(registration, stands) && registration.changed.1.recv().await.is_ok() {}
+    };
+    timeout(pause, changed).await.ok();
+}
+
+/// Whether other requests are held than the store says.
+fn holds_others(registration: &Registration, stands: &Stands) -> bool {
+    registration.fleet.borrow().own().held != stands.held
+}
+
+/// Reads in the store which requests other nodes hold.
+pub async fn look(node: &Rc<Node>, registration: &Rc<Registration>) {
+    // What stands there of this node is known from its own writes.
+    let mut stands = Stands::default();
+    if let Err(error) = list(node, registration, &mut stands, Reading::Newest).await {
+        tracing::info!(%error, "the store did not say which requests are held");
+    }
+}
+
 /// Takes this node's record out of the store, at the end of a planned stop after the upstream has ended:
 /// its VM goes with it, and others need not look for it.
 pub async fn withdraw(node: &Rc<Node>, registration: &Registration, limit: Duration) {
@@ -76,7 +104,9 @@
         let local = registration.local.borrow();
         local.current().is_none_or(|run| run.state == State::Gone)
     };
-    if !gone(registration) {
+    let holds = !registration.fleet.borrow().own().held.is_empty();
+    if holds || !gone(registration) {
+        // A record that names requests which are held stays, for those who start later.
         return;
     }
     let kind = registration.adapter.records();
@@ -107,7 +137,7 @@
 /// Reads the others' records until the store has answered or another node has told them.
 async fn learn(node: &Rc<Node>, registration: &Rc<Registration>, stands: &mut Stands) {
     let mut pause = LEAST_PAUSE_MS;
-    while let Err(error) = list(node, registration, stands).await {
+    while let Err(error) = list(node, registration, stands, Reading::MayLag).await {
         set_reachable(node, false);
         tracing::info!(%error, "the store gave no records");
         pause = rest(pause).await;
@@ -137,9 +167,14 @@
 }
 
 /// Takes in all records that stand in the store.
-async fn list(node: &Rc<Node>, registration: &Rc<Registration>, stands: &mut Stands) -> Result<()> {
+async fn list(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    stands: &mut Stands,
+    reading: Reading,
+) -> Result<()> {
     let kind = registration.adapter.records();
-    let list = registration.adapter.store().list(kind, Reading::MayLag);
+    let list = registration.adapter.store().list(kind, reading);
     let listing = called(node, Purpose::Fleet, list).await?;
     audit::listed(listing.objects.len(), listing.at);
     for object in &listing.objects {
@@ -152,6 +187,7 @@
         };
         if object.name == node.cfg.vm {
             *stands = Stands::of(object, &record);
+            containment::succeed(node, registration, &record);
         }
         peers::taken(node, registration, record, Source::Store);
     }
@@ -204,6 +240,7 @@
                 match decode(&object) {
                     Ok(found) => {
                         *stands = Stands::of(&object, &found);
+                        containment::succeed(node, registration, &found);
                         if found.boot != own.boot {
                             succeed(node, registration, found);
                         }
@@ -227,6 +264,7 @@
         self.revision = Some(revision);
         self.peers = record.peers.clone();
         self.upstream = record.upstream.as_ref().map(Instance::incarnation);
+        self.held = record.held.clone();
     }
 }
 
--- a/components/daemon/src/stats.rs
+++ b/components/daemon/src/stats.rs
@@ -35,6 +35,16 @@
     counter!("drumwheel_upstream_failures_total", "kind" => kind).increment(1);
 }
 
+/// The upstream ended while it ran something.
+pub fn upstream_ended() {
+    counter!("drumwheel_upstream_ends_total").increment(1);
+}
+
+/// Requests that no upstream may see.
+pub fn held(count: usize) {
+    gauge!("drumwheel_requests_held").set(count as f64);
+}
+
 /// Input that was refused at a door.
 pub fn bad_input(door: &'static str) {
     counter!("drumwheel_bad_input_total", "door" => door).increment(1);
--- a/components/daemon/src/upstream.rs
+++ b/components/daemon/src/upstream.rs
@@ -153,6 +153,11 @@
         self.connect().await.is_ok()
     }
 
+    /// Starts of the upstream so far.
+    pub fn starts(&self) -> u64 {
+        self.starts.get()
+    }
+
     /// Whether nothing stands at the upstream's address: a connection is refused. One that is not answered says
     /// nothing, since a paused upstream does not answer either.
     pub async fn is_refused(&self) -> bool {
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -4,7 +4,8 @@
 use crate::event::{Action, Event, Origin, Outcome, Treatment};
 use crate::price::Price;
 use crate::shared::Entry;
-use home::{AskReply, Reason, Refusal};
+use crate::suspect::Suspect;
+use home::{AskReply, Reason, Refusal, Suspicion};
 use names::{AttemptId, Moment, Name};
 
 /// Offers that ask for a free slot at once, before one that may queue.
@@ -55,6 +56,9 @@
     contacted: bool,
     late: u64,
     price: Price,
+    /// Where it may run, once an upstream has ended while it ran the request.
+    suspect: Option<Suspect>,
+    suspicion: Suspicion,
 }
 
 impl<A: Clone> Call<A> {
@@ -85,6 +89,8 @@
             contacted: false,
             late: 0,
             price: Price::default(),
+            suspect: None,
+            suspicion: Suspicion::None,
         }
     }
 
@@ -94,6 +100,13 @@
         self
     }
 
+    /// Sets that an upstream ended while it ran a copy of the request, and the VMs at which it may run, the best
+    /// first.
+    pub fn with_order(mut self, order: Vec<Name>) -> Call<A> {
+        self.suspect = Some(Suspect::new(order));
+        self
+    }
+
     /// Whether the outcome has been given.
     pub fn is_done(&self) -> bool {
         self.state == State::Done
@@ -133,6 +146,7 @@
             Event::Revoked(id) => self.revoked(now, id, entry),
             Event::Answered { id, answer, error } => self.answered(now, id, answer, error, entry),
             Event::Broken(id) | Event::Gone(id) => self.broken(now, id, entry),
+            Event::Ended { id, order } => self.ended(now, id, order, entry),
             Event::NotSent(id) => self.not_sent(now, id, entry),
             Event::Lost(id) => self.lost(now, id, entry),
             Event::Told(id, reply) => self.told(now, id, reply, entry),
@@ -159,11 +173,17 @@
             return self.give_up(Reason::Busy, entry);
         }
         let may_queue = match entry.rule() {
+            _ if self.suspect.is_some() => true,
             Rule::Expected => self.queue_next(now, entry),
             Rule::Priced => self.queue_next_priced(now, entry),
             Rule::TwoChoices | Rule::Random => true,
         };
-        let Some(to) = self.pick(now, may_queue, entry) else {
+        let (picked, suspicion) = match &self.suspect {
+            Some(suspect) => suspect.next().unzip(),
+            None => (self.pick(now, may_queue, entry), None),
+        };
+        self.suspicion = suspicion.unwrap_or_default();
+        let Some(to) = picked else {
             let reason = if self.candidates.is_empty() {
                 Reason::NoUpstream
             } else {
@@ -172,7 +192,8 @@
             return self.give_up(reason, entry);
         };
         self.asked_to_queue = may_queue;
-        self.queue_offers += u32::from(may_queue);
+        let is_trial = self.suspicion == Suspicion::Alone;
+        self.queue_offers += u32::from(may_queue && !is_trial);
         let id = entry.next_attempt();
         entry.offered(&to);
         self.offers += 1;
@@ -183,6 +204,7 @@
             to,
             may_queue,
             repeat,
+            suspicion: self.suspicion,
         }]
     }
 
@@ -234,20 +256,22 @@
         match refusal.reason {
             Reason::Deadline => return self.give_up(Reason::Deadline, entry),
             Reason::KeyUsed => return self.finish(Outcome::Unknown(Reason::KeyUsed), entry),
+            Reason::Quarantined => return self.give_up(Reason::Quarantined, entry),
             Reason::Shed => return self.shed(now, vm, entry),
+            Reason::Busy if self.suspect.is_some() => self.was_busy(vm),
             Reason::Busy if !self.asked_to_queue => self.refused_by.push(vm),
             Reason::Leaving => {
                 entry.leaving(now, &vm, true);
-                self.closed.push(vm);
+                self.close(vm);
             }
-            _ => self.closed.push(vm),
+            _ => self.close(vm),
         }
         self.next(now, entry)
     }
 
     /// An upstream has seen the request and turned it away, so the next one sees a repeat.
     fn shed(&mut self, now: Moment, vm: Name, entry: &mut Entry) -> Vec<Action<A>> {
-        self.closed.push(vm);
+        self.close(vm);
         self.arrived();
         if !self.may_reach_another(entry) {
             return self.give_up(Reason::Shed, entry);
@@ -259,7 +283,7 @@
         let Some(vm) = self.end(id, entry) else {
             return Vec::new();
         };
-        self.closed.push(vm);
+        self.close(vm);
         if self.closed.len() >= self.candidates.len() {
             self.closed.clear();
         }
@@ -306,10 +330,48 @@
             reason: Reason::Unreachable,
             retry_after_ms: DEFAULT_RETRY_AFTER_MS,
         });
-        self.closed.push(vm);
+        self.close(vm);
         self.next(now, entry)
     }
 
+    /// The upstream ended under the request, so that it may be what ended it: it runs once more at most, where it
+    /// can be told from others, and no further upstream is risked for a request that was under suspicion before.
+    fn ended(
+        &mut self,
+        now: Moment,
+        id: AttemptId,
+        order: Vec<Name>,
+        entry: &mut Entry,
+    ) -> Vec<Action<A>> {
+        let Some(vm) = self.end(id, entry) else {
+            return Vec::new();
+        };
+        self.ran();
+        self.maybe_ran = true;
+        let was_suspect = self.suspect.is_some();
+        if was_suspect || order.is_empty() || !self.may_retry(entry) {
+            return self.give_up(Reason::Lost, entry);
+        }
+        self.suspect = Some(Suspect::new(order));
+        self.close(vm);
+        self.next(now, entry)
+    }
+
+    /// A suspect that found no room goes on to the next VM in its order.
+    fn was_busy(&mut self, vm: Name) {
+        if let Some(suspect) = &mut self.suspect {
+            suspect.was_busy(vm, self.suspicion);
+        }
+    }
+
+    /// Makes no further offer to a VM.
+    fn close(&mut self, vm: Name) {
+        if let Some(suspect) = &mut self.suspect {
+            suspect.close(vm.clone());
+        }
+        self.closed.push(vm);
+    }
+
     /// A request that may not be repeated is asked after; another goes to the next upstream.
     fn lost(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
         let Some(to) = self.current(id) else {
@@ -428,8 +490,8 @@
     }
 
     fn retry_elsewhere(&mut self, now: Moment, vm: Name, entry: &mut Entry) -> Vec<Action<A>> {
-        if self.closed.len() + 1 < self.candidates.len() {
-            self.closed.push(vm);
+        if self.suspect.is_some() || self.closed.len() + 1 < self.candidates.len() {
+            self.close(vm);
         }
         self.next(now, entry)
     }
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -1,6 +1,6 @@
 //! What happens to a call, what the daemon has to do for it, and how it ends.
 
-use home::{AskReply, Reason, Refusal};
+use home::{AskReply, Reason, Refusal, Suspicion};
 use names::{AttemptId, Name};
 
 /// What the policy says of one request.
@@ -49,6 +49,13 @@
     },
     /// The upstream broke off: the attempt ran, and there is no whole answer.
     Broken(AttemptId),
+    /// The upstream ended while it ran the attempt.
+    Ended {
+        /// The attempt that ran.
+        id: AttemptId,
+        /// The VMs at which the request may run now, the best first; none when it is held.
+        order: Vec<Name>,
+    },
     /// No byte of the offer left this node.
     NotSent(AttemptId),
     /// The connection to the home node broke after the offer was sent.
@@ -74,6 +81,7 @@
             Event::Revoked(_) => "handed-back",
             Event::Answered { .. } => "answered",
             Event::Broken(_) => "broken",
+            Event::Ended { .. } => "upstream-ended",
             Event::NotSent(_) => "not-sent",
             Event::Lost(_) => "lost",
             Event::Told(..) => "told",
@@ -98,6 +106,8 @@
         may_queue: bool,
         /// Whether an upstream has seen the request before.
         repeat: bool,
+        /// Whether an upstream ended while it ran the request.
+        suspicion: Suspicion,
     },
     /// Ask the home duty beside `to` about the attempt.
     Ask {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod retry;
 mod shared;
 mod split;
+mod suspect;
 
 pub use call::Call;
 pub use choice::{Candidate, Rule, View};
--- a/components/entry/tests/attempts/world/delivery.rs
+++ b/components/entry/tests/attempts/world/delivery.rs
@@ -108,6 +108,7 @@
                 to,
                 may_queue,
                 repeat,
+                suspicion,
             } => {
                 let home = index(&to);
                 let boot = self.homes[home].boot;
@@ -123,6 +124,7 @@
                     repeatable: !self.oracle.once.contains(&call),
                     may_queue,
                     repeat,
+                    suspicion,
                 };
                 self.send(entry, home, Body::Offer(offer));
             }
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -152,6 +152,10 @@
                 self.records.end(now, id, Record::Answered(answer));
             }
             Verdict::Broken | Verdict::Cancelled => self.records.end(now, id, Record::Broken),
+            Verdict::Ended => {
+                self.down_since = Some(now);
+                self.records.end(now, id, Record::Broken);
+            }
             Verdict::Shed => {
                 self.refuse_ended(now, id, Reason::Shed, &mut actions);
             }
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -21,6 +21,6 @@
 pub use depth::Depth;
 pub use duty::Home;
 pub use limit::{Class, Limit, Verdict};
-pub use message::{AskReply, Load, Offer, Reason, Refusal};
+pub use message::{AskReply, Load, Offer, Reason, Refusal, Suspicion};
 pub use pace::Pace;
 pub use record::{Known, Record, Records};
--- a/components/home/src/limit.rs
+++ b/components/home/src/limit.rs
@@ -43,6 +43,8 @@
     Shed,
     /// The connection broke, or the answer was not whole.
     Broken,
+    /// The upstream ended while it ran the attempt: nothing stands at its address any more.
+    Ended,
     /// No byte of the request reached the upstream.
     NotSent,
     /// The attempt was cancelled while it ran.
@@ -57,6 +59,7 @@
             Verdict::Error => "error",
             Verdict::Shed => "shed",
             Verdict::Broken => "broken",
+            Verdict::Ended => "upstream ended",
             Verdict::NotSent => "not sent",
             Verdict::Cancelled => "cancelled",
         }
@@ -109,7 +112,7 @@
         match verdict {
             Verdict::Good => self.good(class, service_us as f64),
             Verdict::Error | Verdict::Broken | Verdict::Shed => self.error(),
-            Verdict::NotSent => {
+            Verdict::NotSent | Verdict::Ended => {
                 self.error();
                 self.ramp = cold(self.slots);
                 self.cold_since = Some(now);
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -33,6 +33,28 @@
     /// are made for a repeat are repeats too.
     #[serde(rename = "x")]
     pub repeat: bool,
+    /// Whether an upstream ended while it ran the request.
+    #[serde(rename = "u", default, skip_serializing_if = "Suspicion::is_none")]
+    pub suspicion: Suspicion,
+}
+
+/// Whether an upstream ended while it ran the offered request, and how it may run then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Suspicion {
+    /// No such end is known.
+    #[default]
+    None,
+    /// Only where no other such request is at work: if the upstream ends, it is known which one ended it.
+    Alone,
+    /// Also beside others: every upstream that was asked had one.
+    Shared,
+}
+
+impl Suspicion {
+    /// Whether no such end is known.
+    pub fn is_none(&self) -> bool {
+        *self == Suspicion::None
+    }
 }
 
 /// What a home duty knows of its upstream; carried on every answer and refusal.
@@ -98,6 +120,8 @@
     NotCoordinator,
     /// The node beside the upstream does not know whether the key was used there.
     Uncertain,
+    /// Upstreams ended while they ran the request: no further one sees it.
+    Quarantined,
     /// The request itself is at fault: malformed, too large or too slow.
     BadRequest,
 }
@@ -121,6 +145,7 @@
             Reason::KeyUsed => "key-used",
             Reason::NotCoordinator => "not-coordinator",
             Reason::Uncertain => "uncertain",
+            Reason::Quarantined => "quarantined",
             Reason::BadRequest => "bad-request",
         }
     }
--- a/components/home/tests/home.rs
+++ b/components/home/tests/home.rs
@@ -24,6 +24,7 @@
         repeatable: true,
         may_queue: true,
         repeat: false,
+        suspicion: home::Suspicion::None,
     }
 }
 
@@ -272,6 +273,7 @@
     let at_once = Offer {
         may_queue: false,
         repeat: false,
+        suspicion: home::Suspicion::None,
         ..offer(1)
     };
     assert_eq!(reason(&home.offer(now, &at_once)), Some(Reason::Busy));
@@ -280,6 +282,7 @@
     let again = Offer {
         may_queue: false,
         repeat: false,
+        suspicion: home::Suspicion::None,
         ..offer(3)
     };
     assert_eq!(home.offer(later, &again), [Action::Start(id(3))]);
--- a/components/home/tests/pace.rs
+++ b/components/home/tests/pace.rs
@@ -28,6 +28,7 @@
         repeatable: true,
         may_queue,
         repeat: false,
+        suspicion: home::Suspicion::None,
     }
 }
 
--- a/components/model/src/world/entry_side.rs
+++ b/components/model/src/world/entry_side.rs
@@ -5,7 +5,7 @@
 use crate::message::{Happening, Message, RequestId};
 use crate::site::{vm_name, vm_of};
 use entry::{Action, Call, Candidate, Event, Origin, Outcome, Price, Treatment};
-use home::Offer;
+use home::{Offer, Suspicion};
 use names::{AttemptId, Moment, Name, MILLISECOND};
 use rand::seq::IndexedRandom;
 
@@ -102,6 +102,7 @@
                     to,
                     may_queue,
                     repeat,
+                    ..
                 } => self.make_offer(req, id, &to, may_queue, repeat),
                 Action::Cancel { id, to } => {
                     let from = self.requests[req].vm;
@@ -137,6 +138,7 @@
             repeatable: class.repeatable,
             may_queue,
             repeat,
+            suspicion: Suspicion::None,
         };
         let from = request.vm;
         self.send(from, vm_of(to), Message::Offer { from, req, offer });
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -11,6 +11,7 @@
 /// Digest of method, host, target and body. The identity of a try, its deadline and the VM at which it arrives
 /// differ between copies of one request and don't enter; nothing of a body can be read from it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct Fingerprint([u8; BYTES]);
 
 impl Fingerprint {
@@ -28,6 +29,26 @@
     }
 }
 
+impl From<Fingerprint> for String {
+    fn from(fingerprint: Fingerprint) -> String {
+        fingerprint.to_string()
+    }
+}
+
+impl TryFrom<String> for Fingerprint {
+    type Error = String;
+
+    /// Reads the hexadecimal form; the error names the text.
+    fn try_from(text: String) -> Result<Fingerprint, String> {
+        let is_hex = text.len() == 2 * BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = u128::from_str_radix(&text, 16);
+        match number {
+            Ok(number) if is_hex => Ok(Fingerprint(number.to_be_bytes())),
+            _ => Err(format!("{text:?} is no fingerprint of a request")),
+        }
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for byte in self.0 {
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -1,7 +1,15 @@
 //! Which requests are kept from upstreams, because upstreams ended while they ran them.
 //!
-//! A request is known by its [`Fingerprint`]: copies that callers send again have it in common.
+//! A request is known by its [`Fingerprint`], which copies that callers send again have in common. The node beside
+//! an upstream that ended tells all nodes what was at work there ([`Suspect`]). From then on a copy runs apart from
+//! other suspects, at one upstream on which all nodes agree ([`order`]), until one has run to its end: that clears
+//! it. One under which upstreams go on ending is held: no upstream sees it any more. [`Quarantine`] is what one
+//! node knows; time is passed in, and what it says is carried by frames, by nodes' records and by the store.
 
 mod fingerprint;
+mod order;
+mod table;
 
 pub use fingerprint::Fingerprint;
+pub use order::order;
+pub use table::{Quarantine, Standing, Suspect};
--- /dev/null
+++ b/components/quarantine/src/table.rs
@@ -0,0 +1,165 @@
+//! What one node knows of requests under which upstreams ended.
+
+use crate::fingerprint::Fingerprint;
+use names::{AttemptId, BootId, Moment, SECOND};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Ends after which a request is held if others that were as suspect ran beside it each time.
+const MOST_ENDS: usize = 3;
+/// Ends after which it is held if it was the only suspect at one of them. Not one: whatever ends an upstream, a
+/// crash of its own too, several requests are at work there.
+const ENDS_ALONE: usize = 2;
+/// A suspect that nobody sends again is forgotten after so long, in microseconds. A copy costs little while it is
+/// one, and harmful ones may come minutes apart.
+const SUSPECT_KEPT_US: u64 = 3_600 * SECOND;
+/// A request that is held is forgotten after so long, in microseconds: by then its caller or the upstreams have
+/// been mended. A trial each hour would end an upstream each hour.
+const HELD_KEPT_US: u64 = 24 * 3_600 * SECOND;
+/// Requests that are remembered at most: 300 KB. Each costs an upstream its life, so a caller who makes up new ones
+/// adds a few in a second at most.
+const MOST_KNOWN: usize = 4_096;
+
+/// A request that was at work at an upstream when it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request.
+    #[serde(rename = "f")]
+    pub fingerprint: Fingerprint,
+    /// The end: boot and counter of the node that saw it.
+    #[serde(rename = "e")]
+    pub end: AttemptId,
+    /// Whether it was the only request at work there of which this was to be feared.
+    #[serde(rename = "a")]
+    pub alone: bool,
+}
+
+/// How a request is treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing is known against it.
+    Free,
+    /// It may run apart from other suspects.
+    Suspect,
+    /// No upstream sees it.
+    Held,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    /// Ends under it, with whether it was the only suspect there.
+    ends: Vec<(AttemptId, bool)>,
+    /// Whether another node holds it.
+    is_told: bool,
+    /// When something was last learned against it.
+    at: Moment,
+}
+
+impl Entry {
+    fn is_held(&self) -> bool {
+        let was_alone = self.ends.iter().any(|(_, alone)| *alone);
+        self.is_told || self.ends.len() >= MOST_ENDS || was_alone && self.ends.len() >= ENDS_ALONE
+    }
+
+    fn kept_us(&self) -> u64 {
+        if self.is_held() {
+            HELD_KEPT_US
+        } else {
+            SUSPECT_KEPT_US
+        }
+    }
+}
+
+/// The requests that are suspect or held, as one node knows them.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    known: HashMap<Fingerprint, Entry>,
+}
+
+impl Quarantine {
+    /// Whether nothing is known against any request.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// How a request is treated.
+    pub fn standing(&self, fingerprint: Fingerprint) -> Standing {
+        match self.known.get(&fingerprint) {
+            None => Standing::Free,
+            Some(entry) if entry.is_held() => Standing::Held,
+            Some(_) => Standing::Suspect,
+        }
+    }
+
+    /// Takes in that an upstream ended under a request. Returns whether that is news: each end counts once,
+    /// whoever tells it and however often.
+    pub fn ended(&mut self, now: Moment, suspect: Suspect) -> bool {
+        let entry = self.entry(now, suspect.fingerprint);
+        if entry.ends.iter().any(|(end, _)| *end == suspect.end) {
+            return false;
+        }
+        if entry.ends.len() >= MOST_ENDS {
+            return false;
+        }
+        entry.at = now;
+        entry.ends.push((suspect.end, suspect.alone));
+        true
+    }
+
+    /// Takes in that another node holds a request. Returns whether this one did not.
+    pub fn hold(&mut self, now: Moment, fingerprint: Fingerprint) -> bool {
+        let entry = self.entry(now, fingerprint);
+        let is_news = !entry.is_held();
+        entry.is_told = true;
+        entry.at = now;
+        is_news
+    }
+
+    /// Takes in that a request has run to its end, and the upstream went on. Returns whether anything was known
+    /// against it.
+    pub fn ran(&mut self, fingerprint: Fingerprint) -> bool {
+        self.known.remove(&fingerprint).is_some()
+    }
+
+    /// Whether the node with this boot saw one of the ends under a request.
+    pub fn was_seen_by(&self, boot: BootId, fingerprint: Fingerprint) -> bool {
+        let entry = self.known.get(&fingerprint);
+        entry.is_some_and(|entry| entry.ends.iter().any(|(end, _)| end.boot == boot))
+    }
+
+    /// Ends known under a request.
+    pub fn ends(&self, fingerprint: Fingerprint) -> usize {
+        self.known
+            .get(&fingerprint)
+            .map_or(0, |entry| entry.ends.len())
+    }
+
+    /// Requests that are held.
+    pub fn held(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        let held = self.known.iter().filter(|(_, entry)| entry.is_held());
+        held.map(|(fingerprint, _)| *fingerprint)
+    }
+
+    /// Forgets what is old.
+    pub fn tick(&mut self, now: Moment) {
+        self.known
+            .retain(|_, entry| now.since(entry.at) <= entry.kept_us());
+    }
+
+    /// The entry of a request; a new one takes the place of the oldest where there are too many, of one that is
+    /// not held while there is one.
+    fn entry(&mut self, now: Moment, fingerprint: Fingerprint) -> &mut Entry {
+        if self.known.len() >= MOST_KNOWN && !self.known.contains_key(&fingerprint) {
+            let by_age = |(_, entry): &(&Fingerprint, &Entry)| (entry.is_held(), entry.at);
+            let oldest = self.known.iter().min_by_key(by_age);
+            if let Some(oldest) = oldest.map(|(oldest, _)| *oldest) {
+                self.known.remove(&oldest);
+            }
+        }
+        self.known.entry(fingerprint).or_insert_with(|| Entry {
+            ends: Vec::new(),
+            is_told: false,
+            at: now,
+        })
+    }
+}
--- a/components/registry/src/record.rs
+++ b/components/registry/src/record.rs
@@ -5,6 +5,7 @@
 
 use crate::incarnation::Incarnation;
 use names::{BootId, Name};
+use quarantine::Fingerprint;
 use serde::{Deserialize, Serialize};
 
 /// Life of one run of an upstream.
@@ -100,6 +101,10 @@
     /// The upstream beside the node, once one has registered.
     #[serde(rename = "u", alias = "upstream")]
     pub upstream: Option<Instance>,
+    /// Requests that no upstream may see, because upstreams ended while they ran them; those of which this node
+    /// saw an end. They stand here since every node reads the records when it starts.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub held: Vec<Fingerprint>,
 }
 
 impl Record {
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -61,6 +61,7 @@
         version: Version { generation, change },
         serving: true,
         upstream,
+        held: Vec::new(),
     }
 }
 
--- a/components/registry/tests/spread.rs
+++ b/components/registry/tests/spread.rs
@@ -24,6 +24,7 @@
         },
         serving: true,
         upstream: None,
+        held: Vec::new(),
     }
 }
 
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -6,6 +6,7 @@
 use keys::{ClaimReply, KeyHash};
 use membership::VmList;
 use names::{AttemptId, BootId};
+use quarantine::{Fingerprint, Suspect};
 use registry::{Record, Versions};
 use rollout::{Configuration, Summary};
 use serde::{Deserialize, Serialize};
@@ -69,7 +70,13 @@
         id: AttemptId,
         /// State of the upstream.
         load: Load,
+        /// What follows for the request where the upstream has ended.
+        ended: Option<Suspect>,
     },
+    /// Home to all: the upstream ended while it ran these requests.
+    Ended(Vec<Suspect>),
+    /// Home to all: the request has run to its end, and nothing is to be feared of it.
+    Cleared(Fingerprint),
     /// Entry to home: what became of this attempt? If it has not started, it never will.
     Ask {
         /// The attempt.
@@ -203,6 +210,8 @@
             Frame::Revoked { .. } => "revoked",
             Frame::Answered { .. } => "answered",
             Frame::Broken { .. } => "broken",
+            Frame::Ended(_) => "upstream-ended",
+            Frame::Cleared(_) => "cleared",
             Frame::Ask { .. } => "ask",
             Frame::Told { .. } => "told",
             Frame::Cancel { .. } => "cancel",
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -23,6 +23,7 @@
             repeatable: true,
             may_queue: false,
             repeat: false,
+            suspicion: home::Suspicion::None,
         },
         key: None,
         req: Arc::new(Request {
