One clock for decisions counts the time for which a VM was suspended

Cause, in reading: the steady clock stands still while a VM is suspended, as do the runtime's timers. What is known looked as young as before, a sender that had been suspended looked to its peers as if each of its frames had waited that long, and a deadline passed late by the whole suspension. Tests of the containment's decisions come with it.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -4,6 +4,7 @@
 //! the kind and counted. `docs/OPERATIONS.md` reads these lines.
 
 use crate::callers::CallerRequest;
+use crate::clock::Clock;
 use crate::node::Node;
 use crate::stats;
 use crate::watching::Purpose;
@@ -18,7 +19,6 @@
 use registry::{Farewell, Incarnation, Instance, Record, Verdict};
 use rollout::{Advice, InForce, Offered, Summary};
 use std::cell::RefCell;
-use std::time::Instant;
 use wire::{RelayOutcome, Request};
 
 /// Lines of one kind in each second.
@@ -39,7 +39,7 @@
 const KINDS: usize = 7;
 
 thread_local! {
-    static LIMITERS: RefCell<([Limiter; KINDS], Option<Instant>)> =
+    static LIMITERS: RefCell<([Limiter; KINDS], Option<Clock>)> =
         const { RefCell::new(([const { Limiter::new(LINES_PER_SECOND) }; KINDS], None)) };
 }
 
@@ -49,7 +49,7 @@
         return false;
     }
     LIMITERS.with_borrow_mut(|(limiters, start)| {
-        let now_us = start.get_or_insert_with(Instant::now).elapsed().as_micros() as u64;
+        let now_us = start.get_or_insert_with(Clock::start).now().0;
         match limiters[kind as usize].pass(now_us) {
             Some(missed) => {
                 if missed > 0 {
@@ -294,6 +294,11 @@
     );
 }
 
+/// The VM was suspended, and is back. What was known before is older by that time, and deadlines have passed.
+pub fn suspended(us: u64) {
+    tracing::warn!(for_ms = us / 1_000, "the VM was suspended");
+}
+
 /// The records in the store were read.
 pub fn listed(count: usize, at: u64) {
     tracing::info!(count, at, "the nodes' records were listed");
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -6,7 +6,6 @@
 use crate::node::{Node, Waiter, Whole};
 use crate::stats::{self, Stage};
 use async_channel::{Receiver, Sender};
-use async_std::future::timeout;
 use entry::{Action, Call, Candidate, Event, Outcome, Price, Treatment};
 use futures_util::future::{select, Either};
 use home::{Load, Offer, Suspicion};
@@ -111,7 +110,7 @@
             if self.call.is_done() {
                 return None;
             }
-            let next = pin!(timeout(self.node.clock.until(deadline), rx.recv()));
+            let next = pin!(self.node.clock.by(deadline, rx.recv()));
             event = match select(next, hung_up.as_mut()).await {
                 Either::Left((Ok(Ok(event)), _)) => event,
                 Either::Left((_, _)) => self.expired(),
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -7,10 +7,9 @@
 use crate::registration::{self, Registration};
 use crate::stats;
 use crate::upstream::{Failure, Pool, Terms};
-use async_std::future::timeout;
 use errors::Error;
 use home::{Home, Verdict};
-use names::{AttemptId, Moment};
+use names::{AttemptId, Moment, MILLISECOND};
 use registry::Incarnation;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,11 +26,12 @@
         return (Verdict::NotSent, None);
     };
     let left = node.clock.until(job.deadline);
-    let overrun = Duration::from_millis(node.cfg.overrun_ms);
+    let overrun_us = node.cfg.overrun_ms * MILLISECOND;
     let expected = node.registration.as_deref().and_then(registration::current);
     let terms = terms(node, id, job, left, expected.as_ref());
     let start = pool.starts();
-    match timeout(left + overrun, pool.exchange(&job.req, &terms)).await {
+    let exchange = pool.exchange(&job.req, &terms);
+    match node.clock.by(job.deadline + overrun_us, exchange).await {
         Ok(Ok(answer)) => judge(node, job, expected.as_ref(), answer),
         Ok(Err(Failure::NotSent(error))) => {
             stats::upstream_failed("not-sent");
@@ -71,7 +71,7 @@
     instance: Option<&Incarnation>,
     broke: Break,
 ) -> Verdict {
-    let has_ended = pool.starts() != broke.start || pool.is_refused().await;
+    let has_ended = pool.starts() == broke.start && pool.is_refused().await;
     if !has_ended || node.is_leaving() {
         return Verdict::Broken;
     }
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -27,6 +27,8 @@
 const SUCCESSOR_LOOK: Duration = Duration::from_millis(500);
 /// Time between two looks at a queue that holds something.
 const QUEUE_TICK: Duration = Duration::from_millis(5);
+/// A suspension of the VM that is told in a line, in microseconds: shorter ones change nothing that is decided.
+const NOTED_SUSPENSION_US: u64 = 100 * MILLISECOND;
 /// Time between two looks at an empty queue.
 const IDLE_TICK: Duration = Duration::from_millis(20);
 
@@ -244,6 +246,7 @@
 
 /// Lets the home duty's time pass.
 pub async fn run_ticks(node: Rc<Node>) {
+    let mut suspended_us = 0;
     loop {
         let busy = node
             .home
@@ -251,6 +254,11 @@
             .as_ref()
             .is_some_and(|home| home.has_queue());
         task::sleep(if busy { QUEUE_TICK } else { IDLE_TICK }).await;
+        let suspended_before_us = std::mem::replace(&mut suspended_us, node.clock.suspended_us());
+        let suspension_us = suspended_us.saturating_sub(suspended_before_us);
+        if suspension_us > NOTED_SUSPENSION_US {
+            audit::suspended(suspension_us);
+        }
         if node.was_paused() {
             boot_record::paused(&node);
         }
--- a/components/daemon/src/relay.rs
+++ b/components/daemon/src/relay.rs
@@ -5,7 +5,6 @@
 use crate::local;
 use crate::node::Node;
 use crate::stats;
-use async_std::future::timeout;
 use home::Reason;
 use keys::ranked;
 use names::{AttemptId, Moment, Name};
@@ -134,7 +133,7 @@
         req: relay.req,
     };
     links::send(node, coordinator, &frame);
-    let relayed = timeout(node.clock.until(deadline), rx.recv()).await;
+    let relayed = node.clock.by(deadline, rx.recv()).await;
     node.relays.borrow_mut().remove(&id);
     match relayed {
         Ok(Ok(relayed)) => relayed,
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -9,7 +9,7 @@
 use signal_hook::consts::signal::{SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Callers' connections stay open so long after the upstream was left; each answer asks to close.
 const GRACE: Duration = Duration::from_millis(1_000);
@@ -43,7 +43,7 @@
         open = node.open_calls.get(),
         "a planned stop begins"
     );
-    let began = Instant::now();
+    let began = node.now();
     node.stopping.set(true);
     task::sleep(linger).await;
     node.upstream_left.set(true);
@@ -58,7 +58,8 @@
         open = node.open_calls.get(),
         "no further requests are taken"
     );
-    while !is_idle(node) && began.elapsed() < limit {
+    let until = began + limit.as_micros() as u64;
+    while !is_idle(node) && node.now() < until {
         task::sleep(LOOK).await;
     }
     let left = node.open_calls.get();
--- a/components/daemon/src/upstream.rs
+++ b/components/daemon/src/upstream.rs
@@ -1,15 +1,17 @@
 //! Exchanges with the upstream beside this node, over connections kept open.
 
+use crate::clock::Clock;
 use async_std::future::timeout;
 use async_std::io::{ErrorKind, WriteExt};
 use async_std::net::TcpStream;
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
 use http1::{response_framing, Connection, EndByClose, Fault, Framing, ResponseHead};
+use names::Moment;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use wire::{Answer, Request};
 
 /// Longest wait for a new connection to the upstream, which is on this VM.
@@ -51,7 +53,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    since: Instant,
+    since: Moment,
     usable_for: Duration,
     connection: Connection<TcpStream>,
 }
@@ -59,6 +61,7 @@
 /// Connections to one upstream.
 #[derive(Debug)]
 pub struct Pool {
+    clock: Clock,
     address: Cell<SocketAddr>,
     max_body_bytes: usize,
     warm: Cell<usize>,
@@ -82,6 +85,7 @@
             EndByClose::Fault
         };
         Pool {
+            clock: Clock::start(),
             address: Cell::new(address),
             max_body_bytes,
             warm: Cell::new(warm),
@@ -202,7 +206,8 @@
             } else {
                 idle.usable_for.min(UNREPEATABLE_IDLE)
             };
-            if idle.since.elapsed() < most && is_quiet(&idle.connection) {
+            let age_us = self.clock.now().since(idle.since);
+            if Duration::from_micros(age_us) < most && is_quiet(&idle.connection) {
                 return Ok(idle.connection);
             }
         }
@@ -212,7 +217,7 @@
         let mut idle = self.idle.borrow_mut();
         if idle.len() < self.warm.get().max(1) {
             idle.push(Idle {
-                since: Instant::now(),
+                since: self.clock.now(),
                 usable_for,
                 connection,
             });
--- /dev/null
+++ b/components/quarantine/tests/quarantine.rs
@@ -0,0 +1,205 @@
+//! What a node knows of requests under which upstreams ended, whatever it is told and in whatever order.
+
+use names::{AttemptId, BootId, Moment, Name, SECOND};
+use proptest::prelude::*;
+use quarantine::{order, Fingerprint, Quarantine, Standing, Suspect};
+
+const NOW: Moment = Moment(1);
+
+fn request(body: &str) -> Fingerprint {
+    Fingerprint::of("GET", "site.example", "/a/x", body.as_bytes())
+}
+
+fn end(seq: u64) -> AttemptId {
+    AttemptId {
+        boot: BootId(7),
+        seq,
+    }
+}
+
+fn suspect(fingerprint: Fingerprint, seq: u64, alone: bool) -> Suspect {
+    Suspect {
+        fingerprint,
+        end: end(seq),
+        alone,
+    }
+}
+
+#[test]
+fn requests_that_differ_in_a_part_have_different_fingerprints() {
+    let one = Fingerprint::of("GET", "site.example", "/a/x", b"");
+    let others = [
+        Fingerprint::of("PUT", "site.example", "/a/x", b""),
+        Fingerprint::of("GET", "sit.example", "e/a/x", b""),
+        Fingerprint::of("GET", "site.example", "/a/", b"x"),
+        Fingerprint::of("GET", "site.example", "/a/x", b"y"),
+    ];
+    assert!(others.iter().all(|other| *other != one));
+    assert_eq!(one, Fingerprint::of("GET", "site.example", "/a/x", b""));
+}
+
+#[test]
+fn a_fingerprint_is_read_back_from_its_text_and_no_other_text_is_one() {
+    let one = request("x");
+    assert_eq!(Fingerprint::try_from(one.to_string()), Ok(one));
+    for text in [
+        "",
+        "00",
+        "+0000000000000000000000000000001",
+        &format!("{one}0"),
+    ] {
+        assert!(Fingerprint::try_from(text.to_string()).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn a_request_is_free_then_suspect_then_held() {
+    let mut known = Quarantine::default();
+    let one = request("x");
+    assert_eq!(known.standing(one), Standing::Free);
+    known.ended(NOW, suspect(one, 1, false));
+    assert_eq!(known.standing(one), Standing::Suspect);
+    known.ended(NOW, suspect(one, 2, true));
+    assert_eq!(known.standing(one), Standing::Held);
+    assert_eq!(known.standing(request("y")), Standing::Free);
+}
+
+#[test]
+fn an_end_counts_once_however_often_it_is_told() {
+    let mut known = Quarantine::default();
+    let one = request("x");
+    assert!(known.ended(NOW, suspect(one, 1, true)));
+    assert!(!known.ended(NOW, suspect(one, 1, true)));
+    assert_eq!(known.standing(one), Standing::Suspect);
+    assert_eq!(known.ends(one), 1);
+}
+
+#[test]
+fn a_request_that_was_never_the_only_suspect_is_held_after_its_third_end_alone() {
+    let mut known = Quarantine::default();
+    let one = request("x");
+    for seq in 1..=2 {
+        known.ended(NOW, suspect(one, seq, false));
+        assert_eq!(known.standing(one), Standing::Suspect);
+    }
+    known.ended(NOW, suspect(one, 3, false));
+    assert_eq!(known.standing(one), Standing::Held);
+}
+
+#[test]
+fn a_good_end_clears_a_request() {
+    let mut known = Quarantine::default();
+    let one = request("x");
+    known.ended(NOW, suspect(one, 1, true));
+    assert!(known.ran(one));
+    assert!(!known.ran(one));
+    known.ended(NOW, suspect(one, 2, true));
+    assert_eq!(known.standing(one), Standing::Suspect);
+}
+
+#[test]
+fn what_another_node_holds_is_held() {
+    let mut known = Quarantine::default();
+    let one = request("x");
+    assert!(known.hold(NOW, one));
+    assert!(!known.hold(NOW, one));
+    assert_eq!(known.standing(one), Standing::Held);
+    assert!(!known.was_seen_by(BootId(7), one));
+    assert_eq!(known.held().collect::<Vec<_>>(), [one]);
+}
+
+#[test]
+fn a_suspect_is_forgotten_after_an_hour_and_what_is_held_after_a_day() {
+    let mut known = Quarantine::default();
+    let (free, held) = (request("x"), request("y"));
+    known.ended(NOW, suspect(free, 1, true));
+    known.hold(NOW, held);
+    known.tick(NOW + 3_600 * SECOND);
+    assert_eq!(known.standing(free), Standing::Suspect);
+    known.tick(NOW + 3_601 * SECOND);
+    assert_eq!(known.standing(free), Standing::Free);
+    assert_eq!(known.standing(held), Standing::Held);
+    known.tick(NOW + 25 * 3_600 * SECOND);
+    assert_eq!(known.standing(held), Standing::Free);
+    assert!(known.is_empty());
+}
+
+/// A caller who makes up thousands of requests drives out suspects before what is held.
+#[test]
+fn memory_is_bounded_and_what_is_held_stays_longest() {
+    let mut known = Quarantine::default();
+    let held = request("held");
+    known.hold(NOW, held);
+    for number in 0..10_000 {
+        let one = request(&number.to_string());
+        known.ended(NOW + number, suspect(one, number, true));
+    }
+    assert_eq!(known.standing(held), Standing::Held);
+    let last = request("9999");
+    assert_eq!(known.standing(last), Standing::Suspect);
+    assert_eq!(known.standing(request("0")), Standing::Free);
+}
+
+#[test]
+fn nodes_that_know_the_same_vms_agree_where_a_suspect_runs() {
+    let vms: Vec<Name> = (0..20).map(|vm| Name::from(format!("vm-{vm}"))).collect();
+    let one = request("x");
+    let there = order(one, vms.clone());
+    let back = order(one, vms.iter().rev().cloned());
+    assert_eq!(there, back);
+    // One that is not known to a node changes nothing for the others.
+    let without = order(one, vms.into_iter().filter(|vm| *vm != there[0]));
+    assert_eq!(without[..there.len() - 1], there[1..]);
+}
+
+proptest! {
+    /// Words come twice, and in any order: the same is known in the end.
+    #[test]
+    fn nodes_that_are_told_the_same_ends_agree(
+        ends in prop::collection::vec((0u8..4, 0u64..6, any::<bool>()), 1..20),
+        seed in any::<u64>(),
+    ) {
+        // An end says one thing of a request, whoever tells it.
+        let mut told: Vec<(u8, u64, bool)> = Vec::new();
+        for (body, seq, alone) in ends {
+            if !told.iter().any(|(other, at, _)| (*other, *at) == (body, seq)) {
+                told.push((body, seq, alone));
+            }
+        }
+        let learn = |told: &[(u8, u64, bool)]| {
+            let mut known = Quarantine::default();
+            for (body, seq, alone) in told {
+                known.ended(NOW, suspect(request(&body.to_string()), *seq, *alone));
+            }
+            known
+        };
+        let first = learn(&told);
+        let mut shuffled = told.clone();
+        shuffled.extend_from_slice(&told);
+        let length = shuffled.len();
+        for index in 0..length {
+            shuffled.swap(index, (seed as usize).wrapping_mul(index + 7) % length);
+        }
+        let second = learn(&shuffled);
+        for body in 0..4u8 {
+            let one = request(&body.to_string());
+            prop_assert_eq!(first.standing(one), second.standing(one));
+        }
+    }
+
+    /// What is held stays so, whatever ends are told besides, until it has run to a good end.
+    #[test]
+    fn what_is_held_stays_held(
+        ends in prop::collection::vec((0u64..30, any::<bool>()), 0..30),
+    ) {
+        let mut known = Quarantine::default();
+        let one = request("x");
+        let mut was_held = false;
+        for (seq, alone) in ends {
+            known.ended(NOW, suspect(one, seq, alone));
+            let is_held = known.standing(one) == Standing::Held;
+            prop_assert!(is_held || !was_held);
+            was_held = is_held;
+        }
+    }
+}
