A panic under what comes from outside ends that connection or step alone

Found in reading: a panic while a frame is read on a connection that this node opened, while an upstream's registration is read, and while declarations are translated or checked ended the node; the last one would end the fleet. Connections of callers and those that peers open were contained already; policies are bounded in steps and sizes. Change: errors::contained, and tasks of one connection that end alone, with a line and the counter of panics. No input is known that makes a node panic.

--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -7,6 +7,7 @@
 use crate::stats::{self, Work};
 use crate::{coordinator, home_driver, watching};
 use async_std::task;
+use errors::{contained, Step};
 use membership::VmList;
 use names::Name;
 use rand::seq::IndexedRandom;
@@ -51,8 +52,11 @@
     let (before, offered) = match begun {
         Ok(mut checking) => {
             let checked = loop {
-                if let Some(checked) = checking.step() {
-                    break checked;
+                let step = contained(Step::Declarations, "-", || checking.step());
+                match step {
+                    Ok(None) => {}
+                    Ok(Some(checked)) => break checked,
+                    Err(error) => break Err(error.to_string()),
                 }
                 task::sleep(BREATH).await;
             };
--- a/components/daemon/src/containment.rs
+++ b/components/daemon/src/containment.rs
@@ -389,5 +389,7 @@
     }
     node.containment.looked.set(Some(now));
     let node = node.clone();
-    local::spawn(async move { registration::look(&node, &registration).await });
+    local::spawn_contained("look for held requests", async move {
+        registration::look(&node, &registration).await;
+    });
 }
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -12,9 +12,11 @@
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
 use futures_util::stream::SplitStream;
+use futures_util::FutureExt;
 use home::Delay;
 use names::Name;
 use std::cell::Cell;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,8 +34,19 @@
     cut: Receiver<()>,
 }
 
+/// Does the same as [`run`]; a frame that makes this node panic ends the connection alone.
+pub async fn run_contained(node: Rc<Node>, vm: Name) {
+    let running = AssertUnwindSafe(run(node.clone(), vm.clone()));
+    if running.catch_unwind().await.is_err() {
+        stats::panicked();
+        tracing::error!(peer = %vm, "a panic was contained");
+        node.links.borrow_mut().remove(&vm);
+        lost(&node, &vm);
+    }
+}
+
 /// Opens a connection to `vm`, sends what waits for it and reads until it breaks.
-pub async fn run(node: Rc<Node>, vm: Name) {
+async fn run(node: Rc<Node>, vm: Name) {
     let opened = timeout(DIAL_TIMEOUT, open(&node, &vm))
         .await
         .unwrap_or_else(|_| Err(Error::new(Step::Handshake, &vm, "no answer in time")));
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -197,7 +197,7 @@
     let mut links = node.links.borrow_mut();
     links.insert(vm.clone(), Link::Connecting(Vec::new()));
     drop(links);
-    crate::local::spawn(dial::run(node.clone(), vm.clone()));
+    crate::local::spawn(dial::run_contained(node.clone(), vm.clone()));
 }
 
 /// Gives a connection up that leads to an earlier start of a node, or to an address it has left.
@@ -252,7 +252,7 @@
         Some(Link::Failed(_)) | None => {
             links.insert(to.clone(), Link::Connecting(vec![frame]));
             drop(links);
-            crate::local::spawn(dial::run(node.clone(), to.clone()));
+            crate::local::spawn(dial::run_contained(node.clone(), to.clone()));
         }
     }
 }
--- a/components/daemon/src/ready.rs
+++ b/components/daemon/src/ready.rs
@@ -25,7 +25,7 @@
             continue;
         };
         let node = node.clone();
-        local::spawn(async move {
+        local::spawn_contained("readiness", async move {
             let mut connection = Connection::new(stream);
             while let Ok(Ok(true)) = timeout(IDLE_TIMEOUT, exchange(&node, &mut connection)).await {
             }
--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -32,7 +32,7 @@
         };
         let node = node.clone();
         let registration = registration.clone();
-        local::spawn(async move {
+        local::spawn_contained("registration", async move {
             let mut connection = Connection::new(stream);
             loop {
                 let served = timeout(
--- a/components/daemon/src/watching/registered.rs
+++ b/components/daemon/src/watching/registered.rs
@@ -7,7 +7,7 @@
 use crate::registration::Registration;
 use crate::stats::{self, Work};
 use async_std::task;
-use errors::{Error, Result, Step};
+use errors::{contained, Error, Result, Step};
 use platform::{Reading, Stored, Watched};
 use rollout::{split, Change, Configuration, Head};
 use std::cell::Cell;
@@ -102,7 +102,9 @@
     let (_, name) = registration.adapter.declarations();
     for object in objects.iter().filter(|object| object.name.as_str() == name) {
         let began = node.now();
-        let written = match registration.adapter.translate(&object.value) {
+        let translate = || registration.adapter.translate(&object.value);
+        let translated = contained(Step::Platform, name, translate);
+        let written = match translated.and_then(|written| written) {
             Ok(written) => written,
             Err(error) => {
                 audit::unreadable(object, &error);
--- a/components/errors/src/lib.rs
+++ b/components/errors/src/lib.rs
@@ -3,8 +3,10 @@
 //! [`Error`] is for failures at run time: it carries the step and the peer at which it arose.
 //! [`Problem`] is for input written by people: it names file, line, section, key and value.
 
+mod contained;
 mod problem;
 
+pub use contained::contained;
 pub use problem::{Problem, Problems};
 
 use std::fmt;
