Operators see which requests are held, and free one

Change: `drumwheel held` and `drumwheel release`, a line with who and why, all nodes told; a node that lets a request go from its record frees it elsewhere unless another record holds it.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -140,6 +140,11 @@
     }
 }
 
+/// An operator frees a request.
+pub fn released(fingerprint: Fingerprint, who: &str, why: &str) {
+    tracing::info!(%fingerprint, who, why, "an operator frees a request");
+}
+
 /// A request under suspicion has run to its end.
 pub fn cleared(fingerprint: Fingerprint) {
     if allowed(Kind::Contained) {
--- a/components/daemon/src/containment.rs
+++ b/components/daemon/src/containment.rs
@@ -236,8 +236,15 @@
     Event::Ended { id, order }
 }
 
-/// Takes in what another node holds, from its record.
-pub fn record_taken(node: &Rc<Node>, record: &Record) {
+/// Takes in what another node holds, from its record, and what the same start of it held before.
+pub fn record_taken(node: &Rc<Node>, record: &Record, before: Option<&Record>) {
+    let same_start = before.filter(|before| before.boot == record.boot);
+    for fingerprint in same_start.into_iter().flat_map(|before| &before.held) {
+        if !is_in_a_record(node, *fingerprint) {
+            let mut known = node.containment.known.borrow_mut();
+            known.let_go(*fingerprint);
+        }
+    }
     let now = node.now();
     for fingerprint in &record.held {
         let is_news = node.containment.known.borrow_mut().hold(now, *fingerprint);
@@ -248,6 +255,34 @@
     }
 }
 
+/// Whether any node's record holds a request.
+fn is_in_a_record(node: &Node, fingerprint: Fingerprint) -> bool {
+    let Some(registration) = &node.registration else {
+        return false;
+    };
+    let fleet = registration.fleet.borrow();
+    let mut records = fleet.records();
+    records.any(|record| record.held.contains(&fingerprint))
+}
+
+/// An operator frees a request: all nodes are told. Returns whether anything was known against it here.
+pub fn release(node: &Rc<Node>, fingerprint: Fingerprint) -> bool {
+    let was_known = clear(node, fingerprint);
+    tell(node, &Frame::Cleared(fingerprint));
+    was_known
+}
+
+/// Requests that are held, with the ends that this node knows of under each.
+pub fn held_requests(node: &Node) -> Vec<(Fingerprint, usize)> {
+    let known = node.containment.known.borrow();
+    let held = known.held();
+    let mut held: Vec<(Fingerprint, usize)> = held
+        .map(|fingerprint| (fingerprint, known.ends(fingerprint)))
+        .collect();
+    held.sort_unstable();
+    held
+}
+
 /// Takes in that the upstream beside this node has run a request to its end.
 pub fn ran(node: &Rc<Node>, req: &Request) {
     if node.containment.known.borrow().is_empty() {
@@ -343,7 +378,7 @@
     if earlier.boot == node.boot {
         return;
     }
-    record_taken(node, earlier);
+    record_taken(node, earlier, None);
     let mut held = registration.fleet.borrow().own().held.clone();
     let before = held.len();
     for fingerprint in &earlier.held {
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -3,8 +3,9 @@
 //! The routes are tide's; connections are accepted here, since tide's own `listen` starts threads
 //! and has no graceful stop. Requests for the node's state go over a bounded channel.
 
-use crate::audit::Origin;
+use crate::audit::{self, Origin};
 use crate::configuration;
+use crate::containment;
 use crate::home_driver;
 use crate::local;
 use crate::node::Node;
@@ -14,8 +15,9 @@
 use async_std::task;
 use metrics_exporter_prometheus::PrometheusHandle;
 use names::SECOND;
+use quarantine::Fingerprint;
 use rollout::{Configuration, Offered};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 use std::time::Duration;
 use tide::{Request, Response, StatusCode};
@@ -28,6 +30,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two rounds of [`run_upkeep`].
 const UPKEEP_EVERY: Duration = Duration::from_secs(5);
+/// Largest release, in bytes: a fingerprint, a name and a reason.
+const MAX_RELEASE_BYTES: usize = 16 * 1024;
 /// Largest pushed revision, in bytes.
 const MAX_PUSH_BYTES: usize = 16 * 1024 * 1024;
 
@@ -92,6 +96,8 @@
     pub looks: u64,
     /// Starts on a word of the pace that was fresh without a look.
     pub looks_saved: u64,
+    /// Requests that no upstream sees, because upstreams ended while they ran them.
+    pub held: Vec<HeldRequest>,
     /// Learned length of the upstream's slow phases, in microseconds.
     pub slow_phase_us: u64,
 }
@@ -102,10 +108,32 @@
     Status(Sender<Status>),
     /// Take no new work, or take it again.
     Drain(bool, Sender<()>),
+    /// Free a request that is held; tells whether anything was known against it.
+    Release(Box<Released>, Sender<bool>),
     /// Take in a revision that the platform accepted.
     Push(Box<Configuration>, Sender<Offered>),
 }
 
+/// A request that an operator frees.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Released {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Who frees it.
+    pub who: String,
+    /// Why.
+    pub why: String,
+}
+
+/// A request that is held, for operators.
+#[derive(Debug, Clone, Serialize)]
+pub struct HeldRequest {
+    /// The request, as log lines name it.
+    pub fingerprint: Fingerprint,
+    /// Ends of upstreams under it that this node knows of; 0 where another node's record holds it.
+    pub ends: usize,
+}
+
 #[derive(Clone)]
 struct Shared {
     tx: Sender<Command>,
@@ -136,6 +164,7 @@
     app.at("/status").get(status);
     app.at("/drain").post(|req| drain(req, true));
     app.at("/undrain").post(|req| drain(req, false));
+    app.at("/release").post(release);
     app.at("/configuration").post(push);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -176,6 +205,11 @@
                 home_driver::leaving_changed(&node);
                 tx.try_send(()).ok();
             }
+            Command::Release(released, tx) => {
+                audit::released(released.fingerprint, &released.who, &released.why);
+                let was_known = containment::release(&node, released.fingerprint);
+                tx.try_send(was_known).ok();
+            }
             Command::Push(configuration, tx) => {
                 let offered = configuration::take_in(&node, *configuration, Origin::Operator).await;
                 tx.try_send(offered).ok();
@@ -226,12 +260,19 @@
         measuring_refused: spent.refused,
         looks: spent.looks,
         looks_saved: counters.looks_saved,
+        held: held(node),
         slow_phase_us: home
             .as_ref()
             .map_or(0, |home| home.pace().phase_us() as u64),
     }
 }
 
+fn held(node: &Node) -> Vec<HeldRequest> {
+    let held = containment::held_requests(node).into_iter();
+    held.map(|(fingerprint, ends)| HeldRequest { fingerprint, ends })
+        .collect()
+}
+
 async fn ask<T>(shared: &Shared, command: impl FnOnce(Sender<T>) -> Command) -> tide::Result<T> {
     let (tx, rx) = async_channel::bounded(1);
     let busy = || tide::Error::from_str(StatusCode::ServiceUnavailable, "the node is busy");
@@ -324,6 +365,26 @@
     Ok(if drained { "drained\n" } else { "undrained\n" }.into())
 }
 
+async fn release(mut req: Request<Shared>) -> tide::Result {
+    authorise(&req)?;
+    if req.len().is_none_or(|length| length > MAX_RELEASE_BYTES) {
+        return Err(tide::Error::from_str(
+            StatusCode::PayloadTooLarge,
+            "a release needs a length within the limit",
+        ));
+    }
+    let released: Released = req.body_json().await?;
+    let was_known = ask(req.state(), |tx| Command::Release(Box::new(released), tx)).await?;
+    Ok(if was_known {
+        "released
+"
+    } else {
+        "not held
+"
+    }
+    .into())
+}
+
 async fn push(mut req: Request<Shared>) -> tide::Result {
     authorise(&req)?;
     if req.len().is_none_or(|length| length > MAX_PUSH_BYTES) {
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -88,7 +88,7 @@
                 return;
             };
             audit::record_taken(after, before.as_ref());
-            let held_there = after.clone();
+            let after_record = after.clone();
             let moved = before
                 .as_ref()
                 .is_none_or(|before| before.peers != after.peers);
@@ -109,7 +109,7 @@
                 node.entry.borrow_mut().forget(&vm);
             }
             node.fleet_changed();
-            containment::record_taken(node, &held_there);
+            containment::record_taken(node, &after_record, before.as_ref());
             let direct = reply.filter(|_| sender == Some(&vm));
             if let (Some(before), Some(reply), true) = (before, direct, renewed) {
                 // The new start may not know what the one before it has told.
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -5,5 +5,5 @@
 mod read;
 
 pub use change::apply;
-pub use nodes::{drain, push, status, NodeStatus};
+pub use nodes::{drain, push, release, status, HeldRequest, NodeStatus, Release};
 pub use read::{configuration, head, history, vms};
--- a/components/operator/src/nodes.rs
+++ b/components/operator/src/nodes.rs
@@ -32,6 +32,29 @@
     pub queued: u32,
     /// Attempts that may run at once.
     pub limit: u32,
+    /// Requests that no upstream sees.
+    #[serde(default)]
+    pub held: Vec<HeldRequest>,
+}
+
+/// A request that an operator frees, and the entry in the audit trail.
+#[derive(Debug, Clone, Serialize)]
+pub struct Release {
+    /// The request's fingerprint, as log lines name it.
+    pub fingerprint: String,
+    /// Who frees it.
+    pub who: String,
+    /// Why.
+    pub why: String,
+}
+
+/// A request that the nodes hold.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HeldRequest {
+    /// The request's fingerprint.
+    pub fingerprint: String,
+    /// Ends of upstreams under it that the node knows of.
+    pub ends: u32,
 }
 
 /// The state of the node at `address`.
@@ -47,6 +70,14 @@
     Ok(())
 }
 
+/// Frees a request that the nodes hold, through the node at `address`; returns what it made of it.
+pub async fn release(address: &str, fleet_key: &str, release: &Release) -> Result<String> {
+    let body =
+        serde_json::to_vec(release).map_err(|error| Error::new(Step::Operators, address, error))?;
+    let bytes = call(address, Method::Post, "/release", Some(fleet_key), body).await?;
+    Ok(String::from_utf8_lossy(&bytes).trim().to_string())
+}
+
 /// Hands a node a revision that the platform has accepted; returns what the node made of it.
 pub async fn push(address: &str, fleet_key: &str, configuration: &Configuration) -> Result<String> {
     let body = wire::encode_message(configuration);
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -115,6 +115,17 @@
         is_news
     }
 
+    /// Takes in that no other node holds a request any more. What is known of ends under it stays.
+    pub fn let_go(&mut self, fingerprint: Fingerprint) {
+        let Some(entry) = self.known.get_mut(&fingerprint) else {
+            return;
+        };
+        entry.is_told = false;
+        if entry.ends.is_empty() {
+            self.known.remove(&fingerprint);
+        }
+    }
+
     /// Takes in that a request has run to its end, and the upstream went on. Returns whether anything was known
     /// against it.
     pub fn ran(&mut self, fingerprint: Fingerprint) -> bool {
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -108,6 +108,19 @@
     assert_eq!(known.held().collect::<Vec<_>>(), [one]);
 }
 
+#[test]
+fn what_no_other_node_holds_any_more_is_free_unless_ends_are_known() {
+    let mut known = Quarantine::default();
+    let (told, seen) = (request("x"), request("y"));
+    known.hold(NOW, told);
+    known.hold(NOW, seen);
+    known.ended(NOW, suspect(seen, 1, true));
+    known.let_go(told);
+    known.let_go(seen);
+    assert_eq!(known.standing(told), Standing::Free);
+    assert_eq!(known.standing(seen), Standing::Suspect);
+}
+
 #[test]
 fn a_suspect_is_forgotten_after_an_hour_and_what_is_held_after_a_day() {
     let mut known = Quarantine::default();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -107,6 +107,29 @@
         /// Show the difference that each change made
         diff: bool,
     },
+    /// Show the requests that no upstream sees, because upstreams ended while they ran them
+    #[bpaf(command)]
+    Held {
+        /// The operators' address of any node
+        node: String,
+        #[bpaf(external)]
+        format: Format,
+    },
+    /// Free such a request; all nodes are told
+    #[bpaf(command)]
+    Release {
+        /// The operators' address of any node
+        node: String,
+        /// File with the fleet's key
+        key_file: PathBuf,
+        /// Who frees it
+        who: String,
+        /// Why
+        why: String,
+        /// The request's fingerprint, as `held` and log lines name it
+        #[bpaf(positional("FINGERPRINT"))]
+        fingerprint: String,
+    },
     /// Make a node's upstream take no new work
     #[bpaf(command)]
     Drain {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,8 +4,10 @@
 mod check;
 mod drain;
 mod explain;
+mod held;
 mod history;
 mod plan;
+mod release;
 mod status;
 
 use crate::cli::Command;
@@ -51,6 +53,21 @@
             diff,
         } => history::run(platform, format, most, diff).await,
         Command::Explain { id, files } => explain::run(&id, &files),
+        Command::Held { node, format } => held::run(&node, format).await,
+        Command::Release {
+            node,
+            key_file,
+            who,
+            why,
+            fingerprint,
+        } => {
+            let release = operator::Release {
+                fingerprint,
+                who,
+                why,
+            };
+            release::run(&node, &key_file, &release).await
+        }
         Command::Drain {
             node,
             key_file,
