What has run to a good end lately is neither suspect nor held; nobody is blamed alone where others may be unknown

A node had started again and did not know what its predecessor had sent to the server; the server ended under that, and the one request that the new node had there was blamed alone. Holding it cut its other runs off, which would have cleared it.

--- a/components/daemon/src/containment.rs
+++ b/components/daemon/src/containment.rs
@@ -19,6 +19,7 @@
 use quarantine::{Fingerprint, Quarantine, Standing, Suspect};
 use registry::{Incarnation, Record};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::{Frame, Request};
@@ -32,6 +33,14 @@
 /// Exchanges that break within this time of one another, at one start of the upstream, broke by one end, in
 /// microseconds. An upstream takes longer than that to start again.
 const ONE_END_US: u64 = SECOND / 2;
+/// An upstream may go on for so long with an exchange that was given up, in microseconds: the longest time that
+/// callers of the users' sites wait is 5 s.
+const GOES_ON_US: u64 = 5 * SECOND;
+/// Exchanges that were given up and are remembered at most.
+const MOST_CUT_OFF: usize = 256;
+/// For so long after its start a node that follows another one does not know all that is at work at its upstream, in microseconds: an
+/// earlier start of it may have sent more.
+const YOUNG_US: u64 = GOES_ON_US;
 /// Requests that a node's record holds at most; the oldest go first. They are sent with each change of the record:
 /// 34 bytes each.
 const MOST_IN_RECORD: usize = 64;
@@ -45,6 +54,10 @@
 pub struct Containment {
     /// What is known of them.
     known: RefCell<Quarantine>,
+    /// Exchanges that were given up, with the caller's identity: the upstream may go on with them.
+    cut_off: RefCell<VecDeque<(Moment, String, Fingerprint)>>,
+    /// Whether a record of an earlier start of this node was found.
+    has_predecessor: Cell<bool>,
     /// The last end of the upstream beside this node.
     last_end: Cell<Option<LastEnd>>,
     /// When the store was last asked what other nodes hold.
@@ -65,7 +78,7 @@
     if known.is_empty() {
         return Standing::Free;
     }
-    known.standing(req.fingerprint())
+    known.standing(node.now(), req.fingerprint())
 }
 
 /// Number of requests that are held.
@@ -165,28 +178,66 @@
 }
 
 /// What was at work at an end and has not been told of it: the identity that its caller gave it, and what follows.
+///
+/// None is blamed alone while there may be others of which this node does not know, nor where the same request ran
+/// well lately: then its copies are at work everywhere, and it was there by chance.
 fn suspects(node: &Node, end: AttemptId, at: Moment) -> Vec<(String, Suspect)> {
+    let given_up = given_up(node, at);
+    let is_young = at.since(node.started) < YOUNG_US && may_succeed_another(node);
     let mut jobs = node.jobs.borrow_mut();
     let was_at_work = |job: &&mut Job| job.started.is_some_and(|started| started <= at);
     let mut at_work: Vec<&mut Job> = jobs.values_mut().filter(was_at_work).collect();
     let count = at_work.len();
     let under_suspicion = at_work.iter().filter(|job| job.suspect).count();
+    let known = node.containment.known.borrow();
     let mut found = Vec::new();
     for job in &mut at_work {
         if job.ended.is_some() {
             continue;
         }
+        let fingerprint = job.req.fingerprint();
+        let is_only_one = count == 1 || job.suspect && under_suspicion == 1;
+        let may_be_others = is_young || !given_up.is_empty();
         let suspect = Suspect {
-            fingerprint: job.req.fingerprint(),
+            fingerprint,
             end,
-            alone: count == 1 || job.suspect && under_suspicion == 1,
+            alone: is_only_one && !may_be_others && !known.runs_well(at, fingerprint),
         };
         job.ended = Some(suspect);
         found.push((job.req.id.clone(), suspect));
     }
+    if found.is_empty() {
+        return found;
+    }
+    found.extend(given_up.into_iter().map(|(id, fingerprint)| {
+        let suspect = Suspect {
+            fingerprint,
+            end,
+            alone: false,
+        };
+        (id, suspect)
+    }));
     found
 }
 
+/// Whether an earlier start of this node may have been at work, by what is known so far.
+fn may_succeed_another(node: &Node) -> bool {
+    let Some(registration) = &node.registration else {
+        return true;
+    };
+    node.containment.has_predecessor.get() || !registration.has_listed.get()
+}
+
+/// Exchanges that were given up, and with which the upstream may have gone on until it ended.
+fn given_up(node: &Node, at: Moment) -> Vec<(String, Fingerprint)> {
+    let mut cut_off = node.containment.cut_off.borrow_mut();
+    cut_off.retain(|(when, ..)| at.since(*when) < GOES_ON_US);
+    let given_up = cut_off.iter();
+    given_up
+        .map(|(_, id, fingerprint)| (id.clone(), *fingerprint))
+        .collect()
+}
+
 /// Takes in what another node saw at the end of its upstream, and passes it on where its hall can't.
 pub fn told(node: &Rc<Node>, from: &Name, suspects: Vec<Suspect>) {
     let news = learn(node, &suspects);
@@ -204,7 +255,11 @@
         let (news, standing, ends) = {
             let mut known = node.containment.known.borrow_mut();
             let news = known.ended(now, *suspect);
-            (news, known.standing(fingerprint), known.ends(fingerprint))
+            (
+                news,
+                known.standing(now, fingerprint),
+                known.ends(fingerprint),
+            )
         };
         if !news {
             continue;
@@ -228,7 +283,7 @@
         .containment
         .known
         .borrow()
-        .standing(suspect.fingerprint);
+        .standing(node.now(), suspect.fingerprint);
     let order = match (standing, service) {
         (Standing::Held, _) | (_, None) => Vec::new(),
         (_, Some(service)) => order(node, &service, suspect.fingerprint),
@@ -285,15 +340,31 @@
 
 /// Takes in that the upstream beside this node has run a request to its end.
 pub fn ran(node: &Rc<Node>, req: &Request) {
-    if node.containment.known.borrow().is_empty() {
-        return;
-    }
     let fingerprint = req.fingerprint();
-    if clear(node, fingerprint) {
+    let now = node.now();
+    let was_known = node.containment.known.borrow_mut().ran(now, fingerprint);
+    if was_known {
+        after_clearing(node, fingerprint);
         tell(node, &Frame::Cleared(fingerprint));
     }
 }
 
+/// Takes in that a caller was given the upstream's good answer.
+pub fn answered(node: &Node, req: &Request) {
+    let now = node.now();
+    let mut known = node.containment.known.borrow_mut();
+    known.answered(now, req.fingerprint());
+}
+
+/// Takes in that an exchange was given up while the upstream worked on it, which may go on with it.
+pub fn cut_off(node: &Node, req: &Request) {
+    let mut cut_off = node.containment.cut_off.borrow_mut();
+    if cut_off.len() >= MOST_CUT_OFF {
+        cut_off.pop_front();
+    }
+    cut_off.push_back((node.now(), req.id.clone(), req.fingerprint()));
+}
+
 /// Takes in that a request has run to its end elsewhere.
 pub fn cleared(node: &Rc<Node>, from: &Name, fingerprint: Fingerprint) {
     if clear(node, fingerprint) && is_passed_on(node, from) {
@@ -302,20 +373,24 @@
 }
 
 fn clear(node: &Rc<Node>, fingerprint: Fingerprint) -> bool {
-    let was_known = node.containment.known.borrow_mut().ran(fingerprint);
+    let was_known = node.containment.known.borrow_mut().clear(fingerprint);
     if was_known {
-        audit::cleared(fingerprint);
-        stats::held(held_count(node));
-        for job in node.jobs.borrow_mut().values_mut() {
-            if job.suspect && job.req.fingerprint() == fingerprint {
-                job.suspect = false;
-            }
-        }
-        publish(node);
+        after_clearing(node, fingerprint);
     }
     was_known
 }
 
+fn after_clearing(node: &Rc<Node>, fingerprint: Fingerprint) {
+    audit::cleared(fingerprint);
+    stats::held(held_count(node));
+    for job in node.jobs.borrow_mut().values_mut() {
+        if job.suspect && job.req.fingerprint() == fingerprint {
+            job.suspect = false;
+        }
+    }
+    publish(node);
+}
+
 /// Forgets what is old, for as long as the node runs.
 pub async fn run(node: Rc<Node>) {
     loop {
@@ -355,11 +430,13 @@
     let before = registration.fleet.borrow().own().held.clone();
     let after = {
         let known = node.containment.known.borrow();
+        let now = node.now();
         let mut after: Vec<Fingerprint> = before.clone();
-        after.retain(|fingerprint| known.standing(*fingerprint) == Standing::Held);
+        after.retain(|fingerprint| known.standing(now, *fingerprint) == Standing::Held);
         let seen = known
             .held()
-            .filter(|fingerprint| known.was_seen_by(node.boot, *fingerprint));
+            .filter(|fingerprint| known.was_seen_by(node.boot, *fingerprint))
+            .filter(|fingerprint| known.standing(now, *fingerprint) == Standing::Held);
         let mut new: Vec<Fingerprint> = seen
             .filter(|fingerprint| !after.contains(fingerprint))
             .collect();
@@ -378,6 +455,7 @@
     if earlier.boot == node.boot {
         return;
     }
+    node.containment.has_predecessor.set(true);
     record_taken(node, earlier, None);
     let mut held = registration.fleet.borrow().own().held.clone();
     let before = held.len();
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -1,6 +1,7 @@
 //! Carries out the decisions of the entry duty.
 
 use crate::audit;
+use crate::containment;
 use crate::home_driver;
 use crate::links::{self, Reply};
 use crate::node::{Node, Waiter, Whole};
@@ -89,6 +90,9 @@
     };
     let outcome = running.run(rx, plan.deadline, pin!(hung_up)).await;
     running.forget();
+    if matches!(&outcome, Some(Outcome::Answered(answer)) if !answer.is_error()) {
+        containment::answered(node, &running.req);
+    }
     Finished {
         outcome,
         contacted: running.call.was_contacted(),
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -386,11 +386,11 @@
             node.claims.borrow_mut().not_run(key, id);
         }
     }
-    if matches!(verdict, Verdict::Good | Verdict::Error) {
-        let job = node.jobs.borrow().get(&id).cloned();
-        if let Some(job) = job {
-            containment::ran(node, &job.req);
-        }
+    let req = node.jobs.borrow().get(&id).map(|job| job.req.clone());
+    match (verdict, req) {
+        (Verdict::Good | Verdict::Error, Some(req)) => containment::ran(node, &req),
+        (Verdict::Broken | Verdict::Cancelled, Some(req)) => containment::cut_off(node, &req),
+        _ => {}
     }
     let answer = answer.map(Arc::new);
     let kept = answer.clone();
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -1,6 +1,7 @@
 //! What one node knows of requests under which upstreams ended.
 
 use crate::fingerprint::Fingerprint;
+use crate::recent::RecentRuns;
 use names::{AttemptId, BootId, Moment, SECOND};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -29,7 +30,7 @@
     /// The end: boot and counter of the node that saw it.
     #[serde(rename = "e")]
     pub end: AttemptId,
-    /// Whether it was the only request at work there of which this was to be feared.
+    /// Whether it was the only request there that may have ended it, by all that the node beside it knows.
     #[serde(rename = "a")]
     pub alone: bool,
 }
@@ -74,6 +75,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     known: HashMap<Fingerprint, Entry>,
+    recent: RecentRuns,
 }
 
 impl Quarantine {
@@ -83,14 +85,25 @@
     }
 
     /// How a request is treated.
-    pub fn standing(&self, fingerprint: Fingerprint) -> Standing {
+    pub fn standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
         match self.known.get(&fingerprint) {
             None => Standing::Free,
+            Some(_) if self.runs_well(now, fingerprint) => Standing::Free,
             Some(entry) if entry.is_held() => Standing::Held,
             Some(_) => Standing::Suspect,
         }
     }
 
+    /// Whether a request has run to a good end lately, as far as this node has seen.
+    pub fn runs_well(&self, now: Moment, fingerprint: Fingerprint) -> bool {
+        self.recent.has(now, fingerprint)
+    }
+
+    /// Takes in that a request ran to a good end elsewhere.
+    pub fn answered(&mut self, now: Moment, fingerprint: Fingerprint) {
+        self.recent.ran(now, fingerprint);
+    }
+
     /// Takes in that an upstream ended under a request. Returns whether that is news: each end counts once,
     /// whoever tells it and however often.
     pub fn ended(&mut self, now: Moment, suspect: Suspect) -> bool {
@@ -126,9 +139,15 @@
         }
     }
 
-    /// Takes in that a request has run to its end, and the upstream went on. Returns whether anything was known
-    /// against it.
-    pub fn ran(&mut self, fingerprint: Fingerprint) -> bool {
+    /// Takes in that a request has run to its end beside this node, and the upstream went on. Returns whether
+    /// anything was known against it.
+    pub fn ran(&mut self, now: Moment, fingerprint: Fingerprint) -> bool {
+        self.recent.ran(now, fingerprint);
+        self.clear(fingerprint)
+    }
+
+    /// Forgets what is known against a request. Returns whether anything was.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
         self.known.remove(&fingerprint).is_some()
     }
 
