--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -4,7 +4,7 @@
 use crate::recent::RecentRuns;
 use names::{AttemptId, BootId, Moment, SECOND};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Ends after which a request is held if others that were as suspect ran beside it each time.
 const MOST_ENDS: usize = 3;
@@ -17,6 +17,8 @@
 /// A request that is held is forgotten after so long, in microseconds: by then its caller or the upstreams have
 /// been mended. A trial each hour would end an upstream each hour.
 const HELD_KEPT_US: u64 = 24 * 3_600 * SECOND;
+/// Ends that are remembered as settled at most: a word of one that comes late, by another way, says nothing new.
+const MOST_SETTLED: usize = 1_024;
 /// Requests that are remembered at most: 300 KB. Each costs an upstream its life, so a caller who makes up new ones
 /// adds a few in a second at most.
 const MOST_KNOWN: usize = 4_096;
@@ -76,6 +78,9 @@
 pub struct Quarantine {
     known: HashMap<Fingerprint, Entry>,
     recent: RecentRuns,
+    /// Ends under requests that have run to a good end since.
+    settled: HashSet<(Fingerprint, AttemptId)>,
+    settled_order: VecDeque<(Fingerprint, AttemptId)>,
 }
 
 impl Quarantine {
@@ -107,6 +112,9 @@
     /// Takes in that an upstream ended under a request. Returns whether that is news: each end counts once,
     /// whoever tells it and however often.
     pub fn ended(&mut self, now: Moment, suspect: Suspect) -> bool {
+        if self.settled.contains(&(suspect.fingerprint, suspect.end)) {
+            return false;
+        }
         let entry = self.entry(now, suspect.fingerprint);
         if entry.ends.iter().any(|(end, _)| *end == suspect.end) {
             return false;
@@ -148,7 +156,13 @@
 
     /// Forgets what is known against a request. Returns whether anything was.
     pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
-        self.known.remove(&fingerprint).is_some()
+        let Some(entry) = self.known.remove(&fingerprint) else {
+            return false;
+        };
+        for (end, _) in entry.ends {
+            self.settle(fingerprint, end);
+        }
+        true
     }
 
     /// Whether the node with this boot saw one of the ends under a request.
@@ -176,6 +190,17 @@
             .retain(|_, entry| now.since(entry.at) <= entry.kept_us());
     }
 
+    fn settle(&mut self, fingerprint: Fingerprint, end: AttemptId) {
+        if self.settled_order.len() >= MOST_SETTLED {
+            if let Some(oldest) = self.settled_order.pop_front() {
+                self.settled.remove(&oldest);
+            }
+        }
+        if self.settled.insert((fingerprint, end)) {
+            self.settled_order.push_back((fingerprint, end));
+        }
+    }
+
     /// The entry of a request; a new one takes the place of the oldest where there are too many, of one that is
     /// not held while there is one.
     fn entry(&mut self, now: Moment, fingerprint: Fingerprint) -> &mut Entry {
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -98,6 +98,18 @@
     assert_eq!(known.standing(later, one), Standing::Suspect);
 }
 
+/// Words travel by several ways, and the word that clears may come before one of them.
+#[test]
+fn an_end_that_is_told_again_after_a_good_end_says_nothing_new() {
+    let mut known = Quarantine::default();
+    let one = request("x");
+    known.ended(NOW, suspect(one, 1, true));
+    assert!(known.clear(one));
+    assert!(!known.ended(NOW, suspect(one, 1, true)));
+    assert_eq!(known.standing(NOW, one), Standing::Free);
+    assert!(known.ended(NOW, suspect(one, 2, true)));
+}
+
 /// What many callers send is at work wherever an upstream ends. Held, it would be refused to all of them.
 #[test]
 fn what_has_run_well_lately_is_neither_suspect_nor_held() {
