--- a/components/daemon/src/containment.rs
+++ b/components/daemon/src/containment.rs
@@ -38,8 +38,8 @@
 const GOES_ON_US: u64 = 5 * SECOND;
 /// Exchanges that were given up and are remembered at most.
 const MOST_CUT_OFF: usize = 256;
-/// For so long after its start a node that follows another one does not know all that is at work at its upstream, in microseconds: an
-/// earlier start of it may have sent more.
+/// For so long after its start a node that follows another one does not know all that is at work at its upstream, in
+/// microseconds: an earlier start of it may have sent more.
 const YOUNG_US: u64 = GOES_ON_US;
 /// Requests that a node's record holds at most; the oldest go first. They are sent with each change of the record:
 /// 34 bytes each.
@@ -338,7 +338,8 @@
     held
 }
 
-/// Takes in that the upstream beside this node has run a request to its end.
+/// Takes in that the upstream beside this node has run a request to a good end. An error says nothing: a request
+/// that ends upstreams may fail before it does.
 pub fn ran(node: &Rc<Node>, req: &Request) {
     let fingerprint = req.fingerprint();
     let now = node.now();
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -388,7 +388,7 @@
     }
     let req = node.jobs.borrow().get(&id).map(|job| job.req.clone());
     match (verdict, req) {
-        (Verdict::Good | Verdict::Error, Some(req)) => containment::ran(node, &req),
+        (Verdict::Good, Some(req)) => containment::ran(node, &req),
         (Verdict::Broken | Verdict::Cancelled, Some(req)) => containment::cut_off(node, &req),
         _ => {}
     }
