What runs well here is not cut off because another node holds it

Split: containment's ends, a call's offers and repeats in files of their own; nothing else changed there.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -133,10 +133,10 @@
     }
 }
 
-/// A request is held because another node holds it.
-pub fn held(fingerprint: Fingerprint, vm: &Name) {
+/// Another node holds a request; `standing` is how this one treats it.
+pub fn held(fingerprint: Fingerprint, vm: &Name, standing: Standing) {
     if allowed(Kind::Contained) {
-        tracing::info!(%fingerprint, %vm, "a request is held");
+        tracing::info!(%fingerprint, %vm, ?standing, "a request is held");
     }
 }
 
--- a/components/daemon/src/containment.rs
+++ b/components/daemon/src/containment.rs
@@ -4,20 +4,23 @@
 //! store: a node's record names the requests it holds, so that who starts or comes back knows them with the
 //! records that it reads anyway.
 
+mod ends;
+
+pub use ends::{cut_off, upstream_ended};
+
 use crate::audit;
 use crate::home_driver;
 use crate::links;
-use crate::local;
-use crate::node::{Job, Node};
+use crate::node::{Node, Whole};
 use crate::registration::{self, Registration};
 use crate::stats;
 use async_std::task;
+use ends::LastEnd;
 use entry::Event;
-use errors::Error;
 use home::{Offer, Reason, Refusal, Suspicion};
-use names::{AttemptId, Moment, Name, SECOND};
+use names::{AttemptId, Moment, Name};
 use quarantine::{Fingerprint, Quarantine, Standing, Suspect};
-use registry::{Incarnation, Record};
+use registry::Record;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -30,24 +33,11 @@
 /// Told to callers of a copy while another one runs, in milliseconds: how that one ends decides, and most requests
 /// of the users' sites have ended by then.
 const COPY_RETRY_AFTER_MS: u64 = 500;
-/// Exchanges that break within this time of one another, at one start of the upstream, broke by one end, in
-/// microseconds. An upstream takes longer than that to start again.
-const ONE_END_US: u64 = SECOND / 2;
-/// An upstream may go on for so long with an exchange that was given up, in microseconds: the longest time that
-/// callers of the users' sites wait is 5 s.
-const GOES_ON_US: u64 = 5 * SECOND;
-/// Exchanges that were given up and are remembered at most.
-const MOST_CUT_OFF: usize = 256;
-/// For so long after its start a node that follows another one does not know all that is at work at its upstream, in
-/// microseconds: an earlier start of it may have sent more.
-const YOUNG_US: u64 = GOES_ON_US;
 /// Requests that a node's record holds at most; the oldest go first. They are sent with each change of the record:
 /// 34 bytes each.
 const MOST_IN_RECORD: usize = 64;
 /// Time between two looks for what is old.
 const FORGET_EVERY: Duration = Duration::from_secs(60);
-/// Time between two reads of the store because an upstream ended, in microseconds: many end together.
-const LOOK_EVERY_US: u64 = 5 * SECOND;
 
 /// What a node keeps of requests under which upstreams ended.
 #[derive(Debug, Default)]
@@ -64,14 +54,6 @@
     looked: Cell<Option<Moment>>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct LastEnd {
-    id: AttemptId,
-    /// Which start of the upstream it was.
-    start: u64,
-    at: Moment,
-}
-
 /// How a request is treated that a caller sends.
 pub fn standing(node: &Node, req: &Request) -> Standing {
     let known = node.containment.known.borrow();
@@ -119,8 +101,7 @@
     if standing == Standing::Held {
         return Some(held());
     }
-    let is_suspect = standing == Standing::Suspect || !offer.suspicion.is_none();
-    if !is_suspect {
+    if !is_suspect(node, offer, req) {
         return None;
     }
     let jobs = node.jobs.borrow();
@@ -141,101 +122,13 @@
     })
 }
 
-/// Whether an offered request is under suspicion.
+/// Whether an offered request is under suspicion. The entry node may not have seen that it runs well.
 pub fn is_suspect(node: &Node, offer: &Offer, req: &Request) -> bool {
-    !offer.suspicion.is_none() || standing(node, req) == Standing::Suspect
-}
-
-/// Takes in that the upstream beside this node ended, as an exchange found that broke at `at`: what was at work
-/// there is told to all.
-pub fn upstream_ended(
-    node: &Rc<Node>,
-    start: u64,
-    instance: Option<&Incarnation>,
-    at: Moment,
-    cause: &Error,
-) {
-    let last = node.containment.last_end.get();
-    let is_same = |last: &LastEnd| last.start == start && at.since(last.at) < ONE_END_US;
-    let (id, is_known) = match last.filter(is_same) {
-        Some(last) => (last.id, true),
-        None => (node.next_question(), false),
-    };
-    if !is_known {
-        let end = LastEnd { id, start, at };
-        node.containment.last_end.set(Some(end));
-        stats::upstream_ended();
-    }
-    let suspects = suspects(node, id, at);
-    if suspects.is_empty() {
-        return;
-    }
-    audit::upstream_ended(instance, cause, &suspects);
-    let news: Vec<Suspect> = suspects.into_iter().map(|(_, suspect)| suspect).collect();
-    learn(node, &news);
-    tell(node, &Frame::Ended(news));
-    look_in_store(node);
-}
-
-/// What was at work at an end and has not been told of it: the identity that its caller gave it, and what follows.
-///
-/// None is blamed alone while there may be others of which this node does not know, nor where the same request ran
-/// well lately: then its copies are at work everywhere, and it was there by chance.
-fn suspects(node: &Node, end: AttemptId, at: Moment) -> Vec<(String, Suspect)> {
-    let given_up = given_up(node, at);
-    let is_young = at.since(node.started) < YOUNG_US && may_succeed_another(node);
-    let mut jobs = node.jobs.borrow_mut();
-    let was_at_work = |job: &&mut Job| job.started.is_some_and(|started| started <= at);
-    let mut at_work: Vec<&mut Job> = jobs.values_mut().filter(was_at_work).collect();
-    let count = at_work.len();
-    let under_suspicion = at_work.iter().filter(|job| job.suspect).count();
-    let known = node.containment.known.borrow();
-    let mut found = Vec::new();
-    for job in &mut at_work {
-        if job.ended.is_some() {
-            continue;
-        }
-        let fingerprint = job.req.fingerprint();
-        let is_only_one = count == 1 || job.suspect && under_suspicion == 1;
-        let may_be_others = is_young || !given_up.is_empty();
-        let suspect = Suspect {
-            fingerprint,
-            end,
-            alone: is_only_one && !may_be_others && !known.runs_well(at, fingerprint),
-        };
-        job.ended = Some(suspect);
-        found.push((job.req.id.clone(), suspect));
-    }
-    if found.is_empty() {
-        return found;
-    }
-    found.extend(given_up.into_iter().map(|(id, fingerprint)| {
-        let suspect = Suspect {
-            fingerprint,
-            end,
-            alone: false,
-        };
-        (id, suspect)
-    }));
-    found
-}
-
-/// Whether an earlier start of this node may have been at work, by what is known so far.
-fn may_succeed_another(node: &Node) -> bool {
-    let Some(registration) = &node.registration else {
-        return true;
+    let runs_well = || {
+        let known = node.containment.known.borrow();
+        known.runs_well(node.now(), req.fingerprint())
     };
-    node.containment.has_predecessor.get() || !registration.has_listed.get()
-}
-
-/// Exchanges that were given up, and with which the upstream may have gone on until it ended.
-fn given_up(node: &Node, at: Moment) -> Vec<(String, Fingerprint)> {
-    let mut cut_off = node.containment.cut_off.borrow_mut();
-    cut_off.retain(|(when, ..)| at.since(*when) < GOES_ON_US);
-    let given_up = cut_off.iter();
-    given_up
-        .map(|(_, id, fingerprint)| (id.clone(), *fingerprint))
-        .collect()
+    standing(node, req) == Standing::Suspect || !offer.suspicion.is_none() && !runs_well()
 }
 
 /// Takes in what another node saw at the end of its upstream, and passes it on where its hall can't.
@@ -273,7 +166,7 @@
 }
 
 /// What follows for the call whose attempt ran when its upstream ended.
-pub fn event(node: &Rc<Node>, id: AttemptId, suspect: Suspect) -> Event<crate::node::Whole> {
+pub fn event(node: &Rc<Node>, id: AttemptId, suspect: Suspect) -> Event<Whole> {
     learn(node, &[suspect]);
     let service = {
         let waiters = node.waiters.borrow();
@@ -302,10 +195,14 @@
     }
     let now = node.now();
     for fingerprint in &record.held {
-        let is_news = node.containment.known.borrow_mut().hold(now, *fingerprint);
+        let (is_news, standing) = {
+            let mut known = node.containment.known.borrow_mut();
+            let is_news = known.hold(now, *fingerprint);
+            (is_news, known.standing(now, *fingerprint))
+        };
         if is_news {
-            audit::held(*fingerprint, &record.vm);
-            apply(node, *fingerprint, Standing::Held);
+            audit::held(*fingerprint, &record.vm, standing);
+            apply(node, *fingerprint, standing);
         }
     }
 }
@@ -357,15 +254,6 @@
     known.answered(now, req.fingerprint());
 }
 
-/// Takes in that an exchange was given up while the upstream worked on it, which may go on with it.
-pub fn cut_off(node: &Node, req: &Request) {
-    let mut cut_off = node.containment.cut_off.borrow_mut();
-    if cut_off.len() >= MOST_CUT_OFF {
-        cut_off.pop_front();
-    }
-    cut_off.push_back((node.now(), req.id.clone(), req.fingerprint()));
-}
-
 /// Takes in that a request has run to its end elsewhere.
 pub fn cleared(node: &Rc<Node>, from: &Name, fingerprint: Fingerprint) {
     if clear(node, fingerprint) && is_passed_on(node, from) {
@@ -490,20 +378,3 @@
     };
     registry::is_passed_on(&registration.fleet.borrow(), from)
 }
-
-/// Reads in the store what other nodes hold: halls that are cut off from one another tell each other nothing else.
-fn look_in_store(node: &Rc<Node>) {
-    let Some(registration) = node.registration.clone() else {
-        return;
-    };
-    let now = node.now();
-    let looked = node.containment.looked.get();
-    if looked.is_some_and(|looked| now.since(looked) < LOOK_EVERY_US) {
-        return;
-    }
-    node.containment.looked.set(Some(now));
-    let node = node.clone();
-    local::spawn_contained("look for held requests", async move {
-        registration::look(&node, &registration).await;
-    });
-}
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -1,5 +1,8 @@
 //! The life of one request at its entry node.
 
+mod offers;
+mod repeats;
+
 use crate::choice::{Candidate, Rule};
 use crate::event::{Action, Event, Origin, Outcome, Treatment};
 use crate::price::Price;
@@ -8,12 +11,6 @@
 use home::{AskReply, Reason, Refusal, Suspicion};
 use names::{AttemptId, Moment, Name};
 
-/// Offers that ask for a free slot at once, before one that may queue.
-const IMMEDIATE_OFFERS: u32 = 2;
-/// The same under [`Rule::Priced`], to upstreams of the own hall. A third of them is in a slow phase
-/// and a third full at a busy time; a refusal costs a fraction of a millisecond. Measured against 3
-/// on the users' grown sites: 0.02 to 0.04 of worth.
-const IMMEDIATE_NEAR_OFFERS: u32 = 5;
 /// Offers of one request at most, counting those that were refused or handed back.
 const MOST_OFFERS: u32 = 8;
 /// Offers that may queue at most: three full queues mean that the service is overloaded.
@@ -208,39 +205,6 @@
         }]
     }
 
-    /// Whether the next offer may queue: enough were made that may not, or no upstream is left
-    /// that might have a free slot.
-    fn queue_next(&self, now: Moment, entry: &Entry) -> bool {
-        self.offers >= IMMEDIATE_OFFERS || self.open(false, now, entry).is_empty()
-    }
-
-    /// The same where crossing to another hall has a price: only upstreams of the own hall are asked for
-    /// a free slot at once. A refusal tells how long the wait there is now, so that what comes next, a
-    /// queue or a crossing, is chosen on news.
-    fn queue_next_priced(&self, now: Moment, entry: &Entry) -> bool {
-        self.offers >= IMMEDIATE_NEAR_OFFERS || self.open(false, now, entry).is_empty()
-    }
-
-    /// The upstreams to which the next offer may go. One that may not queue goes to those that
-    /// have not refused and are not known to be full.
-    fn open<'a>(&'a self, may_queue: bool, now: Moment, entry: &Entry) -> Vec<&'a Candidate> {
-        let near_only = entry.rule() == Rule::Priced;
-        self.candidates
-            .iter()
-            .filter(|candidate| !self.closed.contains(&candidate.vm))
-            .filter(|candidate| {
-                let refused = self.refused_by.contains(&candidate.vm);
-                let fits = candidate.same_hall || !near_only;
-                may_queue || (fits && !refused && !entry.is_full(now, &candidate.vm))
-            })
-            .collect()
-    }
-
-    fn pick(&self, now: Moment, may_queue: bool, entry: &mut Entry) -> Option<Name> {
-        let open = self.open(may_queue, now, entry);
-        entry.choose(now, &open, self.price, may_queue)
-    }
-
     fn refused(
         &mut self,
         now: Moment,
@@ -453,42 +417,6 @@
             .collect()
     }
 
-    /// Whether another run is within the policy, the call's level and the service's budget.
-    fn may_retry(&mut self, entry: &mut Entry) -> bool {
-        self.treatment.repeatable
-            && self.runs < self.treatment.attempts
-            && self.may_reach_another(entry)
-    }
-
-    /// Whether another upstream may see the request. What it costs is taken out of the service's
-    /// budget, once for each upstream after the first.
-    fn may_reach_another(&mut self, entry: &mut Entry) -> bool {
-        if self.arrivals >= self.treatment.arrivals || !entry.spend_retry(&self.service) {
-            return false;
-        }
-        self.repeat_paid = true;
-        true
-    }
-
-    /// Takes in that an upstream has seen the request.
-    fn arrived(&mut self) {
-        self.arrivals += 1;
-        self.repeat_paid = false;
-    }
-
-    fn ran(&mut self) {
-        self.arrived();
-        self.runs += 1;
-    }
-
-    /// Gives back what a repeat cost that reached no upstream.
-    fn refund(&mut self, entry: &mut Entry) {
-        if self.repeat_paid {
-            self.repeat_paid = false;
-            entry.refund_retry(&self.service);
-        }
-    }
-
     fn retry_elsewhere(&mut self, now: Moment, vm: Name, entry: &mut Entry) -> Vec<Action<A>> {
         if self.suspect.is_some() || self.closed.len() + 1 < self.candidates.len() {
             self.close(vm);
--- /dev/null
+++ b/components/entry/src/call/offers.rs
@@ -0,0 +1,53 @@
+//! Where the next offer of a call goes, and whether it may queue there.
+
+use super::Call;
+use crate::choice::{Candidate, Rule};
+use crate::shared::Entry;
+use names::{Moment, Name};
+
+/// Offers that ask for a free slot at once, before one that may queue.
+const IMMEDIATE_OFFERS: u32 = 2;
+/// The same under [`Rule::Priced`], to upstreams of the own hall. A third of them is in a slow phase
+/// and a third full at a busy time; a refusal costs a fraction of a millisecond. Measured against 3
+/// on the users' grown sites: 0.02 to 0.04 of worth.
+const IMMEDIATE_NEAR_OFFERS: u32 = 5;
+
+impl<A: Clone> Call<A> {
+    /// Whether the next offer may queue: enough were made that may not, or no upstream is left
+    /// that might have a free slot.
+    pub(super) fn queue_next(&self, now: Moment, entry: &Entry) -> bool {
+        self.offers >= IMMEDIATE_OFFERS || self.open(false, now, entry).is_empty()
+    }
+
+    /// The same where crossing to another hall has a price: only upstreams of the own hall are asked for
+    /// a free slot at once. A refusal tells how long the wait there is now, so that what comes next, a
+    /// queue or a crossing, is chosen on news.
+    pub(super) fn queue_next_priced(&self, now: Moment, entry: &Entry) -> bool {
+        self.offers >= IMMEDIATE_NEAR_OFFERS || self.open(false, now, entry).is_empty()
+    }
+
+    /// The upstreams to which the next offer may go. One that may not queue goes to those that
+    /// have not refused and are not known to be full.
+    pub(super) fn open<'a>(
+        &'a self,
+        may_queue: bool,
+        now: Moment,
+        entry: &Entry,
+    ) -> Vec<&'a Candidate> {
+        let near_only = entry.rule() == Rule::Priced;
+        self.candidates
+            .iter()
+            .filter(|candidate| !self.closed.contains(&candidate.vm))
+            .filter(|candidate| {
+                let refused = self.refused_by.contains(&candidate.vm);
+                let fits = candidate.same_hall || !near_only;
+                may_queue || (fits && !refused && !entry.is_full(now, &candidate.vm))
+            })
+            .collect()
+    }
+
+    pub(super) fn pick(&self, now: Moment, may_queue: bool, entry: &mut Entry) -> Option<Name> {
+        let open = self.open(may_queue, now, entry);
+        entry.choose(now, &open, self.price, may_queue)
+    }
+}
