A node that has just started holds later, and one that has seen a request run well says so

Change: such a node holds after five ends where the request was never the only suspect; the word that clears by a good end counts as one seen; who has seen a request run well answers a record that holds it with that word. An operator's word frees and is not taken for a good end.

--- a/components/daemon/src/containment.rs
+++ b/components/daemon/src/containment.rs
@@ -40,7 +40,7 @@
 const FORGET_EVERY: Duration = Duration::from_secs(60);
 
 /// What a node keeps of requests under which upstreams ended.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Containment {
     /// What is known of them.
     known: RefCell<Quarantine>,
@@ -54,6 +54,19 @@
     looked: Cell<Option<Moment>>,
 }
 
+impl Containment {
+    /// What a node keeps that starts now.
+    pub fn new(now: Moment) -> Containment {
+        Containment {
+            known: RefCell::new(Quarantine::new(now)),
+            cut_off: RefCell::default(),
+            has_predecessor: Cell::default(),
+            last_end: Cell::default(),
+            looked: Cell::default(),
+        }
+    }
+}
+
 /// How a request is treated that a caller sends.
 pub fn standing(node: &Node, req: &Request) -> Standing {
     let known = node.containment.known.borrow();
@@ -65,7 +78,7 @@
 
 /// Number of requests that are held.
 fn held_count(node: &Node) -> usize {
-    node.containment.known.borrow().held().count()
+    node.containment.known.borrow().held(node.now()).count()
 }
 
 /// What a caller is told whose request is held.
@@ -204,6 +217,11 @@
             audit::held(*fingerprint, &record.vm, standing);
             apply(node, *fingerprint, standing);
         }
+        if is_news && standing == Standing::Free {
+            // It runs well, as this node has seen and the other one has not.
+            clear(node, *fingerprint);
+            tell(node, &told_clear(*fingerprint, true));
+        }
     }
 }
 
@@ -220,14 +238,14 @@
 /// An operator frees a request: all nodes are told. Returns whether anything was known against it here.
 pub fn release(node: &Rc<Node>, fingerprint: Fingerprint) -> bool {
     let was_known = clear(node, fingerprint);
-    tell(node, &Frame::Cleared(fingerprint));
+    tell(node, &told_clear(fingerprint, false));
     was_known
 }
 
 /// Requests that are held, with the ends that this node knows of under each.
 pub fn held_requests(node: &Node) -> Vec<(Fingerprint, usize)> {
     let known = node.containment.known.borrow();
-    let held = known.held();
+    let held = known.held(node.now());
     let mut held: Vec<(Fingerprint, usize)> = held
         .map(|fingerprint| (fingerprint, known.ends(fingerprint)))
         .collect();
@@ -243,7 +261,7 @@
     let was_known = node.containment.known.borrow_mut().ran(now, fingerprint);
     if was_known {
         after_clearing(node, fingerprint);
-        tell(node, &Frame::Cleared(fingerprint));
+        tell(node, &told_clear(fingerprint, true));
     }
 }
 
@@ -254,13 +272,22 @@
     known.answered(now, req.fingerprint());
 }
 
-/// Takes in that a request has run to its end elsewhere.
-pub fn cleared(node: &Rc<Node>, from: &Name, fingerprint: Fingerprint) {
+/// Takes in that a request has run to a good end elsewhere (`ran`), or that an operator frees it.
+pub fn cleared(node: &Rc<Node>, from: &Name, fingerprint: Fingerprint, ran: bool) {
+    if ran {
+        let now = node.now();
+        let mut known = node.containment.known.borrow_mut();
+        known.answered(now, fingerprint);
+    }
     if clear(node, fingerprint) && is_passed_on(node, from) {
-        links::tell_hall_surely(node, &Frame::Cleared(fingerprint));
+        links::tell_hall_surely(node, &told_clear(fingerprint, ran));
     }
 }
 
+fn told_clear(fingerprint: Fingerprint, ran: bool) -> Frame {
+    Frame::Cleared { fingerprint, ran }
+}
+
 fn clear(node: &Rc<Node>, fingerprint: Fingerprint) -> bool {
     let was_known = node.containment.known.borrow_mut().clear(fingerprint);
     if was_known {
@@ -323,7 +350,7 @@
         let mut after: Vec<Fingerprint> = before.clone();
         after.retain(|fingerprint| known.standing(now, *fingerprint) == Standing::Held);
         let seen = known
-            .held()
+            .held(now)
             .filter(|fingerprint| known.was_seen_by(node.boot, *fingerprint))
             .filter(|fingerprint| known.standing(now, *fingerprint) == Standing::Held);
         let mut new: Vec<Fingerprint> = seen
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -54,7 +54,9 @@
             deliver(node, id, event);
         }
         Frame::Ended(suspects) => containment::told(node, from, suspects),
-        Frame::Cleared(fingerprint) => containment::cleared(node, from, fingerprint),
+        Frame::Cleared { fingerprint, ran } => {
+            containment::cleared(node, from, fingerprint, ran);
+        }
         Frame::Told { id, reply } => told(node, id, reply),
         Frame::Alive { load } => {
             reported(node, from, load);
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -248,7 +248,7 @@
             watch: RefCell::new(watch(&cfg, clock.now(), boot)),
             platform: Rc::new(Client::new(cfg.platform.clone())),
             registration,
-            containment: Containment::default(),
+            containment: Containment::new(clock.now()),
             splits: RefCell::default(),
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
--- a/components/quarantine/src/recent.rs
+++ b/components/quarantine/src/recent.rs
@@ -6,7 +6,7 @@
 
 /// A good end speaks for a request for so long, in microseconds. What many callers send runs well many times in
 /// that; what has turned harmful is held so much later.
-const SPEAKS_FOR_US: u64 = 30 * SECOND;
+pub const SPEAKS_FOR_US: u64 = 30 * SECOND;
 /// Requests that are remembered at most: 160 KB. A node of the target serves 90 a second, so that these cover the
 /// time above.
 const MOST_REMEMBERED: usize = 4_096;
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -1,13 +1,16 @@
 //! What one node knows of requests under which upstreams ended.
 
 use crate::fingerprint::Fingerprint;
-use crate::recent::RecentRuns;
+use crate::recent::{RecentRuns, SPEAKS_FOR_US};
 use names::{AttemptId, BootId, Moment, SECOND};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Ends after which a request is held if others that were as suspect ran beside it each time.
 const MOST_ENDS: usize = 3;
+/// The same at a node that has just started: it has not seen yet what runs well, and a word that cleared a request may
+/// have missed it. Upstreams that end together have a request that many callers send at work, each of them.
+const MOST_ENDS_EARLY: usize = 5;
 /// Ends after which it is held if it was the only suspect at one of them. Not one: whatever ends an upstream, a
 /// crash of its own too, several requests are at work there.
 const ENDS_ALONE: usize = 2;
@@ -59,13 +62,14 @@
 }
 
 impl Entry {
-    fn is_held(&self) -> bool {
+    /// Whether it is held, by a node that holds after `most_ends` where it was never the only suspect.
+    fn is_held(&self, most_ends: usize) -> bool {
         let was_alone = self.ends.iter().any(|(_, alone)| *alone);
-        self.is_told || self.ends.len() >= MOST_ENDS || was_alone && self.ends.len() >= ENDS_ALONE
+        self.is_told || self.ends.len() >= most_ends || was_alone && self.ends.len() >= ENDS_ALONE
     }
 
     fn kept_us(&self) -> u64 {
-        if self.is_held() {
+        if self.is_held(MOST_ENDS) {
             HELD_KEPT_US
         } else {
             SUSPECT_KEPT_US
@@ -76,6 +80,8 @@
 /// The requests that are suspect or held, as one node knows them.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
+    /// When the node started.
+    started: Moment,
     known: HashMap<Fingerprint, Entry>,
     recent: RecentRuns,
     /// Ends under requests that have run to a good end since.
@@ -84,6 +90,22 @@
 }
 
 impl Quarantine {
+    /// What a node knows that started at this moment: nothing.
+    pub fn new(started: Moment) -> Quarantine {
+        Quarantine {
+            started,
+            ..Quarantine::default()
+        }
+    }
+
+    fn most_ends(&self, now: Moment) -> usize {
+        if now.since(self.started) < SPEAKS_FOR_US {
+            MOST_ENDS_EARLY
+        } else {
+            MOST_ENDS
+        }
+    }
+
     /// Whether nothing is known against any request.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
@@ -94,7 +116,7 @@
         match self.known.get(&fingerprint) {
             None => Standing::Free,
             Some(_) if self.runs_well(now, fingerprint) => Standing::Free,
-            Some(entry) if entry.is_held() => Standing::Held,
+            Some(entry) if entry.is_held(self.most_ends(now)) => Standing::Held,
             Some(_) => Standing::Suspect,
         }
     }
@@ -119,7 +141,7 @@
         if entry.ends.iter().any(|(end, _)| *end == suspect.end) {
             return false;
         }
-        if entry.ends.len() >= MOST_ENDS {
+        if entry.ends.len() >= MOST_ENDS_EARLY {
             return false;
         }
         entry.at = now;
@@ -129,8 +151,9 @@
 
     /// Takes in that another node holds a request. Returns whether this one did not.
     pub fn hold(&mut self, now: Moment, fingerprint: Fingerprint) -> bool {
+        let most_ends = self.most_ends(now);
         let entry = self.entry(now, fingerprint);
-        let is_news = !entry.is_held();
+        let is_news = !entry.is_held(most_ends);
         entry.is_told = true;
         entry.at = now;
         is_news
@@ -179,8 +202,10 @@
     }
 
     /// Requests that are held.
-    pub fn held(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        let held = self.known.iter().filter(|(_, entry)| entry.is_held());
+    pub fn held(&self, now: Moment) -> impl Iterator<Item = Fingerprint> + '_ {
+        let most_ends = self.most_ends(now);
+        let held = self.known.iter();
+        let held = held.filter(move |(_, entry)| entry.is_held(most_ends));
         held.map(|(fingerprint, _)| *fingerprint)
     }
 
@@ -205,7 +230,7 @@
     /// not held while there is one.
     fn entry(&mut self, now: Moment, fingerprint: Fingerprint) -> &mut Entry {
         if self.known.len() >= MOST_KNOWN && !self.known.contains_key(&fingerprint) {
-            let by_age = |(_, entry): &(&Fingerprint, &Entry)| (entry.is_held(), entry.at);
+            let by_age = |(_, entry): &(&Fingerprint, &Entry)| (entry.is_held(MOST_ENDS), entry.at);
             let oldest = self.known.iter().min_by_key(by_age);
             if let Some(oldest) = oldest.map(|(oldest, _)| *oldest) {
                 self.known.remove(&oldest);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -75,8 +75,13 @@
     },
     /// Home to all: the upstream ended while it ran these requests.
     Ended(Vec<Suspect>),
-    /// Home to all: the request has run to its end, and nothing is to be feared of it.
-    Cleared(Fingerprint),
+    /// To all: nothing is to be feared of the request.
+    Cleared {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Whether it has run to a good end; otherwise an operator says so.
+        ran: bool,
+    },
     /// Entry to home: what became of this attempt? If it has not started, it never will.
     Ask {
         /// The attempt.
@@ -211,7 +216,7 @@
             Frame::Answered { .. } => "answered",
             Frame::Broken { .. } => "broken",
             Frame::Ended(_) => "upstream-ended",
-            Frame::Cleared(_) => "cleared",
+            Frame::Cleared { .. } => "cleared",
             Frame::Ask { .. } => "ask",
             Frame::Told { .. } => "told",
             Frame::Cancel { .. } => "cancel",
