--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -191,3 +191,96 @@
         text(&output)
     );
 }
+
+/// A node that answers one operator's call; joined, it gives what it was sent.
+fn node(answer: &'static str) -> (SocketAddr, std::thread::JoinHandle<String>) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("its address");
+    let served = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a call");
+        let mut sent = Vec::new();
+        let mut buf = [0; 4_096];
+        while !is_whole(&sent) {
+            let count = stream.read(&mut buf).expect("the call");
+            assert!(count > 0, "the call ended early");
+            sent.extend_from_slice(&buf[..count]);
+        }
+        let length = answer.len();
+        let head =
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n");
+        let written = stream.write_all((head + answer).as_bytes());
+        written.expect("it is read");
+        String::from_utf8_lossy(&sent).to_string()
+    });
+    (address, served)
+}
+
+/// Whether a request has arrived with the whole body that its head announces.
+fn is_whole(sent: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(sent).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length:"));
+    let length: usize = length.map_or(0, |length| length.trim().parse().expect("a number"));
+    body.len() >= length
+}
+
+fn drumwheel(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_drumwheel"))
+        .args(args)
+        .output()
+        .expect("the tool runs")
+}
+
+#[test]
+fn requests_that_are_held_are_shown_with_their_ends() {
+    let (address, served) = node(
+        r#"{"vm":"a","hall":"h","revision":1,"list_version":0,"platform_reachable":true,
+            "leaving":false,"in_flight":0,"queued":0,"limit":6,
+            "held":[{"fingerprint":"49be8ae617e66deefaa1c67d4c8ec45e","ends":2}]}"#,
+    );
+    let output = drumwheel(&["held", "--node", &address.to_string()]);
+    assert_eq!(code(&output), Some(0), "{}", text(&output));
+    let shown = text(&output);
+    assert!(
+        shown.contains("49be8ae617e66deefaa1c67d4c8ec45e 2 ends"),
+        "{shown}"
+    );
+    assert!(shown.contains("1 held"), "{shown}");
+    assert!(served.join().expect("no panic").starts_with("GET /status"));
+}
+
+#[test]
+fn a_request_is_freed_with_the_key_and_with_who_and_why() {
+    let key = std::env::temp_dir().join(format!("drumwheel-release-{}", std::process::id()));
+    std::fs::write(&key, "secret\n").expect("a key");
+    let (address, served) = node("released\n");
+    let (address, key_file) = (address.to_string(), key.to_string_lossy().to_string());
+    let fingerprint = "49be8ae617e66deefaa1c67d4c8ec45e";
+    let output = drumwheel(&[
+        "release",
+        "--node",
+        &address,
+        "--key-file",
+        &key_file,
+        "--who",
+        "kaisa",
+        "--why",
+        "mended",
+        fingerprint,
+    ]);
+    std::fs::remove_file(&key).ok();
+    assert_eq!(code(&output), Some(0), "{}", text(&output));
+    assert!(text(&output).contains("released"), "{}", text(&output));
+    let sent = served.join().expect("no panic");
+    assert!(sent.starts_with("POST /release"), "{sent}");
+    assert!(
+        sent.to_lowercase().contains("authorization: bearer secret"),
+        "{sent}"
+    );
+    for part in [fingerprint, "kaisa", "mended"] {
+        assert!(sent.contains(part), "{part}: {sent}");
+    }
+}
