--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -9,7 +9,7 @@
 const BYTES: usize = 16;
 
 /// Digest of method, host, target and body. The identity of a try, its deadline and the VM at which it arrives
-/// differ between copies of one request and don't enter; nothing of a body can be read from it.
+/// differ between copies of one request and don't enter. A body can't be read from it, but a guess can be checked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct Fingerprint([u8; BYTES]);
