Sight: lines say which source names the caller of a request, and when that name changes

Cause: the lines could not tell a name that a caller sent from one that the settings or a registration gave. 'request routed' now shows where the name comes from and what the caller said; a change of the name is a line with what both sources say; this node's record shows the service. What decides the name is unchanged; it stands in a module of its own.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -3,7 +3,8 @@
 //! Every kind of line is bounded in each second; what was left out is told with the next line of
 //! the kind and counted. `docs/OPERATIONS.md` reads these lines.
 
-use crate::callers::CallerRequest;
+use crate::caller_name::Named;
+use crate::callers::{CallerRequest, Told};
 use crate::clock::Clock;
 use crate::node::Node;
 use crate::stats;
@@ -34,9 +35,10 @@
     Declarations,
     Platform,
     Contained,
+    CallerName,
 }
 
-const KINDS: usize = 7;
+const KINDS: usize = 8;
 
 thread_local! {
     static LIMITERS: RefCell<([Limiter; KINDS], Option<Clock>)> =
@@ -65,14 +67,8 @@
     })
 }
 
-/// A route and a service were found for a request, whose caller waits for `deadline_ms`.
-pub fn routed(
-    node: &Node,
-    req: &Request,
-    route: &Route,
-    in_force: &InForce,
-    deadline_ms: Option<u64>,
-) {
+/// A route and a service were found for a request.
+pub fn routed(node: &Node, req: &Request, route: &Route, in_force: &InForce, told: &Told) {
     if allowed(Kind::Routed) {
         let caller = node.caller_service();
         tracing::info!(
@@ -80,10 +76,12 @@
             route = %route.name,
             service = %req.service,
             fingerprint = %req.fingerprint(),
-            caller = caller.as_ref().map_or("-", Name::as_str),
+            caller = caller.as_ref().map_or("-", |named| named.service.as_str()),
+            caller_from = caller.as_ref().map_or("-", |named| named.origin.as_str()),
+            caller_told = told.service.as_deref().unwrap_or("-"),
             revision = in_force.configuration.head.revision,
             level = req.level,
-            deadline_ms = deadline_ms.unwrap_or(0),
+            deadline_ms = told.deadline_ms.unwrap_or(0),
             timeout_ms = route.treatment.deadline_ms,
             objective_ms = route.objective_ms,
             open = node.open_calls.get(),
@@ -92,6 +90,30 @@
     }
 }
 
+/// Calls from this VM are made in another name than before.
+pub fn caller_changed(
+    before: Option<&Named>,
+    next: Option<&Named>,
+    settings: Option<&Name>,
+    registered: Option<&Name>,
+) {
+    let service = |named: Option<&Named>| {
+        named
+            .map_or("-", |named| named.service.as_str())
+            .to_string()
+    };
+    if allowed(Kind::CallerName) {
+        tracing::info!(
+            from = service(before),
+            to = service(next),
+            origin = next.map_or("-", |named| named.origin.as_str()),
+            settings = settings.map_or("-", Name::as_str),
+            registered = registered.map_or("-", Name::as_str),
+            "calls from this VM are made in another name"
+        );
+    }
+}
+
 /// No route fits a request.
 pub fn no_route(call: &CallerRequest, revision: u64) {
     if allowed(Kind::Routed) {
@@ -280,6 +302,10 @@
             .upstream
             .as_ref()
             .map_or("-", |upstream| upstream.state.as_str()),
+        service = own
+            .upstream
+            .as_ref()
+            .map_or("-", |upstream| upstream.service.as_str()),
         "this node's record changed"
     );
 }
--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -7,3 +7,4 @@
 
 pub use connection::run;
 pub use request::CallerRequest;
+pub use serve::Told;
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -40,6 +40,8 @@
 /// microseconds: the store answers within 0.05 to 0.14 s. When all of 295 VMs had lost power, half of the
 /// requests of the first half second were told to come back.
 const BLANK_WAIT_US: u64 = 250 * MILLISECOND;
+/// Characters of a caller's word that a log line shows at most.
+const MAX_LOGGED_CHARS: usize = 40;
 /// Time between two looks for it.
 const BLANK_LOOK: Duration = Duration::from_millis(10);
 /// Told to callers of a node that can't serve yet or was paused, in milliseconds.
@@ -163,9 +165,9 @@
     if is_inner {
         node.entry.borrow_mut().called_below(&service);
     }
-    let deadline_ms = call.deadline_ms;
+    let told = Told::by(node, &call);
     let req = Arc::new(request(node, &service, call));
-    audit::routed(node, &req, route, in_force, deadline_ms);
+    audit::routed(node, &req, route, in_force, &told);
     let order = match order_of(node, &req) {
         Ok(order) => order,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
@@ -183,6 +185,26 @@
     direct(node, plan, hung_up).await
 }
 
+/// What a caller said beside its request.
+#[derive(Debug)]
+pub struct Told {
+    /// How long it waits, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// The service in whose name it says that it calls; it is never believed.
+    pub service: Option<String>,
+}
+
+impl Told {
+    fn by(node: &Node, call: &CallerRequest) -> Told {
+        let name = node.cfg.headers.caller_service.as_deref();
+        let service = name.and_then(|name| http1::value(&call.headers, name));
+        Told {
+            deadline_ms: call.deadline_ms,
+            service: service.map(|name| name.chars().take(MAX_LOGGED_CHARS).collect()),
+        }
+    }
+}
+
 /// Where a request may run under which an upstream has ended; none if there was no such end. A request that is
 /// held is refused at once.
 fn order_of(node: &Node, req: &Request) -> Result<Option<Vec<Name>>, Refusal> {
@@ -279,7 +301,7 @@
     if let Some(name) = &names.caller_service {
         headers.retain(|(other, _)| !other.eq_ignore_ascii_case(name));
         let caller = node.caller_service();
-        headers.extend(caller.map(|service| (name.clone(), service.to_string())));
+        headers.extend(caller.map(|named| (name.clone(), named.service.to_string())));
     }
     Request {
         service: service.clone(),
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod audit;
 mod boot_record;
+mod caller_name;
 mod callers;
 mod candidates;
 mod clock;
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -1,5 +1,6 @@
 //! The state of a node, shared by its tasks on one thread.
 
+use crate::caller_name::{CallerName, Named};
 use crate::clock::Clock;
 use crate::containment::Containment;
 use crate::links::{Link, Reply};
@@ -121,6 +122,8 @@
     pub cfg: Settings,
     /// The part of the settings that changes while the node runs.
     pub live: RefCell<Live>,
+    /// The name in which calls from this VM are made.
+    caller_name: CallerName,
     /// Boot of this process.
     pub boot: BootId,
     /// Clock.
@@ -263,6 +266,7 @@
             open_callers: Cell::new(0),
             strangers: Cell::new(0),
             live: RefCell::new(Live::of(&cfg)),
+            caller_name: CallerName::default(),
             started: clock.now(),
             clock,
             boot,
@@ -382,12 +386,13 @@
     }
 
     /// The service under whose name calls from this VM are made.
-    pub fn caller_service(&self) -> Option<Name> {
+    pub fn caller_service(&self) -> Option<Named> {
         let registered = self.registration.as_ref().and_then(|registration| {
             let local = registration.local.borrow();
             local.current().map(|run| run.service.clone())
         });
-        registered.or_else(|| self.live.borrow().service.clone())
+        let settings = self.live.borrow().service.clone();
+        self.caller_name.choose(settings, registered)
     }
 
     /// The service whose turn it is on a route.
