A registration or a record that names another service or address than the settings is not believed

Cause: which service runs on a VM, and where, was taken from whoever reached the door for registrations, or wrote the VM's record in the store, before the settings. Class: a word is believed because of where it arrived, though the node knows better itself. Change: what the settings say decides (registry::Beside); only where nobody declares the service that they name does a declared one that the upstream names go before it. A word that differs is refused with 400, counted and logged with both sides. The name in which calls are made follows the same rule.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -17,7 +17,7 @@
 use names::{AttemptId, Name};
 use platform::Stored;
 use quarantine::{Fingerprint, Standing, Suspect};
-use registry::{Farewell, Incarnation, Instance, Record, Verdict};
+use registry::{Beside, Farewell, Incarnation, Instance, Mismatch, Record, Verdict};
 use rollout::{Advice, InForce, Offered, Summary};
 use std::cell::RefCell;
 use wire::{RelayOutcome, Request};
@@ -36,9 +36,10 @@
     Platform,
     Contained,
     CallerName,
+    NotBelieved,
 }
 
-const KINDS: usize = 8;
+const KINDS: usize = 9;
 
 thread_local! {
     static LIMITERS: RefCell<([Limiter; KINDS], Option<Clock>)> =
@@ -278,6 +279,24 @@
     );
 }
 
+/// A word about the upstream beside this node was not believed: `source` is where it came from.
+pub fn not_beside(told: &Instance, beside: &Beside, mismatch: Mismatch, source: &'static str) {
+    stats::bad_input(source);
+    if allowed(Kind::NotBelieved) {
+        tracing::warn!(
+            source,
+            mismatch = mismatch.as_str(),
+            instance = %told.id,
+            born_ms = told.born_ms,
+            service = %told.service,
+            address = told.address,
+            settings_service = beside.service.as_ref().map_or("-", Name::as_str),
+            settings_address = ?beside.address,
+            "not believed: it is about another upstream than the settings name"
+        );
+    }
+}
+
 /// The upstream beside this node said that it ends.
 pub fn leaves(incarnation: &Incarnation, farewell: Farewell) {
     tracing::info!(instance = %incarnation.id, born_ms = incarnation.born_ms, ?farewell, "an upstream leaves");
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::containment::Containment;
 use crate::links::{Link, Reply};
-use crate::registration::Registration;
+use crate::registration::{declared, Registration};
 use crate::relay::Relayed;
 use crate::reload::Live;
 use crate::upstream::Pool;
@@ -19,6 +19,7 @@
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
 use quarantine::Suspect;
+use registry::Beside;
 use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -391,8 +392,18 @@
             let local = registration.local.borrow();
             local.current().map(|run| run.service.clone())
         });
-        let settings = self.live.borrow().service.clone();
-        self.caller_name.choose(settings, registered)
+        let in_force = self.in_force();
+        let declared = |service: &Name| declared(in_force.as_deref(), service);
+        self.caller_name
+            .choose(&self.beside(), registered.as_ref(), declared)
+    }
+
+    /// What the settings say of the upstream beside this node.
+    pub fn beside(&self) -> Beside {
+        Beside {
+            service: self.live.borrow().service.clone(),
+            address: self.cfg.upstream,
+        }
     }
 
     /// The service whose turn it is on a route.
--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -1,6 +1,6 @@
 //! The door at which the upstream beside this node registers.
 
-use super::{local_changed, Registration};
+use super::{is_believed, local_changed, Registration};
 use crate::audit;
 use crate::local;
 use crate::node::Node;
@@ -67,13 +67,11 @@
         .adapter
         .registration(&head.method, &head.target, &body);
     let (status, text) = match read {
-        Ok(told) => {
-            if take_in(node, registration, told) {
-                (200, "{}".to_string())
-            } else {
-                (503, "another start stands here".to_string())
-            }
-        }
+        Ok(told) => match take_in(node, registration, told) {
+            Taken::Acknowledged => (200, "{}".to_string()),
+            Taken::Doubted => (503, "another start stands here".to_string()),
+            Taken::NotBelieved => (400, "not the upstream of this VM's settings".to_string()),
+        },
         Err(error) => {
             tracing::warn!(%error, "a registration was refused");
             (400, error.to_string())
@@ -91,11 +89,35 @@
     Ok(true)
 }
 
+/// What became of a word of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Taken {
+    /// What follows from it has been done.
+    Acknowledged,
+    /// Another start may be the one that runs.
+    Doubted,
+    /// It is about another upstream than the settings name.
+    NotBelieved,
+}
+
+impl Taken {
+    fn acknowledged_unless(doubted: bool) -> Taken {
+        if doubted {
+            Taken::Doubted
+        } else {
+            Taken::Acknowledged
+        }
+    }
+}
+
 /// Takes in what the upstream said. What follows from it has been done when this returns, so that
-/// the answer may acknowledge it; false when it must not, since another start may be the one that runs.
-fn take_in(node: &Rc<Node>, registration: &Rc<Registration>, told: Told) -> bool {
-    let (changed, acknowledged) = match told {
+/// the answer may acknowledge it.
+fn take_in(node: &Rc<Node>, registration: &Rc<Registration>, told: Told) -> Taken {
+    let (changed, taken) = match told {
         Told::Heartbeat(heartbeat) => {
+            if !is_believed(node, &heartbeat.instance, "heartbeat") {
+                return Taken::NotBelieved;
+            }
             let instance = heartbeat.instance.clone();
             let sequence = heartbeat.sequence;
             let now = node.now();
@@ -104,16 +126,19 @@
                 audit::registered(&instance, sequence, verdict);
             }
             let changed = matches!(verdict, Verdict::Taken(Change::Updated | Change::Replaced));
-            (changed, verdict != Verdict::Doubted)
+            let doubted = verdict == Verdict::Doubted;
+            (changed, Taken::acknowledged_unless(doubted))
         }
         Told::Leaves(incarnation) => {
             let farewell = registration.local.borrow_mut().leaves(&incarnation);
             audit::leaves(&incarnation, farewell);
-            (farewell == Farewell::Taken, farewell != Farewell::Doubted)
+            let doubted = farewell == Farewell::Doubted;
+            let changed = farewell == Farewell::Taken;
+            (changed, Taken::acknowledged_unless(doubted))
         }
     };
     if changed {
         local_changed(node, registration);
     }
-    acknowledged
+    taken
 }
--- a/components/daemon/src/registration/health.rs
+++ b/components/daemon/src/registration/health.rs
@@ -1,7 +1,7 @@
 //! A look at the upstream beside a node that has just started: the upstream runs on while its node
 //! is restarted, and its next registration may be seconds away.
 
-use super::{local_changed, Registration};
+use super::{is_believed, local_changed, Registration};
 use crate::audit;
 use crate::node::Node;
 use async_std::future::timeout;
@@ -23,7 +23,7 @@
 
 /// Takes the run that an earlier start of this node knew, if it still runs and takes work.
 pub async fn find(node: Rc<Node>, registration: Rc<Registration>, earlier: Instance) {
-    if registration.local.borrow().current().is_some() {
+    if registration.local.borrow().current().is_some() || !is_believed(&node, &earlier, "record") {
         return;
     }
     if earlier.state != State::Ready {
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -16,10 +16,11 @@
 use crate::home_driver;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
-use names::BootId;
+use names::{BootId, Name};
 use platform::Adapter;
 use quarantine::Fingerprint;
-use registry::{Fleet, Incarnation, Instance, Local, Record, Version};
+use registry::{Declared, Fleet, Incarnation, Instance, Local, Record, Version};
+use rollout::InForce;
 use settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -84,6 +85,29 @@
     }
 }
 
+/// Whether a word about the upstream beside this node may be believed: one that names another service or address than
+/// the settings is not about it. When such words were believed, calls from this VM were made in the name of a service
+/// that nobody has, and its upstream got no work any more.
+pub fn is_believed(node: &Node, told: &Instance, source: &'static str) -> bool {
+    let in_force = node.in_force();
+    let declared = |service: &Name| declared(in_force.as_deref(), service);
+    let beside = node.beside();
+    let mismatch = beside.mismatch(told, declared);
+    if let Some(mismatch) = mismatch {
+        audit::not_beside(told, &beside, mismatch, source);
+    }
+    mismatch.is_none()
+}
+
+/// What the declarations in force say of a service whose upstreams register.
+pub fn declared(in_force: Option<&InForce>, service: &Name) -> Declared {
+    match in_force {
+        None => Declared::Unknown,
+        Some(in_force) if in_force.declarations.registered.contains_key(service) => Declared::Yes,
+        Some(_) => Declared::No,
+    }
+}
+
 /// Brings the home duty and this node's record in line with what is known of the upstream beside
 /// it, and tells the others.
 pub fn local_changed(node: &Rc<Node>, registration: &Registration) {
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -3,6 +3,7 @@
 //! An upstream tells the node beside it of every run of its own ([`Local`]). Each node keeps one
 //! [`Record`] of itself and its upstream, which it alone writes and tells the others ([`Fleet`]).
 
+mod beside;
 mod digest;
 mod fleet;
 mod incarnation;
@@ -10,6 +11,7 @@
 mod record;
 mod spread;
 
+pub use beside::{Beside, Declared, Mismatch, Origin};
 pub use digest::{BucketSet, Digests, BUCKETS};
 pub use fleet::{Fleet, Merged};
 pub use incarnation::Incarnation;
