An upstream that goes on gets work again though another one was said to stand in its place

Cause: a start whose place another one took without a word from it counted as ended for good, and a count far ahead made all later heartbeats late for good. A late heartbeat still tells that its start drains. Verdicts of the existing tests are unchanged.

--- a/components/registry/src/local.rs
+++ b/components/registry/src/local.rs
@@ -1,7 +1,8 @@
 //! What the node beside an upstream learns from its registrations.
 //!
 //! Registrations may come late and out of order, also from a start that has ended. A start that was
-//! told as gone, or that another one followed, never comes back; a later one may have its identity.
+//! told as gone never comes back; a later one may have its identity. One that another one followed comes back only
+//! if it goes on and the other one doesn't: then the other one was none.
 
 use crate::incarnation::Incarnation;
 use crate::record::{Instance, State};
@@ -44,7 +45,8 @@
     Taken(Change),
     /// Older than a registration of the same start that came before.
     Late,
-    /// From a start that has ended.
+    /// From a start that has ended. One whose place another took without a word from it is taken again once it has
+    /// gone on for [`DOUBT_US`] while the other one said nothing.
     Ended,
     /// From a start that says it came before the present one. It is taken once it has gone on for [`DOUBT_US`]
     /// while the present one said nothing: its clock was set back. Until then it must not be acknowledged.
@@ -75,6 +77,8 @@
 #[derive(Debug, Clone)]
 struct Ended {
     incarnation: Incarnation,
+    /// The state that it had reached.
+    state: State,
     /// Whether it or somebody else said so; otherwise another start took its place.
     was_told: bool,
 }
@@ -99,12 +103,10 @@
         let incarnation = heartbeat.instance.incarnation();
         let current = self.current.as_ref().map(Instance::incarnation);
         if let Some(ended) = self.ended(&incarnation) {
-            // One that was wrongly taken for an earlier start than another goes on.
-            let returns = current.is_some_and(|current| current.claims_to_precede(&incarnation));
-            if ended.was_told || !returns {
+            if ended.was_told {
                 return Verdict::Ended;
             }
-            return self.follows(heartbeat);
+            return self.goes_on(now, heartbeat, current);
         }
         match current {
             Some(current) if current.is(&incarnation) => self.again(heartbeat),
@@ -135,7 +137,7 @@
                 Farewell::Doubted
             }
             _ => {
-                self.end(incarnation.clone(), true);
+                self.end(incarnation.clone(), State::Gone, true);
                 Farewell::Known
             }
         }
@@ -168,7 +170,7 @@
             Some(_) => false,
             None => {
                 if instance.state == State::Gone {
-                    self.end(incarnation, true);
+                    self.end(incarnation, State::Gone, true);
                     return false;
                 }
                 self.replace(instance.clone(), 0);
@@ -187,14 +189,47 @@
         if matches {
             self.current = None;
         }
-        self.end(incarnation.clone(), true);
+        self.end(incarnation.clone(), State::Gone, true);
         matches
     }
 
+    /// A registration of a start whose place another one took without a word from it. It may be a late one; but if
+    /// whoever took the place isn't there any more, says nothing while this one goes on, or says that it is the
+    /// earlier one, then it was no start at all. An upstream that counted as ended got no work for as long as it ran.
+    fn goes_on(
+        &mut self,
+        now: Moment,
+        heartbeat: Heartbeat,
+        current: Option<Incarnation>,
+    ) -> Verdict {
+        let incarnation = heartbeat.instance.incarnation();
+        match current {
+            Some(current) if !current.claims_to_precede(&incarnation) => {
+                match self.precedes(now, heartbeat) {
+                    // It gets no work, so there is nothing that an acknowledgement could promise wrongly.
+                    Verdict::Doubted => Verdict::Ended,
+                    taken => taken,
+                }
+            }
+            _ => self.follows(heartbeat),
+        }
+    }
+
+    /// A late registration: only that the start drains is news whenever it comes, since it never takes work again.
+    fn late(&mut self, state: State) -> Verdict {
+        match self.current.as_mut() {
+            Some(known) if known.state < state => {
+                known.state = state;
+                Verdict::Taken(Change::Updated)
+            }
+            _ => Verdict::Late,
+        }
+    }
+
     /// A further registration of the present start.
     fn again(&mut self, heartbeat: Heartbeat) -> Verdict {
         if heartbeat.sequence < self.sequence {
-            return Verdict::Late;
+            return self.late(heartbeat.instance.state);
         }
         self.sequence = heartbeat.sequence;
         self.doubted = None;
@@ -241,7 +276,11 @@
 
     /// The first registration of a start that takes the place of the present one.
     fn follows(&mut self, heartbeat: Heartbeat) -> Verdict {
-        self.replace(heartbeat.instance, heartbeat.sequence);
+        let mut instance = heartbeat.instance;
+        if let Some(ended) = self.ended(&instance.incarnation()) {
+            instance.state = instance.state.max(ended.state);
+        }
+        self.replace(instance, heartbeat.sequence);
         Verdict::Taken(Change::Replaced)
     }
 
@@ -249,7 +288,7 @@
         let incarnation = instance.incarnation();
         self.ended.retain(|ended| ended.incarnation != incarnation);
         if let Some(before) = self.current.replace(instance) {
-            self.end(before.incarnation(), false);
+            self.end(before.incarnation(), before.state, false);
         }
         self.sequence = sequence;
         self.doubted = None;
@@ -260,10 +299,11 @@
         ended.find(|ended| ended.incarnation == *incarnation)
     }
 
-    fn end(&mut self, incarnation: Incarnation, was_told: bool) {
+    fn end(&mut self, incarnation: Incarnation, state: State, was_told: bool) {
         let mut ended = self.ended.iter_mut();
         if let Some(known) = ended.find(|known| known.incarnation == incarnation) {
             known.was_told |= was_told;
+            known.state = known.state.max(state);
             return;
         }
         if self.ended.len() >= MAX_ENDED {
@@ -271,6 +311,7 @@
         }
         self.ended.push_back(Ended {
             incarnation,
+            state,
             was_told,
         });
     }
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -201,6 +201,59 @@
     assert_eq!(local.current().map(|run| run.id.as_str()), Some("b"));
 }
 
+#[test]
+fn a_start_that_goes_on_comes_back_when_the_one_in_its_place_says_nothing_more() {
+    let mut local = Local::default();
+    local.heartbeat(NOW, heartbeat("a", State::Ready, 9));
+    local.heartbeat(NOW, heartbeat("b", State::Ready, 1));
+    let mut now = NOW;
+    for sequence in 10..12 {
+        let verdict = local.heartbeat(now, heartbeat("a", State::Ready, sequence));
+        assert_eq!(verdict, Verdict::Ended);
+        now = now + DOUBT_US / 2;
+    }
+    // The same word again proves nothing, and a word of the other one starts the time anew.
+    now = now + DOUBT_US;
+    let again = local.heartbeat(now, heartbeat("a", State::Ready, 11));
+    assert_eq!(again, Verdict::Ended);
+    local.heartbeat(now, heartbeat("b", State::Ready, 2));
+    let verdict = local.heartbeat(now, heartbeat("a", State::Ready, 12));
+    assert_eq!(verdict, Verdict::Ended);
+    let verdict = local.heartbeat(now + DOUBT_US, heartbeat("a", State::Ready, 13));
+    assert_eq!(verdict, Verdict::Taken(Change::Replaced));
+    assert_eq!(local.current().map(|run| run.id.as_str()), Some("a"));
+}
+
+#[test]
+fn a_start_that_goes_on_comes_back_at_once_when_nothing_stands_in_its_place_and_still_drains() {
+    for (state, then) in [
+        (State::Ready, State::Ready),
+        (State::Draining, State::Draining),
+    ] {
+        let mut local = Local::default();
+        local.heartbeat(NOW, heartbeat("a", state, 9));
+        local.heartbeat(NOW, heartbeat("b", State::Ready, 1));
+        assert!(local.is_not(&incarnation("b")));
+        let verdict = local.heartbeat(NOW, heartbeat("a", State::Ready, 10));
+        assert_eq!(verdict, Verdict::Taken(Change::Replaced));
+        assert_eq!(local.current().map(|run| run.state), Some(then));
+        // The other one was found not to stand there.
+        let verdict = local.heartbeat(NOW, heartbeat("b", State::Ready, 2));
+        assert_eq!(verdict, Verdict::Ended);
+    }
+}
+
+#[test]
+fn a_late_registration_still_tells_that_its_start_drains() {
+    let mut local = Local::default();
+    local.heartbeat(NOW, heartbeat("a", State::Ready, 9));
+    let verdict = local.heartbeat(NOW, heartbeat("a", State::Draining, 5));
+    assert_eq!(verdict, Verdict::Taken(Change::Updated));
+    assert_eq!(local.current().map(|run| run.state), Some(State::Draining));
+    let verdict = local.heartbeat(NOW, heartbeat("a", State::Ready, 6));
+    assert_eq!(verdict, Verdict::Late);
+}
+
 #[test]
 fn a_run_that_left_stays_gone_whatever_it_says_later() {
     let mut local = Local::default();
