--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -297,6 +297,19 @@
     }
 }
 
+/// Another node passed on a record with a version that no node can have.
+pub fn unreachable(record: &Record) {
+    stats::bad_input("peer");
+    if allowed(Kind::NotBelieved) {
+        tracing::warn!(
+            vm = %record.vm,
+            generation = record.version.generation,
+            change = record.version.change,
+            "a record was refused: no node comes so far"
+        );
+    }
+}
+
 /// The upstream beside this node said that it ends.
 pub fn leaves(incarnation: &Incarnation, farewell: Farewell) {
     tracing::info!(instance = %incarnation.id, born_ms = incarnation.born_ms, ?farewell, "an upstream leaves");
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -137,6 +137,7 @@
                 local::spawn(health::find(node.clone(), registration.clone(), earlier));
             }
         }
+        Merged::Unreachable => audit::unreachable(&offered),
         Merged::Same => {}
     }
 }
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -289,5 +289,11 @@
     if record.vm != object.name {
         return Err(bad(format!("it names the VM {}", record.vm)));
     }
+    if !record.version.is_reachable() {
+        return Err(bad(format!(
+            "no node comes as far as version {}.{}",
+            record.version.generation, record.version.change
+        )));
+    }
     Ok(record)
 }
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -14,6 +14,8 @@
     Same,
     /// Older than what is known.
     Older,
+    /// No node can have come so far: another writer's, or spoiled.
+    Unreachable,
     /// Another start of this node's own VM claims a version that isn't below this node's.
     Own(Version),
 }
@@ -63,6 +65,9 @@
 
     /// Takes in a record from the store or from another node.
     pub fn merge(&mut self, record: Record) -> Merged {
+        if !record.version.is_reachable() {
+            return Merged::Unreachable;
+        }
         let known = self.records.get(&record.vm);
         if record.vm == self.me {
             let own = self.own();
--- a/components/registry/src/record.rs
+++ b/components/registry/src/record.rs
@@ -77,6 +77,17 @@
     pub change: u64,
 }
 
+/// Highest number of starts, or of changes within one, that a version may have: with one a second it is reached after
+/// 136 years. Nothing could be told over a record with the largest number there is, and its VM would be lost to all.
+const MOST_COUNTED: u64 = u32::MAX as u64;
+
+impl Version {
+    /// Whether a node can have come so far.
+    pub fn is_reachable(self) -> bool {
+        self.generation <= MOST_COUNTED && self.change <= MOST_COUNTED
+    }
+}
+
 /// What a node tells the others of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -327,3 +327,16 @@
     let again: Record = serde_json::from_str(&written).expect("a record");
     assert_eq!(again, known);
 }
+
+#[test]
+fn a_record_with_a_version_that_no_start_reaches_is_not_taken() {
+    let mut fleet = Fleet::new(record("me", 1, 0, None));
+    let far = u64::from(u32::MAX) + 1;
+    for (generation, change) in [(u64::MAX, 0), (far, 0), (2, far)] {
+        for vm in ["me", "other"] {
+            let offered = record(vm, generation, change, None);
+            assert_eq!(fleet.merge(offered), Merged::Unreachable);
+        }
+    }
+    assert_eq!(fleet.len(), 1);
+}
