A store that comes back from an older copy: places belong to an era, records are offered again

Cause: revisions were compared across a return of the store, equal numbers with other content were refused, ages of before counted, and nobody missed a record that the store had lost. Change: the adapter reads the era from every answer; an answer of an earlier one is an error. components/era decides what still holds; a node that hears of a later era lists the declarations anew, forgets what was confirmed, tells the others with the summaries that nodes exchange anyway, and offers its record within a second, through another node where it can't reach the store. Of two contents with one number the one that was read later goes before.

--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -5,7 +5,7 @@
 use crate::local;
 use crate::node::Node;
 use crate::stats::{self, Work};
-use crate::{coordinator, home_driver, watching};
+use crate::{coordinator, home_driver, store_eras, watching};
 use async_std::task;
 use errors::{contained, Step};
 use membership::VmList;
@@ -102,8 +102,10 @@
 /// Takes in what a peer knows: asks for what is newer there, or tells it that something is newer here.
 /// Content is sent only to who wants it.
 pub fn compare(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
+    store_eras::heard(node, from, theirs);
     let mine = node.summary();
     if theirs.is_level_with(&mine) {
+        node.rollout.borrow_mut().read_again(theirs.read);
         watching::confirmed_by(node, from, theirs);
     }
     if theirs.is_newer_than(&mine) {
@@ -116,11 +118,13 @@
 /// Asks a peer for what is newer there, unless it is on its way or the store is about to give it.
 fn ask(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
     let mine = node.summary();
+    let newest = node.rollout.borrow().newest();
     let known = Summary {
-        revision: node.rollout.borrow().newest(),
+        revision: newest,
         ..mine
     };
-    if !theirs.is_newer_than(&known) {
+    let is_checked = newest > mine.revision && theirs.revision <= newest;
+    if is_checked || !theirs.is_newer_than(&known) {
         return;
     }
     let standing = Standing {
@@ -164,7 +168,7 @@
 /// Sends a peer the content of what is newer here.
 pub fn wanted(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
     let mine = node.summary();
-    if mine.revision > theirs.revision {
+    if mine.has_newer_content_than(theirs) {
         if let Some(in_force) = node.in_force() {
             let configuration = Arc::new(in_force.configuration.clone());
             audit::declarations_sent(from, theirs.revision, mine.revision, configuration.size());
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod reload;
 mod stats;
 mod stop;
+mod store_eras;
 mod upstream;
 mod watching;
 
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -94,6 +94,11 @@
                 registration::taken(node, &registration, *record, source);
             }
         }
+        Frame::Store(record) => {
+            if let Some(registration) = node.registration.clone() {
+                registration::store_for(node, &registration, *record);
+            }
+        }
         Frame::RecordsDigest(digest) => {
             if let Some(registration) = &node.registration {
                 registration::digest_told(node, registration, digest, reply);
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -13,6 +13,7 @@
 use budget::{Gate, HallBudget};
 use declarations::{Route, Service};
 use entry::{Candidate, Entry, Event, RetryRate, Rule, Split};
+use era::{Era, Place};
 use home::{Home, Load};
 use keys::{ClaimReply, Claims, KeyHash, Table, KEY_KEPT_US};
 use membership::View;
@@ -349,9 +350,26 @@
             bytes: rollout.bytes(),
             list_version: self.view.borrow().list().version,
             confirmed_us_ago: self.watch.borrow().age_us(self.now()),
+            era: self.store_era(),
+            content: rollout.content(),
+            read: rollout.read(),
         }
     }
 
+    /// Highest era of the platform's store that is known; none where it tells none.
+    pub fn store_era(&self) -> Option<Era> {
+        let registration = self.registration.as_ref()?;
+        let eras = registration.eras.borrow();
+        eras.known()
+    }
+
+    /// Up to where the declarations were read in the store's present era.
+    pub fn store_place(&self) -> Option<Place> {
+        let registration = self.registration.as_ref()?;
+        let eras = registration.eras.borrow();
+        eras.place()
+    }
+
     /// State of the upstream beside this node.
     pub fn load(&self) -> Load {
         let now = self.now();
@@ -400,9 +418,10 @@
 
     /// What the settings say of the upstream beside this node.
     pub fn beside(&self) -> Beside {
+        let live = self.live.borrow();
         Beside {
-            service: self.live.borrow().service.clone(),
-            address: self.cfg.upstream,
+            service: live.service.clone(),
+            address: live.upstream,
         }
     }
 
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -52,6 +52,10 @@
     pub list_version: u64,
     /// Time since the platform was last known to hold nothing newer, in microseconds; none if it never was.
     pub confirmed_us_ago: Option<u64>,
+    /// The store's era: how often it came back from an older copy, as it counts itself; none where it tells none.
+    pub store_era: Option<u64>,
+    /// The store's revision up to which the declarations were read in that era; none when it is not known.
+    pub store_revision: Option<u64>,
     /// Whether the platform answered last time.
     pub platform_reachable: bool,
     /// Whether the upstream takes no new work.
@@ -238,6 +242,8 @@
             .unwrap_or_default(),
         list_version: node.view.borrow().list().version,
         confirmed_us_ago: node.watch.borrow().age_us(node.now()),
+        store_era: node.store_era().map(|era| era.0),
+        store_revision: node.store_place().map(|place| place.revision),
         platform_reachable: node.platform_state.borrow().reachable,
         leaving: load.leaving,
         in_flight: load.in_flight,
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -3,10 +3,12 @@
 
 mod door;
 mod health;
+mod offer;
 mod peers;
 mod records;
 
 pub use door::serve as serve_door;
+pub use offer::store_for;
 pub use peers::{
     buckets_told, digest_told, run_dials, taken, tell_other_halls, versions_told, Source,
 };
@@ -16,6 +18,7 @@
 use crate::home_driver;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
+use era::Eras;
 use names::{BootId, Name};
 use platform::Adapter;
 use quarantine::Fingerprint;
@@ -35,12 +38,14 @@
     pub fleet: RefCell<Fleet>,
     /// Whether the records in the store were read.
     pub has_listed: Cell<bool>,
-    /// The store's revision up to which the declarations were read; none when it is not known.
-    pub store_at: Cell<Option<u64>>,
+    /// The store's era, and up to where the declarations were read in it.
+    pub eras: RefCell<Eras>,
     /// Answers of the store with declarations that are being taken in.
     pub taking_in: Cell<u32>,
     /// Whether something was learned by a comparison of which nearby nodes have not been told.
     pub has_learned: Cell<bool>,
+    /// Records of other nodes that are being written to the store.
+    storing: Cell<u32>,
     /// Says that this node's record has changed and has to be stored.
     changed: (Sender<()>, Receiver<()>),
 }
@@ -66,9 +71,10 @@
             local: RefCell::default(),
             fleet: RefCell::new(Fleet::new(own)),
             has_listed: Cell::new(false),
-            store_at: Cell::new(None),
+            eras: RefCell::new(Eras::new(boot.0)),
             taking_in: Cell::new(0),
             has_learned: Cell::new(false),
+            storing: Cell::new(0),
             changed: async_channel::bounded(1),
         }
     }
@@ -108,6 +114,11 @@
     }
 }
 
+/// Has this node's record offered to the store when it is due: the store came back from an older copy.
+pub fn offer_soon(registration: &Registration) {
+    registration.store_soon();
+}
+
 /// Brings the home duty and this node's record in line with what is known of the upstream beside
 /// it, and tells the others.
 pub fn local_changed(node: &Rc<Node>, registration: &Registration) {
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -5,7 +5,7 @@
 //! and some time after another run of the upstream was found, so that a node which restarts while all others
 //! do finds its upstream without waiting to be told of it.
 
-use super::{health, peers, Registration, Source};
+use super::{health, offer, peers, Registration, Source};
 use crate::audit;
 use crate::containment;
 use crate::local;
@@ -38,7 +38,7 @@
 
 /// What stands in the store of this node.
 #[derive(Debug, Default)]
-struct Stands {
+pub(super) struct Stands {
     revision: Option<u64>,
     peers: String,
     upstream: Option<Incarnation>,
@@ -63,8 +63,15 @@
     learn_while_lonely(&node, &registration, &mut stands).await;
     registration.store_soon();
     while registration.changed.1.recv().await.is_ok() {
+        if offer::is_due(&registration) {
+            offer::run(&node, &registration, &mut stands).await;
+            continue;
+        }
         let after_ms = rand::rng().random_range(WRITE_AFTER_MS..=2 * WRITE_AFTER_MS);
         rest_or_hold(&registration, &stands, Duration::from_millis(after_ms)).await;
+        if offer::is_due(&registration) {
+            continue;
+        }
         let is_due = !leads_here(&registration, &stands)
             || names_another_run(&registration, &stands)
             || holds_others(&registration, &stands);
@@ -75,12 +82,15 @@
 }
 
 /// Lets time pass before a write, unless other requests are held than the store says: all nodes may lose power the
-/// next moment, and would let them end further upstreams.
+/// next moment, and would let them end further upstreams. The same holds when the store has lost records.
 async fn rest_or_hold(registration: &Registration, stands: &Stands, pause: Duration) {
-    let changed = async {
-        while !holds_others(registration, stands) && registration.changed.1.recv().await.is_ok() {}
-    };
+    let is_urgent = || holds_others(registration, stands) || offer::is_due(registration);
+    let changed = async { while !is_urgent() && registration.changed.1.recv().await.is_ok() {} };
     timeout(pause, changed).await.ok();
+    if offer::is_due(registration) {
+        // The next turn offers the record.
+        registration.store_soon();
+    }
 }
 
 /// Whether other requests are held than the store says.
@@ -207,6 +217,16 @@
     ready.is_some_and(|run| stands.upstream.as_ref() != Some(&run.incarnation()))
 }
 
+/// Writes this node's record, whatever the store says of it before, again and again until it is taken.
+pub(super) async fn write_anew(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    stands: &mut Stands,
+) {
+    stands.revision = None;
+    write_until_done(node, registration, stands).await;
+}
+
 async fn write_until_done(node: &Rc<Node>, registration: &Rc<Registration>, stands: &mut Stands) {
     let mut pause = LEAST_PAUSE_MS;
     while let Err(error) = write(node, registration, stands).await {
@@ -229,9 +249,14 @@
         let value =
             serde_json::to_vec(&own).map_err(|error| Error::new(Step::Platform, &own.vm, error))?;
         let put = store.put(kind, own.vm.as_str(), stands.revision, &value);
-        match called(node, Purpose::OwnRecord, put).await? {
+        let put = called(node, Purpose::OwnRecord, put).await;
+        if put.is_err() {
+            registration.eras.borrow_mut().unanswered(node.now());
+        }
+        match put? {
             Put::Done(at) => {
-                stands.wrote(at, &own);
+                stands.wrote(at.revision, &own);
+                offer::done(node, registration, at.era);
                 return Ok(());
             }
             Put::Conflict(None) => stands.revision = None,
@@ -240,6 +265,10 @@
                 match decode(&object) {
                     Ok(found) => {
                         *stands = Stands::of(&object, &found);
+                        if found == own {
+                            offer::done(node, registration, node.store_era());
+                            return Ok(());
+                        }
                         containment::succeed(node, registration, &found);
                         if found.boot != own.boot {
                             succeed(node, registration, found);
@@ -282,7 +311,7 @@
 }
 
 /// The record that stands in an object of its VM's name.
-fn decode(object: &Stored) -> Result<Record> {
+pub(super) fn decode(object: &Stored) -> Result<Record> {
     let bad = |cause: String| Error::new(Step::Platform, &object.name, cause);
     let record: Record =
         serde_json::from_slice(&object.value).map_err(|error| bad(error.to_string()))?;
--- a/components/daemon/src/reload.rs
+++ b/components/daemon/src/reload.rs
@@ -13,6 +13,7 @@
 use signal_hook::consts::signal::SIGHUP;
 use signal_hook_async_std::Signals;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
 pub struct Live {
     /// Service that runs on the VM.
     pub service: Option<Name>,
+    /// Where its upstream serves: one that takes the place of another on the VM may serve elsewhere.
+    pub upstream: Option<SocketAddr>,
     /// Fleet-wide bound on retries.
     pub retries: RetryLimit,
     /// Longest time of a planned stop, in milliseconds.
@@ -38,6 +41,7 @@
     pub fn of(cfg: &Settings) -> Live {
         Live {
             service: cfg.service.clone(),
+            upstream: cfg.upstream,
             retries: cfg.retries,
             stop_wait_ms: cfg.stop_wait_ms,
         }
--- a/components/daemon/src/stats.rs
+++ b/components/daemon/src/stats.rs
@@ -107,6 +107,16 @@
     histogram!(WORK, "step" => step).record(us as f64 / SECOND as f64);
 }
 
+/// The platform's store came back from an older copy.
+pub fn store_came_back() {
+    counter!("drumwheel_store_returns_total").increment(1);
+}
+
+/// This node's record was offered to the store again, by itself or by another node.
+pub fn record_offered(by: &'static str) {
+    counter!("drumwheel_records_offered_total", "by" => by).increment(1);
+}
+
 /// How a look at the upstream's pace came out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Look {
--- /dev/null
+++ b/components/daemon/src/store_eras.rs
@@ -0,0 +1,69 @@
+//! Eras of the platform's store: who sees a new one tells the others, and what belongs to the one before counts no more.
+//!
+//! `era` decides; here it is told and written down.
+
+use crate::audit;
+use crate::links;
+use crate::node::Node;
+use crate::registration::{self, Registration};
+use crate::stats;
+use era::{Era, Seen};
+use names::Name;
+use rollout::Summary;
+use std::rc::Rc;
+use wire::Frame;
+
+/// Takes in the era that the store's answers tell, after a call to it.
+pub fn answered(node: &Rc<Node>) {
+    let Some(registration) = node.registration.clone() else {
+        return;
+    };
+    if let Some(era) = registration.adapter.store().era() {
+        saw(node, &registration, era, None);
+    }
+}
+
+/// Takes in the era that another node knows.
+pub fn heard(node: &Rc<Node>, from: &Name, theirs: &Summary) {
+    let Some(registration) = node.registration.clone() else {
+        return;
+    };
+    if let Some(era) = theirs.era {
+        saw(node, &registration, era, Some(from));
+    }
+}
+
+fn saw(node: &Rc<Node>, registration: &Registration, era: Era, from: Option<&Name>) {
+    let place = registration.eras.borrow().place();
+    let seen = registration.eras.borrow_mut().saw(node.now(), era);
+    match seen {
+        Seen::Same | Seen::Earlier => {}
+        Seen::First => {
+            registration.adapter.store().know(era);
+            stats::set("drumwheel_store_era", era.0 as f64);
+            tracing::info!(%era, "the store's era is known");
+        }
+        Seen::Later { from: before } => {
+            registration.adapter.store().know(era);
+            stats::set("drumwheel_store_era", era.0 as f64);
+            stats::store_came_back();
+            let offer_at = registration.eras.borrow().offer_at();
+            let wait_us = offer_at.map_or(0, |at| at.since(node.now()));
+            audit::store_came_back(before, era, from, place, wait_us);
+            // What was confirmed before says nothing of what the store holds now.
+            node.watch.borrow_mut().forget_confirmation();
+            tell(node, registration, from);
+            registration::offer_soon(registration);
+        }
+    }
+}
+
+/// Tells this hall, and the others unless the word came from one of them: their nodes pass it on among themselves.
+fn tell(node: &Rc<Node>, registration: &Registration, from: Option<&Name>) {
+    let frame = Frame::Summary(node.summary());
+    links::tell_hall(node, &frame);
+    let is_far = |from: &Name| node.hall_of(from).is_some_and(|hall| hall != node.cfg.hall);
+    if !from.is_some_and(is_far) {
+        registration::tell_other_halls(node, registration, &frame);
+    }
+}
--- a/components/daemon/src/watching/calls.rs
+++ b/components/daemon/src/watching/calls.rs
@@ -3,6 +3,7 @@
 use crate::audit;
 use crate::node::Node;
 use crate::stats;
+use crate::store_eras;
 use errors::Result;
 use std::future::Future;
 use std::rc::Rc;
@@ -42,6 +43,7 @@
     let ended = call.await;
     let took_us = node.now().since(began);
     stats::platform_called(purpose, ended.is_ok());
+    store_eras::answered(node);
     audit::platform_called(purpose, took_us, ended.as_ref().err());
     ended
 }
--- a/components/daemon/src/watching/freshness.rs
+++ b/components/daemon/src/watching/freshness.rs
@@ -35,7 +35,8 @@
         return;
     };
     let now = node.now();
-    if age_us > now.0 {
+    if age_us > now.0 || theirs.era != node.store_era() {
+        // Before this node ran, or of an era of the store that is over.
         return;
     }
     let before_us = node.watch.borrow().age_us(now);
--- a/components/daemon/src/watching/listed.rs
+++ b/components/daemon/src/watching/listed.rs
@@ -7,6 +7,7 @@
 use crate::local;
 use crate::node::Node;
 use async_std::task;
+use era::Place;
 use errors::{Error, Result, Step};
 use membership::VmList;
 use platform::Object;
@@ -70,10 +71,19 @@
 async fn take_head(node: &Rc<Node>, object: Object) -> Result<()> {
     let head = Head::from_bytes(&object.value)
         .map_err(|error| Error::new(Step::Platform, HEAD_KEY, error))?;
-    let wanted = node.rollout.borrow_mut().wants(&head);
+    let wanted = node.rollout.borrow_mut().wants(&head, Place::default());
     if wanted.is_ok() {
         let objects = fetch(node, &head).await?;
-        configuration::take_in(node, Configuration { head, objects }, Origin::Store).await;
+        configuration::take_in(
+            node,
+            Configuration {
+                head,
+                objects,
+                read: Place::default(),
+            },
+            Origin::Store,
+        )
+        .await;
     } else if let Err(offered) = wanted {
         if offered != rollout::Offered::Same {
             tracing::warn!(?offered, revision = head.revision, "the platform went back");
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -213,11 +213,20 @@
 /// the open watches should have told: they say nothing any more. Without it a change was in force nowhere for
 /// ten seconds after the connections of all watches had fallen silent.
 async fn overtaken(node: &Rc<Node>) -> Result<()> {
+    let era = node.store_era();
     loop {
+        if node.store_era() != era {
+            // The revisions from which the open watches go on stand for something else now.
+            if look_at_all(node).await? {
+                freshness::tell_other_halls(node);
+            }
+            return Ok(());
+        }
         let now = node.now();
         let due = node.watch.borrow().confirm_at(now);
         if due > now {
-            task::sleep(Duration::from_micros(due.since(now))).await;
+            let period_us = node.watch.borrow().period_us();
+            task::sleep(Duration::from_micros(due.since(now).min(period_us))).await;
             continue;
         }
         if is_coming(node) {
--- a/components/daemon/src/watching/registered.rs
+++ b/components/daemon/src/watching/registered.rs
@@ -7,6 +7,7 @@
 use crate::registration::Registration;
 use crate::stats::{self, Work};
 use async_std::task;
+use era::{Era, Place};
 use errors::{contained, Error, Result, Step};
 use platform::{Reading, Stored, Watched};
 use rollout::{split, Change, Configuration, Head};
@@ -21,9 +22,8 @@
 /// Asks for the declarations.
 pub async fn declarations(node: &Rc<Node>, manner: Manner) -> Result<()> {
     let registration = registration(node)?;
-    let (kind, _) = registration.adapter.declarations();
-    let store = registration.adapter.store();
-    let after = match (registration.store_at.get(), manner) {
+    let place = registration.eras.borrow().place();
+    let after = match (place, manner) {
         (Some(after), Manner::Now | Manner::Wait) => after,
         (None, Manner::Now | Manner::Wait) => return list(node, Reading::Newest).await,
         (_, Manner::Start) => return list(node, Reading::MayLag).await,
@@ -32,18 +32,25 @@
         Manner::Wait => WATCH,
         Manner::Start | Manner::Now => Duration::ZERO,
     };
-    let watch = store.watch(kind, after, wait);
-    match called(node, Purpose::Watch, watch).await? {
+    let (kind, _) = registration.adapter.declarations();
+    let store = registration.adapter.store();
+    let watch = store.watch(kind, after.revision, wait);
+    let watched = called(node, Purpose::Watch, watch).await?;
+    if registration.eras.borrow().known() != after.era {
+        // The revision from which it went on stands for something else in the present era.
+        return list(node, Reading::Newest).await;
+    }
+    match watched {
         Watched::Changes { at, changed } => {
-            take_all(node, &registration, &changed).await;
-            read_up_to(&registration, at);
+            take_all(node, &registration, &changed, at.era).await;
+            registration.eras.borrow_mut().read_up_to(at);
             if !changed.is_empty() && manner == Manner::Wait {
                 task::sleep(PAUSE).await;
             }
         }
         Watched::Forgotten => {
-            tracing::info!(after, "the declarations are read anew");
-            registration.store_at.set(None);
+            tracing::info!(after = after.revision, "the declarations are read anew");
+            registration.eras.borrow_mut().forget_place();
             if manner == Manner::Now {
                 list(node, Reading::Newest).await?;
             }
@@ -62,20 +69,15 @@
     let (kind, _) = registration.adapter.declarations();
     let list = registration.adapter.store().list(kind, reading);
     let listing = called(node, Purpose::Declarations, list).await?;
-    take_all(node, &registration, &listing.objects).await;
+    take_all(node, &registration, &listing.objects, listing.at.era).await;
     if reading == Reading::Newest {
-        read_up_to(&registration, listing.at);
+        // Noted only once everything up to there is taken in: a call may be given up in between, and what it brought
+        // would be asked for by nobody.
+        registration.eras.borrow_mut().read_up_to(listing.at);
     }
     Ok(())
 }
 
-/// Later calls ask for what came after `at`. Noted only once everything up to there is taken in: a call may be
-/// given up in between, and what it brought would be asked for by nobody.
-fn read_up_to(registration: &Registration, at: u64) {
-    let before = registration.store_at.get();
-    registration.store_at.set(before.max(Some(at)));
-}
-
 fn registration(node: &Rc<Node>) -> Result<Rc<Registration>> {
     let registration = node.registration.clone();
     registration.ok_or_else(|| Error::new(Step::Platform, "-", "no nodes register here"))
@@ -97,7 +99,13 @@
     }
 }
 
-async fn take_all(node: &Rc<Node>, registration: &Registration, objects: &[Stored]) {
+/// Takes in what was read of the operators' object, in the store's `era`.
+async fn take_all(
+    node: &Rc<Node>,
+    registration: &Registration,
+    objects: &[Stored],
+    era: Option<Era>,
+) {
     let _taking_in = TakingIn::begin(&registration.taking_in);
     let (_, name) = registration.adapter.declarations();
     for object in objects.iter().filter(|object| object.name.as_str() == name) {
@@ -114,17 +122,27 @@
         let translate_us = node.now().since(began);
         stats::worked(Work::Translate, translate_us);
         audit::declarations_read(written.version, object, translate_us);
-        if written.version <= node.rollout.borrow().revision() {
+        let in_force = node.rollout.borrow().revision();
+        if written.version < in_force {
+            audit::copy_is_older(written.version, in_force, era);
             continue;
         }
+        let read = Place {
+            era,
+            revision: object.revision,
+        };
         task::sleep(BREATH).await;
-        configuration::take_in(node, to_configuration(written), Origin::Store).await;
+        let configuration = to_configuration(written, read);
+        let wanted = node.rollout.borrow_mut().wants(&configuration.head, read);
+        if wanted.is_ok() {
+            configuration::take_in(node, configuration, Origin::Store).await;
+        }
     }
 }
 
 /// A revision of this product from what the platform's operators wrote. Every node makes the same
 /// of the same, so that nodes can compare.
-fn to_configuration(written: platform::Written) -> Configuration {
+fn to_configuration(written: platform::Written, read: Place) -> Configuration {
     let (files, objects) = split(&written.bundle);
     let change = Change {
         id: format!("platform-{}", written.version),
@@ -138,5 +156,9 @@
         change,
         files,
     };
-    Configuration { head, objects }
+    Configuration {
+        head,
+        objects,
+        read,
+    }
 }
--- a/components/operator/src/nodes.rs
+++ b/components/operator/src/nodes.rs
@@ -22,6 +22,12 @@
     pub revision: u64,
     /// Version of the platform's list.
     pub list_version: u64,
+    /// The store's era; none where it tells none.
+    #[serde(default)]
+    pub store_era: Option<u64>,
+    /// The store's revision up to which the node read the declarations in that era; none when it is not known.
+    #[serde(default)]
+    pub store_revision: Option<u64>,
     /// Whether the platform answered the node last time.
     pub platform_reachable: bool,
     /// Whether the upstream takes no new work.
--- a/components/operator/src/read.rs
+++ b/components/operator/src/read.rs
@@ -1,5 +1,6 @@
 //! Reading from the platform.
 
+use era::Place;
 use errors::{Error, Result, Step};
 use membership::VmList;
 use platform::Client;
@@ -23,7 +24,11 @@
         let bytes = content(client, digest).await?;
         objects.insert(digest.clone(), ByteBuf::from(bytes));
     }
-    Ok(Configuration { head, objects })
+    Ok(Configuration {
+        head,
+        objects,
+        read: Place::default(),
+    })
 }
 
 /// The heads from the one in force backwards, at most `most`.
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -2,6 +2,7 @@
 //! conditional writes and watches. An adapter speaks the platform's own words behind it.
 
 use declarations::Bundle;
+use era::{Era, Place};
 use errors::Result;
 use names::Name;
 use registry::{Heartbeat, Incarnation};
@@ -36,8 +37,8 @@
 /// All objects of a kind.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
-    /// The store's revision when they were listed.
-    pub at: u64,
+    /// Where the store stood when they were listed.
+    pub at: Place,
     /// The objects.
     pub objects: Vec<Stored>,
 }
@@ -48,7 +49,7 @@
     /// Changes, in their order; none when the wait is over.
     Changes {
         /// Where the next watch begins.
-        at: u64,
+        at: Place,
         /// Objects that were written.
         changed: Vec<Stored>,
     },
@@ -59,13 +60,13 @@
 /// What came of a write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Put {
-    /// It took effect, at this revision.
-    Done(u64),
+    /// It took effect, at this place.
+    Done(Place),
     /// The condition did not hold: the object as it stands, or none when it doesn't exist.
     Conflict(Option<Stored>),
 }
 
-/// A store. Every call has a time limit of its own.
+/// A store. Every call has a time limit of its own, and fails if its answer is of an earlier era than is known.
 pub trait Store {
     /// Lists all objects of a kind.
     fn list<'a>(&'a self, kind: &'a str, reading: Reading) -> Call<'a, Listing>;
@@ -81,6 +82,10 @@
     ) -> Call<'a, Put>;
     /// Removes an object.
     fn remove<'a>(&'a self, kind: &'a str, name: &'a str) -> Call<'a, ()>;
+    /// The highest era that an answer or another node told of; none where the store tells none.
+    fn era(&self) -> Option<Era>;
+    /// Another node told of `era`: answers of an earlier one are errors from now on.
+    fn know(&self, era: Era);
     /// Calls made so far.
     fn calls(&self) -> u64;
     /// Answers of which a part has come, and the end has not.
--- a/components/rollout/src/head.rs
+++ b/components/rollout/src/head.rs
@@ -73,6 +73,13 @@
         serde_json::from_slice(bytes).map_err(|error| error.to_string())
     }
 
+    /// The first bytes of the digest, as a number: tells contents of one revision apart.
+    pub fn short_digest(&self) -> u64 {
+        let hash = Sha256::digest(self.to_bytes());
+        let first = hash.first_chunk().copied();
+        u64::from_be_bytes(first.unwrap_or_default())
+    }
+
     /// Digest of the head object.
     pub fn digest(&self) -> Digest {
         digest(&self.to_bytes())
--- a/components/rollout/tests/rollout/differences.rs
+++ b/components/rollout/tests/rollout/differences.rs
@@ -1,6 +1,7 @@
 //! The difference shown to operators, and revisions a node must not take.
 
 use declarations::Bundle;
+use era::Place;
 use rollout::{diff, split, Change, Configuration, Head, Offered, Rollout};
 use std::collections::BTreeMap;
 
@@ -32,6 +33,7 @@
             files,
         },
         objects,
+        read: Place::default(),
     }
 }
 
--- a/components/rollout/tests/rollout/main.rs
+++ b/components/rollout/tests/rollout/main.rs
@@ -3,5 +3,6 @@
 mod differences;
 mod fetch;
 mod fuzz;
+mod returns;
 mod reuse;
 mod world;
--- a/components/watch/src/duty.rs
+++ b/components/watch/src/duty.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// What was known of that says nothing any more: the platform's store came back from an older copy.
+    pub fn forget_confirmation(&mut self) {
+        self.freshness = Freshness::default();
+    }
+
     /// When this node, which watches, asks the platform anew unless what it holds is confirmed meanwhile.
     pub fn confirm_at(&self, now: Moment) -> Moment {
         let wait_us = self.timing.confirm_us + self.confirm_draw_us;
@@ -210,6 +215,11 @@
             .is_none_or(|age_us| age_us >= self.timing.stale_us)
     }
 
+    /// The other nodes that have lately said that they watch: the platform answers them.
+    pub fn answered_nodes(&self, now: Moment) -> Vec<Name> {
+        self.lately(now).cloned().collect()
+    }
+
     /// How many other nodes have lately said that they watch.
     pub fn watchers(&self, now: Moment) -> usize {
         self.lately(now).count()
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -175,6 +175,8 @@
     },
     /// A node's record of itself and of the upstream beside it.
     Registered(Box<Record>),
+    /// To a node that reaches the platform's store: write this record of the sender there.
+    Store(Box<Record>),
     /// The digest of the records that the sender knows; a receiver that knows others answers with the
     /// digests of its buckets.
     RecordsDigest(u64),
@@ -231,6 +233,7 @@
             Frame::Relay { .. } => "relay",
             Frame::Relayed { .. } => "relayed",
             Frame::Registered(_) => "registered",
+            Frame::Store(_) => "store",
             Frame::RecordsDigest(_) => "records-digest",
             Frame::RecordBuckets(_) => "record-buckets",
             Frame::RecordVersions(_) => "record-versions",
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -93,12 +93,23 @@
     )
 }
 
+/// Where the store stands for a node, where it tells its era.
+fn store(node: &NodeStatus) -> String {
+    let Some(era) = node.store_era else {
+        return String::new();
+    };
+    let read = node
+        .store_revision
+        .map_or("-".to_string(), |revision| revision.to_string());
+    format!("  store era {era}, read up to {read}")
+}
+
 /// One line of `status`.
 pub fn node_line(vm: &str, result: &Result<NodeStatus, Error>) -> String {
     match result {
         Ok(node) => {
             format!(
-            "{:<16} {:<12} revision {:<4} list {:<4} platform {:<11} {} {}/{} running, {} queued",
+            "{:<16} {:<12} revision {:<4} list {:<4} platform {:<11} {} {}/{} running, {} queued{}",
             node.vm,
             node.hall,
             node.revision,
@@ -107,7 +118,8 @@
             if node.leaving { "leaving" } else { "serving" },
             node.in_flight,
             node.limit,
-            node.queued
+            node.queued,
+            store(node)
         )
         }
         Err(error) => format!("{vm:<16} no answer: {error}"),
