--- a/components/daemon/src/store_eras.rs
+++ b/components/daemon/src/store_eras.rs
@@ -58,12 +58,18 @@
     }
 }
 
-/// Tells this hall, and the others unless the word came from one of them: their nodes pass it on among themselves.
+/// Tells the others: who saw it itself tells this hall and one node of each other hall, which tells its own. A node of
+/// this hall that told it has told the whole hall.
 fn tell(node: &Rc<Node>, registration: &Registration, from: Option<&Name>) {
     let frame = Frame::Summary(node.summary());
-    links::tell_hall(node, &frame);
-    let is_far = |from: &Name| node.hall_of(from).is_some_and(|hall| hall != node.cfg.hall);
-    if !from.is_some_and(is_far) {
-        registration::tell_other_halls(node, registration, &frame);
+    match from {
+        None => {
+            links::tell_hall(node, &frame);
+            registration::tell_other_halls(node, registration, &frame);
+        }
+        Some(vm) if node.hall_of(vm).is_some_and(|hall| hall != node.cfg.hall) => {
+            links::tell_hall(node, &frame);
+        }
+        Some(_) => {}
     }
 }
