--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -3,7 +3,7 @@
 //! Every kind of line is bounded in each second; what was left out is told with the next line of
 //! the kind and counted. `docs/OPERATIONS.md` reads these lines.
 
-use crate::caller_name::Named;
+use crate::caller_name::{self, Named};
 use crate::callers::{CallerRequest, Told};
 use crate::clock::Clock;
 use crate::node::Node;
@@ -72,7 +72,7 @@
 /// A route and a service were found for a request.
 pub fn routed(node: &Node, req: &Request, route: &Route, in_force: &InForce, told: &Told) {
     if allowed(Kind::Routed) {
-        let caller = node.caller_service();
+        let caller = caller_name::of(node);
         tracing::info!(
             id = %req.id,
             route = %route.name,
--- a/components/daemon/src/caller_name.rs
+++ b/components/daemon/src/caller_name.rs
@@ -1,6 +1,8 @@
 //! The name of the service in which calls from this VM are made, whatever their callers say.
 
 use crate::audit;
+use crate::node::Node;
+use crate::registration;
 use names::Name;
 use registry::{Beside, Declared, Origin};
 use std::cell::RefCell;
@@ -39,3 +41,16 @@
         next
     }
 }
+
+/// The service in whose name calls from this VM are made, and what says so.
+pub fn of(node: &Node) -> Option<Named> {
+    let registered = node.registration.as_ref().and_then(|registration| {
+        let local = registration.local.borrow();
+        local.current().map(|run| run.service.clone())
+    });
+    let in_force = node.in_force();
+    let declared = |service: &Name| registration::declared(in_force.as_deref(), service);
+    let beside = registration::beside(node);
+    node.caller_name
+        .choose(&beside, registered.as_ref(), declared)
+}
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -3,6 +3,7 @@
 use super::request::CallerRequest;
 use super::response::{self, Response};
 use crate::audit;
+use crate::caller_name;
 use crate::candidates;
 use crate::containment;
 use crate::entry_driver::{run_call, Plan};
@@ -300,7 +301,7 @@
     headers.retain(|(name, _)| !own(name));
     if let Some(name) = &names.caller_service {
         headers.retain(|(other, _)| !other.eq_ignore_ascii_case(name));
-        let caller = node.caller_service();
+        let caller = caller_name::of(node);
         headers.extend(caller.map(|named| (name.clone(), named.service.to_string())));
     }
     Request {
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -1,26 +1,25 @@
 //! The state of a node, shared by its tasks on one thread.
 
-use crate::caller_name::{CallerName, Named};
+use crate::caller_name::CallerName;
 use crate::clock::Clock;
 use crate::containment::Containment;
 use crate::links::{Link, Reply};
-use crate::registration::{declared, Registration};
+use crate::registration::Registration;
 use crate::relay::Relayed;
 use crate::reload::Live;
+use crate::store_eras;
 use crate::upstream::Pool;
 use crate::watching::PlatformState;
 use async_channel::Sender;
 use budget::{Gate, HallBudget};
 use declarations::{Route, Service};
 use entry::{Candidate, Entry, Event, RetryRate, Rule, Split};
-use era::{Era, Place};
 use home::{Home, Load};
 use keys::{ClaimReply, Claims, KeyHash, Table, KEY_KEPT_US};
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
 use quarantine::Suspect;
-use registry::Beside;
 use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -125,7 +124,7 @@
     /// The part of the settings that changes while the node runs.
     pub live: RefCell<Live>,
     /// The name in which calls from this VM are made.
-    caller_name: CallerName,
+    pub caller_name: CallerName,
     /// Boot of this process.
     pub boot: BootId,
     /// Clock.
@@ -350,26 +349,12 @@
             bytes: rollout.bytes(),
             list_version: self.view.borrow().list().version,
             confirmed_us_ago: self.watch.borrow().age_us(self.now()),
-            era: self.store_era(),
+            era: store_eras::known(self),
             content: rollout.content(),
             read: rollout.read(),
         }
     }
 
-    /// Highest era of the platform's store that is known; none where it tells none.
-    pub fn store_era(&self) -> Option<Era> {
-        let registration = self.registration.as_ref()?;
-        let eras = registration.eras.borrow();
-        eras.known()
-    }
-
-    /// Up to where the declarations were read in the store's present era.
-    pub fn store_place(&self) -> Option<Place> {
-        let registration = self.registration.as_ref()?;
-        let eras = registration.eras.borrow();
-        eras.place()
-    }
-
     /// State of the upstream beside this node.
     pub fn load(&self) -> Load {
         let now = self.now();
@@ -404,27 +389,6 @@
         })
     }
 
-    /// The service under whose name calls from this VM are made.
-    pub fn caller_service(&self) -> Option<Named> {
-        let registered = self.registration.as_ref().and_then(|registration| {
-            let local = registration.local.borrow();
-            local.current().map(|run| run.service.clone())
-        });
-        let in_force = self.in_force();
-        let declared = |service: &Name| declared(in_force.as_deref(), service);
-        self.caller_name
-            .choose(&self.beside(), registered.as_ref(), declared)
-    }
-
-    /// What the settings say of the upstream beside this node.
-    pub fn beside(&self) -> Beside {
-        let live = self.live.borrow();
-        Beside {
-            service: live.service.clone(),
-            address: live.upstream,
-        }
-    }
-
     /// The service whose turn it is on a route.
     pub fn share_of(&self, route: &Route) -> Name {
         let mut splits = self.splits.borrow_mut();
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -9,6 +9,7 @@
 use crate::home_driver;
 use crate::local;
 use crate::node::Node;
+use crate::store_eras;
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -242,8 +243,8 @@
             .unwrap_or_default(),
         list_version: node.view.borrow().list().version,
         confirmed_us_ago: node.watch.borrow().age_us(node.now()),
-        store_era: node.store_era().map(|era| era.0),
-        store_revision: node.store_place().map(|place| place.revision),
+        store_era: store_eras::known(node).map(|era| era.0),
+        store_revision: store_eras::place(node).map(|place| place.revision),
         platform_reachable: node.platform_state.borrow().reachable,
         leaving: load.leaving,
         in_flight: load.in_flight,
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -22,7 +22,7 @@
 use names::{BootId, Name};
 use platform::Adapter;
 use quarantine::Fingerprint;
-use registry::{Declared, Fleet, Incarnation, Instance, Local, Record, Version};
+use registry::{Beside, Declared, Fleet, Incarnation, Instance, Local, Record, Version};
 use rollout::InForce;
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -97,7 +97,7 @@
 pub fn is_believed(node: &Node, told: &Instance, source: &'static str) -> bool {
     let in_force = node.in_force();
     let declared = |service: &Name| declared(in_force.as_deref(), service);
-    let beside = node.beside();
+    let beside = beside(node);
     let mismatch = beside.mismatch(told, declared);
     if let Some(mismatch) = mismatch {
         audit::not_beside(told, &beside, mismatch, source);
@@ -105,6 +105,15 @@
     mismatch.is_none()
 }
 
+/// What the settings say of the upstream beside this node.
+pub fn beside(node: &Node) -> Beside {
+    let live = node.live.borrow();
+    Beside {
+        service: live.service.clone(),
+        address: live.upstream,
+    }
+}
+
 /// What the declarations in force say of a service whose upstreams register.
 pub fn declared(in_force: Option<&InForce>, service: &Name) -> Declared {
     match in_force {
--- a/components/daemon/src/registration/offer.rs
+++ b/components/daemon/src/registration/offer.rs
@@ -26,6 +26,8 @@
 /// A record that the store has not taken for so long is given to another node to write: a quarter of what the spread
 /// of the offers leaves of the two seconds within which records must stand again.
 const ASK_AFTER: Duration = Duration::from_millis(250);
+/// Longest pause between two nodes that are asked: each of them makes a call for it.
+const MOST_ASK_PAUSE: Duration = Duration::from_secs(4);
 /// Records of other nodes that this one writes at the same time, at most.
 const MOST_STORING: u32 = 32;
 
@@ -69,7 +71,7 @@
     let mut pause = ASK_AFTER;
     loop {
         task::sleep(pause).await;
-        pause *= 2;
+        pause = (pause * 2).min(MOST_ASK_PAUSE);
         let Some(asked) = pick(node) else {
             continue;
         };
@@ -96,7 +98,7 @@
 pub fn store_for(node: &Rc<Node>, registration: &Rc<Registration>, record: Record) {
     if registration.storing.get() >= MOST_STORING || !record.version.is_reachable() {
         stats::bad_input("peer");
-        tracing::info!(vm = %record.vm, "another node's record is not written: too many, or unreadable");
+        tracing::info!(vm = %record.vm, "another node's record is not written: too many at once, or no node has its version");
         return;
     }
     let node = node.clone();
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -10,6 +10,7 @@
 use crate::containment;
 use crate::local;
 use crate::node::Node;
+use crate::store_eras;
 use crate::watching::{called, rest, set_reachable, Purpose, LEAST_PAUSE_MS};
 use async_std::future::timeout;
 use async_std::task;
@@ -266,7 +267,7 @@
                     Ok(found) => {
                         *stands = Stands::of(&object, &found);
                         if found == own {
-                            offer::done(node, registration, node.store_era());
+                            offer::done(node, registration, store_eras::known(node));
                             return Ok(());
                         }
                         containment::succeed(node, registration, &found);
--- a/components/daemon/src/store_eras.rs
+++ b/components/daemon/src/store_eras.rs
@@ -7,12 +7,26 @@
 use crate::node::Node;
 use crate::registration::{self, Registration};
 use crate::stats;
-use era::{Era, Seen};
+use era::{Era, Place, Seen};
 use names::Name;
 use rollout::Summary;
 use std::rc::Rc;
 use wire::Frame;
 
+/// Highest era of the store that is known; none where it tells none.
+pub fn known(node: &Node) -> Option<Era> {
+    let registration = node.registration.as_ref()?;
+    let eras = registration.eras.borrow();
+    eras.known()
+}
+
+/// Up to where the declarations were read in the present era.
+pub fn place(node: &Node) -> Option<Place> {
+    let registration = node.registration.as_ref()?;
+    let eras = registration.eras.borrow();
+    eras.place()
+}
+
 /// Takes in the era that the store's answers tell, after a call to it.
 pub fn answered(node: &Rc<Node>) {
     let Some(registration) = node.registration.clone() else {
--- a/components/daemon/src/watching/freshness.rs
+++ b/components/daemon/src/watching/freshness.rs
@@ -4,6 +4,7 @@
 use crate::links;
 use crate::node::Node;
 use crate::registration;
+use crate::store_eras;
 use names::{Moment, Name, MILLISECOND};
 use rollout::Summary;
 use std::rc::Rc;
@@ -35,7 +36,7 @@
         return;
     };
     let now = node.now();
-    if age_us > now.0 || theirs.era != node.store_era() {
+    if age_us > now.0 || theirs.era != store_eras::known(node) {
         // Before this node ran, or of an era of the store that is over.
         return;
     }
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -16,6 +16,7 @@
 use crate::links::{self, Reply};
 use crate::local;
 use crate::node::Node;
+use crate::store_eras;
 use async_std::task;
 use errors::Result;
 use futures_util::future::{select, select_all, Either};
@@ -213,9 +214,9 @@
 /// the open watches should have told: they say nothing any more. Without it a change was in force nowhere for
 /// ten seconds after the connections of all watches had fallen silent.
 async fn overtaken(node: &Rc<Node>) -> Result<()> {
-    let era = node.store_era();
+    let era = store_eras::known(node);
     loop {
-        if node.store_era() != era {
+        if store_eras::known(node) != era {
             // The revisions from which the open watches go on stand for something else now.
             if look_at_all(node).await? {
                 freshness::tell_other_halls(node);
