--- a/components/daemon/src/watching/registered.rs
+++ b/components/daemon/src/watching/registered.rs
@@ -70,10 +70,7 @@
     let list = registration.adapter.store().list(kind, reading);
     let listing = called(node, Purpose::Declarations, list).await?;
     // An answer that lags may hold what a return has lost, and belongs to no era.
-    let era = listing
-        .at
-        .era
-        .filter(|_| reading == Reading::Newest);
+    let era = listing.at.era.filter(|_| reading == Reading::Newest);
     take_all(node, &registration, &listing.objects, era).await;
     if reading == Reading::Newest {
         // Noted only once everything up to there is taken in: a call may be given up in between, and what it brought
