A VM's node says anew what somebody else has changed in its record

Cause: nodes told records apart by version alone, and a node took any record with its own start for its own word. So a record that somebody changed in the store under its version, or a higher one, stayed with every node that read it. Change: digests cover all that a record says; records of one version that differ are found by comparisons and shown to the VM's node, which says what holds above any record that isn't its own word; a node that tells something older itself is shown the newer. One line shows both.

--- a/components/daemon/src/audit.rs
+++ b/components/daemon/src/audit.rs
@@ -298,6 +298,25 @@
     }
 }
 
+/// Two records of a VM have one version and say different things: somebody else wrote one of them.
+pub fn differs(known: &Record, offered: &Record) {
+    stats::bad_input("peer");
+    if allowed(Kind::NotBelieved) {
+        let upstream = |record: &Record| {
+            let upstream = record.upstream.as_ref();
+            upstream.map(|upstream| format!("{} {}", upstream.service, upstream.state.as_str()))
+        };
+        tracing::warn!(
+            vm = %known.vm,
+            generation = known.version.generation,
+            change = known.version.change,
+            known = upstream(known),
+            offered = upstream(offered),
+            "two records with one version differ; their VM's node is asked"
+        );
+    }
+}
+
 /// Another node passed on a record with a version that no node can have.
 pub fn unreachable(record: &Record) {
     stats::bad_input("peer");
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -118,15 +118,15 @@
         }
         Merged::Older => {
             let fleet = registration.fleet.borrow();
-            let known = fleet
-                .record(&vm)
-                .filter(|known| known.boot != boot)
-                .cloned();
+            // The VM's node itself says what is older: it does not know what somebody else has said for it.
+            let is_unknown_there = |known: &&Record| known.boot != boot || sender == Some(&vm);
+            let known = fleet.record(&vm).filter(is_unknown_there).cloned();
             drop(fleet);
             if let (Some(known), Some(reply)) = (known, reply) {
                 reply.send(node, Frame::Registered(Box::new(known)));
             }
         }
+        Merged::Differs => ask_its_node(node, registration, offered),
         Merged::Own(version) => {
             containment::succeed(node, registration, &offered);
             let own = registration.fleet.borrow_mut().rise_above(version);
@@ -142,6 +142,20 @@
     }
 }
 
+/// Shows a VM's node two records with one version, of which it wrote one at most: it says anew what holds, above both.
+/// When such a record was kept, the VM's upstream got no work from the nodes that had read it.
+fn ask_its_node(node: &Rc<Node>, registration: &Registration, offered: Record) {
+    let known = registration.fleet.borrow().record(&offered.vm).cloned();
+    let Some(known) = known else {
+        return;
+    };
+    audit::differs(&known, &offered);
+    let vm = offered.vm.clone();
+    for record in [known, offered] {
+        links::send(node, &vm, &Frame::Registered(Box::new(record)));
+    }
+}
+
 /// Answers a node that knows other records than this one.
 pub fn digest_told(node: &Rc<Node>, registration: &Registration, digest: u64, reply: &Reply) {
     let fleet = registration.fleet.borrow();
--- a/components/registry/src/digest.rs
+++ b/components/registry/src/digest.rs
@@ -75,12 +75,31 @@
     first_u32(&hash) as usize % BUCKETS
 }
 
-fn mark(record: &Record) -> u32 {
+/// Tells a record from any other: by all that it says, since somebody else may have changed it under its version.
+pub(crate) fn mark(record: &Record) -> u32 {
     let mut hasher = Sha256::new();
-    hasher.update(record.vm.as_str().as_bytes());
-    hasher.update([0]);
+    let mut text = |text: &str| {
+        hasher.update(text.as_bytes());
+        hasher.update([0]);
+    };
+    text(record.vm.as_str());
+    text(record.hall.as_str());
+    text(&record.peers);
+    if let Some(upstream) = &record.upstream {
+        text(upstream.id.as_str());
+        text(upstream.service.as_str());
+        text(&upstream.address);
+        text(upstream.state.as_str());
+        hasher.update(upstream.born_ms.unwrap_or(0).to_le_bytes());
+        hasher.update(upstream.slots.to_le_bytes());
+    }
+    hasher.update(record.boot.0.to_le_bytes());
     hasher.update(record.version.generation.to_le_bytes());
     hasher.update(record.version.change.to_le_bytes());
+    hasher.update([u8::from(record.serving)]);
+    for held in &record.held {
+        hasher.update(held.to_string().as_bytes());
+    }
     first_u32(&hasher.finalize())
 }
 
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -16,7 +16,9 @@
     Older,
     /// No node can have come so far: another writer's, or spoiled.
     Unreachable,
-    /// Another start of this node's own VM claims a version that isn't below this node's.
+    /// As new as what is known, of the same start, and different: somebody else wrote one of the two.
+    Differs,
+    /// Another start of this node's own VM, or another writer, claims a version that isn't below this node's.
     Own(Version),
 }
 
@@ -71,7 +73,8 @@
         let known = self.records.get(&record.vm);
         if record.vm == self.me {
             let own = self.own();
-            let foreign = record.boot != own.boot && record.version >= own.version;
+            // Whoever wrote it: what isn't this node's own word, and others would take for it, is said anew above it.
+            let foreign = record != *own && record.version >= own.version;
             return if foreign {
                 Merged::Own(record.version)
             } else {
@@ -84,6 +87,7 @@
             Some(known) if record.version == known.version && record.boot != known.boot => {
                 Merged::Older
             }
+            Some(known) if record.version == known.version && record != *known => Merged::Differs,
             Some(known) if record.version == known.version => Merged::Same,
             _ => Merged::Taken(self.put(record)),
         }
--- a/components/registry/src/spread.rs
+++ b/components/registry/src/spread.rs
@@ -5,13 +5,14 @@
 //! of what it knows, one that knows something else answers with the digests of the buckets, gets the
 //! versions in those that differ, and both get what they lack.
 
-use crate::digest::{is_in, BucketSet};
+use crate::digest::{is_in, mark, BucketSet};
 use crate::fleet::Fleet;
 use crate::record::{Record, Version};
 use membership::rendezvous;
 use names::Name;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap};
+use std::iter;
 
 /// Nodes of each other hall that are told of a change directly. Two, so that the loss of one during a
 /// change delays it to the next comparison only when both are lost.
@@ -26,6 +27,9 @@
     /// The records known there.
     #[serde(rename = "k")]
     pub known: Vec<(Name, Version)>,
+    /// What tells each of them from another one with its version, in the same order.
+    #[serde(rename = "m", default)]
+    pub marks: Vec<u32>,
 }
 
 /// What follows from another node's versions.
@@ -82,29 +86,38 @@
 
 /// The version of every record known in these buckets, this node's own included.
 pub fn versions(fleet: &Fleet, buckets: BucketSet) -> Versions {
-    let records = fleet
-        .records()
-        .filter(|record| is_in(buckets, &record.vm))
-        .map(|record| (record.vm.clone(), record.version));
+    let records = fleet.records().filter(|record| is_in(buckets, &record.vm));
+    let (known, marks) = records
+        .map(|record| ((record.vm.clone(), record.version), mark(record)))
+        .unzip();
     Versions {
         buckets,
-        known: records.collect(),
+        known,
+        marks,
     }
 }
 
 /// Compares what another node knows with what this one does.
 pub fn compare(fleet: &Fleet, theirs: &Versions) -> Comparison {
-    let known: HashMap<&Name, Version> = theirs.known.iter().map(|(vm, at)| (vm, *at)).collect();
+    let marks = theirs.marks.iter().map(Some).chain(iter::repeat(None));
+    let known = theirs.known.iter().zip(marks);
+    let known: HashMap<&Name, (Version, Option<&u32>)> =
+        known.map(|((vm, at), mark)| (vm, (*at, mark))).collect();
+    // Of the same version and not the same: both nodes learn of it.
+    let differs = |record: &Record, (at, theirs): &(Version, Option<&u32>)| {
+        *at == record.version && theirs.is_some_and(|theirs| *theirs != mark(record))
+    };
     let is_news = |record: &&Record| {
         let at = known.get(&record.vm);
-        is_in(theirs.buckets, &record.vm) && at.is_none_or(|at| *at < record.version)
+        let is_newer = at.is_none_or(|at| at.0 < record.version || differs(record, at));
+        is_in(theirs.buckets, &record.vm) && is_newer
     };
-    let lacks = |(vm, at): &(Name, Version)| {
+    let lacks = |(vm, at): (&&Name, &(Version, Option<&u32>))| {
         let mine = fleet.record(vm);
-        mine.is_none_or(|record| record.version < *at)
+        mine.is_none_or(|record| record.version < at.0 || differs(record, at))
     };
     Comparison {
         news: fleet.records().filter(is_news).cloned().collect(),
-        lacks: theirs.known.iter().any(lacks),
+        lacks: known.iter().any(lacks),
     }
 }
