--- /dev/null
+++ b/components/audit/src/containment.rs
@@ -0,0 +1,60 @@
+//! Lines of requests under which upstreams end.
+
+use crate::limit::{allowed, Kind};
+use errors::Error;
+use names::Name;
+use quarantine::{Fingerprint, Standing, Suspect};
+use registry::Incarnation;
+
+/// The upstream beside this node ended while it ran these requests: an exchange broke, and nothing stands at its
+/// address any more.
+pub fn upstream_ended(
+    instance: Option<&Incarnation>,
+    cause: &Error,
+    running: &[(String, Suspect)],
+) {
+    let ids: Vec<&str> = running.iter().map(|(id, _)| id.as_str()).collect();
+    let fingerprints = running.iter();
+    let fingerprints = fingerprints.map(|(_, suspect)| suspect.fingerprint.to_string());
+    let fingerprints: Vec<String> = fingerprints.collect();
+    tracing::info!(
+        instance = instance.map_or("-", |instance| instance.id.as_str()),
+        %cause,
+        ids = ids.join(","),
+        fingerprints = fingerprints.join(","),
+        "the upstream ended"
+    );
+}
+
+/// An upstream ended while it ran a request; `ends` are known now.
+pub fn suspected(suspect: &Suspect, standing: Standing, ends: usize) {
+    if allowed(Kind::Contained) {
+        tracing::info!(
+            fingerprint = %suspect.fingerprint,
+            end = %suspect.end,
+            alone = suspect.alone,
+            ends,
+            ?standing,
+            "an upstream ended under a request"
+        );
+    }
+}
+
+/// Another node holds a request; `standing` is how this one treats it.
+pub fn held(fingerprint: Fingerprint, vm: &Name, standing: Standing) {
+    if allowed(Kind::Contained) {
+        tracing::info!(%fingerprint, %vm, ?standing, "a request is held");
+    }
+}
+
+/// An operator frees a request.
+pub fn released(fingerprint: Fingerprint, who: &str, why: &str) {
+    tracing::info!(%fingerprint, who, why, "an operator frees a request");
+}
+
+/// A request under suspicion has run to its end.
+pub fn cleared(fingerprint: Fingerprint) {
+    if allowed(Kind::Contained) {
+        tracing::info!(%fingerprint, "a request is cleared");
+    }
+}
--- /dev/null
+++ b/components/audit/src/lib.rs
@@ -0,0 +1,29 @@
+//! What a node tells of itself: a line for each decision that touches a request or changes what the process believes,
+//! and counters and histograms.
+//!
+//! Every kind of line is bounded in each second; what was left out is told with the next line of the kind and counted.
+//! `docs/OPERATIONS.md` reads these lines.
+
+mod containment;
+mod declarations;
+mod limit;
+mod purpose;
+mod registrations;
+mod requests;
+pub mod stats;
+mod store;
+
+pub use containment::{cleared, held, released, suspected, upstream_ended};
+pub use declarations::{declarations_sent, in_force, newer_there, revision_came, Origin};
+pub use purpose::Purpose;
+pub use registrations::{
+    differs, found, leaves, not_beside, own_record, record_taken, registered, still_stands,
+    stored_for, unreachable,
+};
+pub use requests::{
+    call_ended, caller_changed, home, look_failed, no_route, offered, routed, Routed,
+};
+pub use store::{
+    copy_is_older, declarations_read, listed, platform_called, store_came_back, suspended,
+    unreadable,
+};
--- /dev/null
+++ b/components/audit/src/limit.rs
@@ -0,0 +1,52 @@
+//! The bound on lines that load may multiply.
+
+use crate::stats;
+use clock::Clock;
+use logs::Limiter;
+use std::cell::RefCell;
+
+/// Lines of one kind in each second.
+const LINES_PER_SECOND: u32 = 200;
+
+/// The kinds of lines that load may multiply, each with a bound of its own.
+#[derive(Debug, Clone, Copy)]
+pub enum Kind {
+    Routed,
+    Offered,
+    Home,
+    Ended,
+    Declarations,
+    Platform,
+    Contained,
+    CallerName,
+    NotBelieved,
+}
+
+const KINDS: usize = 9;
+
+thread_local! {
+    static LIMITERS: RefCell<([Limiter; KINDS], Option<Clock>)> =
+        const { RefCell::new(([const { Limiter::new(LINES_PER_SECOND) }; KINDS], None)) };
+}
+
+/// Whether a line of this kind may be written now.
+pub fn allowed(kind: Kind) -> bool {
+    if !tracing::enabled!(tracing::Level::INFO) {
+        return false;
+    }
+    LIMITERS.with_borrow_mut(|(limiters, start)| {
+        let now_us = start.get_or_insert_with(Clock::start).now().0;
+        match limiters[kind as usize].pass(now_us) {
+            Some(missed) => {
+                if missed > 0 {
+                    tracing::warn!(?kind, missed, "lines left out");
+                }
+                true
+            }
+            None => {
+                stats::line_left_out();
+                false
+            }
+        }
+    })
+}
--- a/components/daemon/src/watching/calls.rs
+++ b/components/audit/src/purpose.rs
@@ -1,12 +1,4 @@
-//! Calls to the platform, told apart by what they are for.
-
-use crate::audit;
-use crate::node::Node;
-use crate::stats;
-use crate::store_eras;
-use errors::Result;
-use std::future::Future;
-use std::rc::Rc;
+//! What calls to the platform are for.
 
 /// What a call to the platform is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,18 +24,3 @@
         }
     }
 }
-
-/// Makes a call, counts it and writes a line.
-pub async fn called<T>(
-    node: &Rc<Node>,
-    purpose: Purpose,
-    call: impl Future<Output = Result<T>>,
-) -> Result<T> {
-    let began = node.now();
-    let ended = call.await;
-    let took_us = node.now().since(began);
-    stats::platform_called(purpose, ended.is_ok());
-    store_eras::answered(node);
-    audit::platform_called(purpose, took_us, ended.as_ref().err());
-    ended
-}
--- /dev/null
+++ b/components/audit/src/requests.rs
@@ -0,0 +1,172 @@
+//! Lines of requests on their way.
+
+use crate::limit::{allowed, Kind};
+use declarations::Route;
+use entry::View;
+use home::{Load, Offer, Reason};
+use names::{AttemptId, Name};
+use registry::Named;
+use wire::{RelayOutcome, Request};
+
+/// A request for which a route and a service were found.
+#[derive(Debug)]
+pub struct Routed<'a> {
+    /// The request.
+    pub req: &'a Request,
+    /// Its route.
+    pub route: &'a Route,
+    /// Revision by which it is served.
+    pub revision: u64,
+    /// The service in whose name it runs, and what says so.
+    pub caller: Option<&'a Named>,
+    /// The service in whose name its caller says that it calls; never believed.
+    pub caller_told: Option<&'a str>,
+    /// How long its caller waits, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Requests of callers in progress.
+    pub open: usize,
+}
+
+/// A route and a service were found for a request.
+pub fn routed(routed: &Routed<'_>) {
+    if !allowed(Kind::Routed) {
+        return;
+    }
+    let (req, route) = (routed.req, routed.route);
+    tracing::info!(
+        id = %req.id,
+        route = %route.name,
+        service = %req.service,
+        fingerprint = %req.fingerprint(),
+        caller = routed.caller.map_or("-", |named| named.service.as_str()),
+        caller_from = routed.caller.map_or("-", |named| named.origin.as_str()),
+        caller_told = routed.caller_told.unwrap_or("-"),
+        revision = routed.revision,
+        level = req.level,
+        deadline_ms = routed.deadline_ms.unwrap_or(0),
+        timeout_ms = route.treatment.deadline_ms,
+        objective_ms = route.objective_ms,
+        open = routed.open,
+        "request routed"
+    );
+}
+
+/// Calls from this VM are made in another name than before.
+pub fn caller_changed(
+    before: Option<&Named>,
+    next: Option<&Named>,
+    settings: Option<&Name>,
+    registered: Option<&Name>,
+) {
+    let service = |named: Option<&Named>| {
+        named
+            .map_or("-", |named| named.service.as_str())
+            .to_string()
+    };
+    if allowed(Kind::CallerName) {
+        tracing::info!(
+            from = service(before),
+            to = service(next),
+            origin = next.map_or("-", |named| named.origin.as_str()),
+            settings = settings.map_or("-", Name::as_str),
+            registered = registered.map_or("-", Name::as_str),
+            "calls from this VM are made in another name"
+        );
+    }
+}
+
+/// No route fits a request.
+pub fn no_route(id: &str, host: &str, path: &str, revision: u64) {
+    if allowed(Kind::Routed) {
+        tracing::info!(id, host, path, revision, "no route");
+    }
+}
+
+/// A look at the upstream's pace brought nothing; work starts without a word for a while.
+pub fn look_failed(cause: &str) {
+    if allowed(Kind::Home) {
+        tracing::info!(cause, "the upstream's pace is not known");
+    }
+}
+
+/// A request was offered to the node beside an upstream. `view` is what was known of it then, and
+/// `age_us` how old that was.
+pub fn offered(id: &str, offer: &Offer, to: &Name, view: &View, age_us: u64) {
+    if allowed(Kind::Offered) {
+        let load = view.load.unwrap_or_default();
+        tracing::info!(
+            id,
+            attempt = %offer.id,
+            to = %to,
+            may_queue = offer.may_queue,
+            repeat = offer.repeat,
+            outstanding = view.outstanding,
+            load_age_ms = age_us / 1_000,
+            in_flight = load.in_flight,
+            queued = load.queued,
+            limit = load.limit,
+            service_ms = load.service_us / 1_000,
+            slow_percent = load.slow_percent,
+            held_ms = load.held_us / 1_000,
+            "request offered"
+        );
+    }
+}
+
+/// The node beside an upstream decided about an attempt.
+/// `pace_age_us` is how old the upstream's word on its pace was; none when it never said.
+pub fn home(
+    id: &str,
+    attempt: AttemptId,
+    decision: &str,
+    reason: Option<Reason>,
+    load: Load,
+    pace_age_us: Option<u64>,
+) {
+    if allowed(Kind::Home) {
+        tracing::info!(
+            id,
+            attempt = %attempt,
+            decision,
+            reason = reason.map_or("-", Reason::as_str),
+            in_flight = load.in_flight,
+            queued = load.queued,
+            limit = load.limit,
+            service_ms = load.service_us / 1_000,
+            slow_percent = load.slow_percent,
+            pace_age_ms = pace_age_us.map(|age_us| age_us / 1_000),
+            held_ms = load.held_us / 1_000,
+            "attempt decided"
+        );
+    }
+}
+
+/// A caller was given its outcome.
+pub fn call_ended(id: &str, outcome: &RelayOutcome, took_us: u64) {
+    if !allowed(Kind::Ended) {
+        return;
+    }
+    let took_ms = took_us / 1_000;
+    match outcome {
+        RelayOutcome::Answered(answer) => {
+            let status = answer.status;
+            tracing::info!(id, outcome = "answered", status, took_ms, "request ended");
+        }
+        RelayOutcome::NotRun(refusal) => {
+            let reason = refusal.reason.as_str();
+            let retry_after_ms = refusal.retry_after_ms;
+            tracing::info!(
+                id,
+                outcome = "not-run",
+                reason,
+                retry_after_ms,
+                took_ms,
+                "request ended"
+            );
+        }
+        RelayOutcome::Unknown(reason) => {
+            let reason = reason.as_str();
+            tracing::info!(id, outcome = "unknown", reason, took_ms, "request ended");
+        }
+    }
+}
--- a/components/daemon/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -1,6 +1,6 @@
 //! Counters for the operators. Every name the node exports stands here.
 
-use crate::watching::Purpose;
+use crate::purpose::Purpose;
 use metrics::{counter, gauge, histogram};
 use names::{Name, SECOND};
 
--- /dev/null
+++ b/components/audit/src/store.rs
@@ -0,0 +1,94 @@
+//! Lines of the platform's store: calls to it, what was read there, and its returns from older copies.
+
+use crate::limit::{allowed, Kind};
+use crate::purpose::Purpose;
+use era::{Era, Place};
+use errors::Error;
+use names::{Name, MILLISECOND};
+use platform::Stored;
+
+/// The platform's store came back from an older copy since the era `before`, as its answer or `from` told. The
+/// declarations had been read up to `place`; this node's record is offered again in `offer_in_us`.
+pub fn store_came_back(
+    before: Era,
+    era: Era,
+    from: Option<&Name>,
+    place: Option<Place>,
+    offer_in_us: u64,
+) {
+    tracing::info!(
+        before = before.0,
+        era = era.0,
+        told_by = from.map_or("the store", Name::as_str),
+        read_up_to = place.map(|place| place.revision),
+        offer_in_ms = offer_in_us / MILLISECOND,
+        "the store came back from an older copy"
+    );
+}
+
+/// The store holds an older version of the declarations than is in force here: it came back from an older copy, or
+/// its answer lags.
+pub fn copy_is_older(version: u64, in_force: u64, era: Option<Era>) {
+    if allowed(Kind::Declarations) {
+        tracing::info!(
+            version,
+            in_force,
+            era = era.map(|era| era.0),
+            "the store holds an older version; what is in force stays"
+        );
+    }
+}
+
+/// The VM was suspended, and is back. What was known before is older by that time, and deadlines have passed.
+pub fn suspended(us: u64) {
+    tracing::warn!(for_ms = us / 1_000, "the VM was suspended");
+}
+
+/// The records in the store were read.
+pub fn listed(count: usize, at: Place) {
+    tracing::info!(
+        count,
+        at = at.revision,
+        era = at.era.map(|era| era.0),
+        "the nodes' records were listed"
+    );
+}
+
+/// The operators' declarations were read from the store; reading them into this product's form took
+/// `translate_us`.
+pub fn declarations_read(version: u64, object: &Stored, translate_us: u64) {
+    tracing::info!(
+        version,
+        store_revision = object.revision,
+        bytes = object.value.len(),
+        translate_ms = translate_us / 1_000,
+        "declarations read from the store"
+    );
+}
+
+/// An object of the store could not be read; what is in force stays.
+pub fn unreadable(object: &Stored, error: &Error) {
+    if allowed(Kind::Declarations) {
+        tracing::warn!(
+            name = %object.name,
+            store_revision = object.revision,
+            bytes = object.value.len(),
+            %error,
+            "an object in the store can't be read"
+        );
+    }
+}
+
+/// A call to the platform ended.
+pub fn platform_called(purpose: Purpose, took_us: u64, error: Option<&Error>) {
+    if allowed(Kind::Platform) {
+        let took_ms = took_us / 1_000;
+        let error = error.map_or_else(|| "-".to_string(), Error::to_string);
+        tracing::info!(
+            purpose = purpose.as_str(),
+            took_ms,
+            error,
+            "the platform was called"
+        );
+    }
+}
--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -6,5 +6,3 @@
 mod serve;
 
 pub use connection::run;
-pub use request::CallerRequest;
-pub use serve::Told;
--- a/components/daemon/src/callers/connection.rs
+++ b/components/daemon/src/callers/connection.rs
@@ -5,11 +5,11 @@
 use super::serve;
 use crate::local;
 use crate::node::Node;
-use crate::stats;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::prelude::*;
 use async_std::task;
+use audit::stats;
 use futures_util::FutureExt;
 use home::Reason;
 use http1::{Connection, Fault, RequestHead};
@@ -66,7 +66,7 @@
     connection: &mut Connection<TcpStream>,
     caller: std::net::IpAddr,
 ) -> bool {
-    let limits = Limits::of(node);
+    let limits = limits(node);
     if !matches!(
         timeout(limits.idle, connection.begins()).await,
         Ok(Ok(true))
@@ -97,6 +97,13 @@
     matches!(written, Ok(Ok(()))) && !close
 }
 
+/// The bounds in force on one request.
+fn limits(node: &Node) -> Limits {
+    let in_force = node.in_force();
+    let declared = in_force.and_then(|in_force| in_force.declarations.limits);
+    Limits::of(node.cfg.max_body_bytes as u64, declared)
+}
+
 /// The answer, and whether the request was read to its end.
 async fn answer(
     node: &Rc<Node>,
@@ -105,7 +112,9 @@
     head: RequestHead,
     limits: Limits,
 ) -> (Response, bool) {
-    match request::read(node, connection, caller, head, limits).await {
+    let parent_of = |id: &str| node.parent_of(id);
+    let names = &node.cfg.headers;
+    match request::read(names, parent_of, connection, caller, head, limits).await {
         Ok(call) => {
             let hung_up = hung_up(connection.stream().clone());
             (serve::serve(node, call, hung_up).await, true)
--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -1,9 +1,10 @@
 //! Reading a caller's request.
 
-use crate::node::{Node, Parent};
+use crate::node::Parent;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use http1::{request_framing, single, Connection, Fault, Header, RequestHead};
+use settings::Headers;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -36,15 +37,10 @@
 }
 
 impl Limits {
-    /// The bounds in force: the declarations' or else the node's own. A body is held in memory, so
-    /// the node's own bound on it holds in any case.
-    pub fn of(node: &Node) -> Limits {
-        let own = node.cfg.max_body_bytes as u64;
-        let in_force = node.in_force();
-        match in_force
-            .as_ref()
-            .and_then(|in_force| in_force.declarations.limits)
-        {
+    /// The bounds `declared`, or else the node's own. A body is held in memory, so the node's own bound on it, in
+    /// bytes, holds in any case.
+    pub fn of(own: u64, declared: Option<declarations::CallerLimits>) -> Limits {
+        match declared {
             Some(limits) => Limits {
                 header_bytes: limits.header_bytes,
                 body_bytes: own.min(limits.body_bytes as u64),
@@ -122,20 +118,20 @@
 
 /// Reads the whole request, or says what is wrong with it.
 pub async fn read(
-    node: &Node,
+    names: &Headers,
+    parent_of: impl Fn(&str) -> Option<Parent>,
     connection: &mut Connection<TcpStream>,
     caller: IpAddr,
     head: RequestHead,
     limits: Limits,
 ) -> Result<CallerRequest, BadRequest> {
-    let names = &node.cfg.headers;
     let body = read_body(connection, &head, limits).await?;
     let deadline_ms = number(&head.headers, &names.deadline_ms)?;
     let id = match &names.request_id {
         Some(name) => one(&head.headers, name)?.unwrap_or("-").to_string(),
         None => "-".to_string(),
     };
-    let parent = node.parent_of(&id);
+    let parent = parent_of(&id);
     let told = number(&head.headers, &names.level)?;
     let level = told.unwrap_or_else(|| parent.map_or(0, |parent| u64::from(parent.level) + 1));
     if level > u64::from(MAX_LEVEL) {
--- a/components/daemon/src/callers/response.rs
+++ b/components/daemon/src/callers/response.rs
@@ -1,7 +1,7 @@
 //! Writing what the caller is told.
 
 use super::request::BadRequest;
-use crate::stats;
+use audit::stats;
 use home::{Reason, Refusal};
 use http1::Header;
 use settings::Headers;
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -2,23 +2,25 @@
 
 use super::request::CallerRequest;
 use super::response::{self, Response};
-use crate::audit;
-use crate::caller_name;
-use crate::candidates;
+use crate::candidates::{self, Connections};
 use crate::containment;
 use crate::entry_driver::{run_call, Plan};
+use crate::links;
 use crate::node::Node;
+use crate::registration;
 use crate::relay::{self, Relay};
-use crate::stats::{self, Stage};
 use async_std::task;
+use audit::stats::{self, Stage};
+use audit::Routed;
 use declarations::{Route, Service};
-use entry::{Origin, Outcome, Treatment};
+use entry::{Candidate, Origin, Outcome, Treatment};
 use futures_util::FutureExt;
 use home::{Reason, Refusal};
 use keys::KEY_DEADLINE_US;
 use names::{Moment, Name, MILLISECOND};
 use policy::Input;
 use quarantine::Standing;
+use registry::Named;
 use rollout::InForce;
 use std::future::Future;
 use std::pin::pin;
@@ -87,7 +89,8 @@
         return by_route(node, &in_force, &route, call, hung_up).await;
     }
     let Some(service) = in_force.declarations.route(&call.host, &call.path) else {
-        audit::no_route(&call, in_force.configuration.head.revision);
+        let revision = in_force.configuration.head.revision;
+        audit::no_route(&call.id, &call.host, &call.path, revision);
         return refused(Reason::NoService, 0);
     };
     let ruled = treat(node, service, &call);
@@ -166,16 +169,25 @@
     if is_inner {
         node.entry.borrow_mut().called_below(&service);
     }
-    let told = Told::by(node, &call);
+    let deadline_ms = call.deadline_ms;
+    let caller_told = told_caller(node, &call);
     let req = Arc::new(request(node, &service, call));
-    audit::routed(node, &req, route, in_force, &told);
+    audit::routed(&Routed {
+        req: &req,
+        route,
+        revision: in_force.configuration.head.revision,
+        caller: caller_named(node).as_ref(),
+        caller_told: caller_told.as_deref(),
+        deadline_ms,
+        open: node.open_calls.get(),
+    });
     let order = match order_of(node, &req) {
         Ok(order) => order,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
     let plan = Plan {
         order,
-        candidates: candidates::registered(node, &service),
+        candidates: registered(node, &service),
         treatment,
         req,
         key: None,
@@ -186,24 +198,34 @@
     direct(node, plan, hung_up).await
 }
 
-/// What a caller said beside its request.
-#[derive(Debug)]
-pub struct Told {
-    /// How long it waits, in milliseconds.
-    pub deadline_ms: Option<u64>,
-    /// The service in whose name it says that it calls; it is never believed.
-    pub service: Option<String>,
+/// The upstreams that registered for `service`, among which a request chooses.
+fn registered(node: &Rc<Node>, service: &Name) -> Vec<Candidate> {
+    let Some(registration) = &node.registration else {
+        return Vec::new();
+    };
+    let connections = Connections {
+        is_up: &|vm| links::is_up(node, vm),
+        is_apart: &|vm| links::is_apart(node, vm),
+    };
+    let drawn = candidates::registered(&registration.fleet.borrow(), service, &connections);
+    for vm in &drawn.to_dial {
+        links::dial(node, vm);
+    }
+    drawn.candidates
 }
 
-impl Told {
-    fn by(node: &Node, call: &CallerRequest) -> Told {
-        let name = node.cfg.headers.caller_service.as_deref();
-        let service = name.and_then(|name| http1::value(&call.headers, name));
-        Told {
-            deadline_ms: call.deadline_ms,
-            service: service.map(|name| name.chars().take(MAX_LOGGED_CHARS).collect()),
-        }
-    }
+/// The service in whose name calls from this VM are made, and what says so.
+fn caller_named(node: &Node) -> Option<Named> {
+    let believed = node.registration.as_deref().and_then(registration::service);
+    let beside = registration::beside(node);
+    node.caller_name.choose(&beside, believed.as_ref())
+}
+
+/// The service in whose name a caller says that it calls; it is never believed.
+fn told_caller(node: &Node, call: &CallerRequest) -> Option<String> {
+    let name = node.cfg.headers.caller_service.as_deref()?;
+    let told = http1::value(&call.headers, name)?;
+    Some(told.chars().take(MAX_LOGGED_CHARS).collect())
 }
 
 /// Where a request may run under which an upstream has ended; none if there was no such end. A request that is
@@ -301,7 +323,7 @@
     headers.retain(|(name, _)| !own(name));
     if let Some(name) = &names.caller_service {
         headers.retain(|(other, _)| !other.eq_ignore_ascii_case(name));
-        let caller = caller_name::of(node);
+        let caller = caller_named(node);
         headers.extend(caller.map(|named| (name.clone(), named.service.to_string())));
     }
     Request {
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -1,12 +1,12 @@
 //! Taking in revisions and lists of VMs from any source, and passing them on.
 
-use crate::audit::{self, Origin};
 use crate::links::{self, Reply};
 use crate::local;
 use crate::node::Node;
-use crate::stats::{self, Work};
-use crate::{coordinator, home_driver, store_eras, watching};
+use crate::{coordinator, home_driver, store, watching};
 use async_std::task;
+use audit::stats::{self, Work};
+use audit::Origin;
 use errors::{contained, Step};
 use membership::VmList;
 use names::Name;
@@ -102,7 +102,7 @@
 /// Takes in what a peer knows: asks for what is newer there, or tells it that something is newer here.
 /// Content is sent only to who wants it.
 pub fn compare(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
-    store_eras::heard(node, from, theirs);
+    store::heard(node, from, theirs);
     let mine = node.summary();
     if theirs.is_level_with(&mine) {
         node.rollout.borrow_mut().read_again(theirs.read);
--- a/components/daemon/src/containment.rs
+++ b/components/daemon/src/containment.rs
@@ -8,13 +8,12 @@
 
 pub use ends::{cut_off, upstream_ended};
 
-use crate::audit;
 use crate::home_driver;
 use crate::links;
 use crate::node::{Node, Whole};
 use crate::registration::{self, Registration};
-use crate::stats;
 use async_std::task;
+use audit::stats;
 use ends::LastEnd;
 use entry::Event;
 use home::{Offer, Reason, Refusal, Suspicion};
--- a/components/daemon/src/containment/ends.rs
+++ b/components/daemon/src/containment/ends.rs
@@ -1,11 +1,10 @@
 //! The end of the upstream beside this node: what was at work there, and who is told.
 
 use super::{learn, tell};
-use crate::audit;
 use crate::local;
 use crate::node::{Job, Node};
 use crate::registration;
-use crate::stats;
+use audit::stats;
 use errors::Error;
 use names::{AttemptId, Moment, SECOND};
 use quarantine::{Fingerprint, Suspect};
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -1,12 +1,11 @@
 //! Carries out the decisions of the entry duty.
 
-use crate::audit;
 use crate::containment;
 use crate::home_driver;
 use crate::links::{self, Reply};
 use crate::node::{Node, Waiter, Whole};
-use crate::stats::{self, Stage};
 use async_channel::{Receiver, Sender};
+use audit::stats::{self, Stage};
 use entry::{Action, Call, Candidate, Event, Outcome, Price, Treatment};
 use futures_util::future::{select, Either};
 use home::{Load, Offer, Suspicion};
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -5,14 +5,14 @@
 use crate::home_driver::leaving_changed;
 use crate::node::{Job, Node, Whole};
 use crate::registration::{self, Registration};
-use crate::stats;
-use crate::upstream::{Failure, Pool, Terms};
+use audit::stats;
 use errors::Error;
 use home::{Home, Verdict};
 use names::{AttemptId, Moment, MILLISECOND};
 use registry::Incarnation;
 use std::rc::Rc;
 use std::time::Duration;
+use upstream::{Failure, Pool, Terms};
 use wire::Answer;
 
 /// Names the attempt to an upstream whose platform lists the VMs.
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -1,6 +1,5 @@
 //! Carries out the decisions of the home duty.
 
-use crate::audit;
 use crate::boot_record;
 use crate::containment;
 use crate::exchange;
@@ -8,8 +7,8 @@
 use crate::local;
 use crate::look;
 use crate::node::{Job, Node, Whole};
-use crate::stats::{self, Stage};
 use async_std::task;
+use audit::stats::{self, Stage};
 use budget::Act;
 use futures_util::future::{select, Either};
 use home::{Action, AskReply, Home, Load, Looked, Offer, Reason, Refusal, Verdict};
--- /dev/null
+++ b/components/daemon/src/jobs.rs
@@ -0,0 +1,66 @@
+//! Requests in progress: those that the home duty has taken in, and attempts that the entry duty waits for.
+
+use crate::links::Reply;
+use crate::node::Whole;
+use async_channel::Sender;
+use entry::Event;
+use keys::KeyHash;
+use names::{BootId, Moment, Name};
+use quarantine::Suspect;
+use std::sync::Arc;
+use wire::Request;
+
+/// A request that a home duty has taken in.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The request.
+    pub req: Arc<Request>,
+    /// Where its end is told.
+    pub reply: Reply,
+    /// The caller's deadline on this node's clock.
+    pub deadline: Moment,
+    /// Idempotency key, hashed.
+    pub key: Option<KeyHash>,
+    /// Priority at the home duty.
+    pub priority: u8,
+    /// When it was taken in.
+    pub taken_in: Moment,
+    /// When it got a slot.
+    pub started: Option<Moment>,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether another upstream has seen it before.
+    pub repeat: bool,
+    /// Whether an upstream has ended while it ran a copy.
+    pub suspect: bool,
+    /// What follows from the upstream's end, once it has ended while it ran this.
+    pub ended: Option<Suspect>,
+    /// Tells the running exchange that nobody waits for it.
+    pub cancel: Option<Sender<()>>,
+}
+
+/// A request that the upstream beside this node is serving, as a call made for it sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Parent {
+    /// How many services it has passed.
+    pub level: u32,
+    /// Its priority.
+    pub priority: u8,
+    /// Whether another upstream has seen it before.
+    pub repeat: bool,
+}
+
+/// An entry-side attempt that has not ended.
+#[derive(Debug, Clone)]
+pub struct Waiter {
+    /// The call's events.
+    pub tx: Sender<Event<Whole>>,
+    /// The VM it was offered to.
+    pub vm: Name,
+    /// When it was offered.
+    pub offered: Moment,
+    /// Service that it is for.
+    pub service: Name,
+    /// Boot of the home node once any byte of the offer may have left this node.
+    pub sent_to: Option<BootId>,
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,18 +4,17 @@
 //! more than they do (see `docs/DESIGN.md`). The operators' routes are joined to the duties by a
 //! bounded channel.
 
-mod audit;
 mod boot_record;
 mod caller_name;
 mod callers;
 mod candidates;
-mod clock;
 mod configuration;
 mod containment;
 mod coordinator;
 mod entry_driver;
 mod exchange;
 mod home_driver;
+mod jobs;
 mod links;
 mod local;
 mod look;
@@ -26,17 +25,17 @@
 mod registration;
 mod relay;
 mod reload;
-mod stats;
 mod stop;
-mod store_eras;
-mod upstream;
+mod store;
 mod watching;
 
 use async_std::net::TcpListener;
+use audit::stats;
 use errors::{Error, Result, Step};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use node::Node;
 use platform::Adapter;
+use ready::Readiness;
 use registration::Registration;
 use settings::Settings;
 use std::net::SocketAddr;
@@ -67,7 +66,9 @@
             None => spawn_listed(&node),
         }
         spawn_duties(&node, callers, peers, rx);
-        local::spawn(reload::run(node.clone(), source));
+        let follower = node.clone();
+        let changed = move || follower.fleet_changed();
+        local::spawn(reload::run(node.live.clone(), source, changed));
         local::spawn(served);
         stop::run(node, signals).await;
         Ok(())
@@ -103,7 +104,8 @@
 async fn spawn_registered(node: &Rc<Node>, registration: &Rc<Registration>) -> Result<()> {
     if let Some(address) = node.cfg.ready {
         let ready = bind(address).await?;
-        local::spawn(ready::serve(node.clone(), ready));
+        let path = node.cfg.ready_path.clone();
+        local::spawn(ready::serve(path, readiness(node), ready));
     }
     if let Some(address) = node.cfg.registrations {
         let door = bind(address).await?;
@@ -123,6 +125,16 @@
     Ok(())
 }
 
+/// Tells at any moment whether a node takes callers' requests.
+fn readiness(node: &Rc<Node>) -> Rc<dyn Fn() -> Readiness> {
+    let node = node.clone();
+    Rc::new(move || match node.in_force() {
+        _ if node.stopping.get() => Readiness::Stopping,
+        None => Readiness::Blank,
+        Some(_) => Readiness::Ready,
+    })
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/components/daemon/src/links/accept.rs
+++ b/components/daemon/src/links/accept.rs
@@ -3,10 +3,10 @@
 use super::{age, frames, max_bytes, socket, Outlet, Reply, MAX_WAITING_FRAMES};
 use crate::local;
 use crate::node::Node;
-use crate::stats;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use audit::stats;
 use errors::{Error, Result, Step};
 use futures_util::FutureExt;
 use home::Delay;
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -5,10 +5,10 @@
 };
 use super::{MAX_WAITING_FRAMES, REDIAL_US};
 use crate::node::Node;
-use crate::stats;
 use async_channel::Receiver;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use audit::stats;
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
 use futures_util::stream::SplitStream;
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -1,12 +1,12 @@
 //! What a node does with each frame.
 
 use super::Reply;
-use crate::audit::Origin;
 use crate::entry_driver::{deliver, reported};
 use crate::node::Node;
 use crate::{
     configuration, containment, coordinator, home_driver, recovery, registration, relay, watching,
 };
+use audit::Origin;
 use entry::Event;
 use home::AskReply;
 use names::Name;
--- a/components/daemon/src/local.rs
+++ b/components/daemon/src/local.rs
@@ -4,8 +4,8 @@
 //! event over to the thread that runs the path. Here the thread that waits is the one that works.
 //! The parts are those async-std is made of.
 
-use crate::stats;
 use async_executor::LocalExecutor;
+use audit::stats;
 use futures_util::FutureExt;
 use std::future::Future;
 use std::panic::AssertUnwindSafe;
--- a/components/daemon/src/look.rs
+++ b/components/daemon/src/look.rs
@@ -3,19 +3,18 @@
 //! A look is a measuring act and passes the budget. It goes over a connection that stays open, and the
 //! health check's path answers it without a slot.
 
-use crate::audit;
 use crate::exchange;
 use crate::home_driver;
 use crate::local;
 use crate::node::Node;
 use crate::registration::{self, Registration};
-use crate::stats::{self, Look};
-use crate::upstream::{Failure, Terms};
 use async_std::future::timeout;
+use audit::stats::{self, Look};
 use budget::Act;
 use home::Looked;
 use std::rc::Rc;
 use std::time::Duration;
+use upstream::{Failure, Terms};
 use wire::{Answer, Request};
 
 /// Longest wait for the answer: what a start may lose when the upstream does not answer at once. The
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -1,25 +1,24 @@
 //! The state of a node, shared by its tasks on one thread.
 
 use crate::caller_name::CallerName;
-use crate::clock::Clock;
 use crate::containment::Containment;
+pub use crate::jobs::{Job, Parent, Waiter};
 use crate::links::{Link, Reply};
 use crate::registration::Registration;
 use crate::relay::Relayed;
 use crate::reload::Live;
-use crate::store_eras;
-use crate::upstream::Pool;
+use crate::store;
 use crate::watching::PlatformState;
 use async_channel::Sender;
 use budget::{Gate, HallBudget};
+use clock::Clock;
 use declarations::{Route, Service};
-use entry::{Candidate, Entry, Event, RetryRate, Rule, Split};
+use entry::{Candidate, Entry, RetryRate, Rule, Split};
 use home::{Home, Load};
 use keys::{ClaimReply, Claims, KeyHash, Table, KEY_KEPT_US};
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
-use quarantine::Suspect;
 use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -27,8 +26,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use upstream::Pool;
 use watch::{Timing, Watch};
-use wire::{Answer, RelayOutcome, Request};
+use wire::{Answer, RelayOutcome};
 
 /// Keys that a node remembers at most.
 const MAX_KEYS: usize = 100_000;
@@ -58,71 +58,16 @@
 /// When a group ended, and its upstreams.
 pub type FormerGroup = (Moment, Vec<Name>);
 
-/// A request that a home duty has taken in.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// The request.
-    pub req: Arc<Request>,
-    /// Where its end is told.
-    pub reply: Reply,
-    /// The caller's deadline on this node's clock.
-    pub deadline: Moment,
-    /// Idempotency key, hashed.
-    pub key: Option<KeyHash>,
-    /// Priority at the home duty.
-    pub priority: u8,
-    /// When it was taken in.
-    pub taken_in: Moment,
-    /// When it got a slot.
-    pub started: Option<Moment>,
-    /// Whether it may run more than once.
-    pub repeatable: bool,
-    /// Whether another upstream has seen it before.
-    pub repeat: bool,
-    /// Whether an upstream has ended while it ran a copy.
-    pub suspect: bool,
-    /// What follows from the upstream's end, once it has ended while it ran this.
-    pub ended: Option<Suspect>,
-    /// Tells the running exchange that nobody waits for it.
-    pub cancel: Option<Sender<()>>,
-}
-
-/// A request that the upstream beside this node is serving, as a call made for it sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Parent {
-    /// How many services it has passed.
-    pub level: u32,
-    /// Its priority.
-    pub priority: u8,
-    /// Whether another upstream has seen it before.
-    pub repeat: bool,
-}
-
 /// Between the identity of a request and what a call made for it adds.
 const CHILD_SEPARATOR: char = '.';
 
-/// An entry-side attempt that has not ended.
-#[derive(Debug, Clone)]
-pub struct Waiter {
-    /// The call's events.
-    pub tx: Sender<Event<Whole>>,
-    /// The VM it was offered to.
-    pub vm: Name,
-    /// When it was offered.
-    pub offered: Moment,
-    /// Service that it is for.
-    pub service: Name,
-    /// Boot of the home node once any byte of the offer may have left this node.
-    pub sent_to: Option<BootId>,
-}
-
 /// Everything that the tasks of a node share. One thread runs them all, so no lock is needed; a
 /// borrow never lives across an `await`.
 pub struct Node {
     /// Settings.
     pub cfg: Settings,
     /// The part of the settings that changes while the node runs.
-    pub live: RefCell<Live>,
+    pub live: Rc<RefCell<Live>>,
     /// The name in which calls from this VM are made.
     pub caller_name: CallerName,
     /// Boot of this process.
@@ -266,7 +211,7 @@
             open_calls: Cell::new(0),
             open_callers: Cell::new(0),
             strangers: Cell::new(0),
-            live: RefCell::new(Live::of(&cfg)),
+            live: Rc::new(RefCell::new(Live::of(&cfg))),
             caller_name: CallerName::default(),
             started: clock.now(),
             clock,
@@ -349,7 +294,7 @@
             bytes: rollout.bytes(),
             list_version: self.view.borrow().list().version,
             confirmed_us_ago: self.watch.borrow().age_us(self.now()),
-            era: store_eras::known(self),
+            era: store::known(self),
             content: rollout.content(),
             read: rollout.read(),
         }
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -3,17 +3,17 @@
 //! The routes are tide's; connections are accepted here, since tide's own `listen` starts threads
 //! and has no graceful stop. Requests for the node's state go over a bounded channel.
 
-use crate::audit::{self, Origin};
 use crate::configuration;
 use crate::containment;
 use crate::home_driver;
 use crate::local;
 use crate::node::Node;
-use crate::store_eras;
+use crate::store;
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task;
+use audit::Origin;
 use metrics_exporter_prometheus::PrometheusHandle;
 use names::SECOND;
 use quarantine::Fingerprint;
@@ -243,8 +243,8 @@
             .unwrap_or_default(),
         list_version: node.view.borrow().list().version,
         confirmed_us_ago: node.watch.borrow().age_us(node.now()),
-        store_era: store_eras::known(node).map(|era| era.0),
-        store_revision: store_eras::place(node).map(|place| place.revision),
+        store_era: store::known(node).map(|era| era.0),
+        store_revision: store::place(node).map(|place| place.revision),
         platform_reachable: node.platform_state.borrow().reachable,
         leaving: load.leaving,
         in_flight: load.in_flight,
@@ -337,10 +337,10 @@
         ("drumwheel_slow_phase_us", state.slow_phase_us as f64),
     ];
     for (name, value) in gauges {
-        crate::stats::set(name, value);
+        audit::stats::set(name, value);
     }
     if let Some(us) = state.confirmed_us_ago {
-        crate::stats::set("drumwheel_confirmed_seconds_ago", us as f64 / SECOND as f64);
+        audit::stats::set("drumwheel_confirmed_seconds_ago", us as f64 / SECOND as f64);
     }
 }
 
--- a/components/daemon/src/ready.rs
+++ b/components/daemon/src/ready.rs
@@ -1,7 +1,6 @@
 //! The door at which readiness is asked.
 
 use crate::local;
-use crate::node::Node;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::prelude::*;
@@ -17,35 +16,51 @@
 /// Pause after the listener failed, for example because descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Answers for as long as the node runs.
-pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+/// Whether a node takes callers' requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Readiness {
+    /// It does.
+    Ready,
+    /// A planned stop has begun.
+    Stopping,
+    /// It knows no declarations yet.
+    Blank,
+}
+
+/// Answers at `path` for as long as the node runs.
+pub async fn serve(path: String, readiness: Rc<dyn Fn() -> Readiness>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             task::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let node = node.clone();
+        let (path, readiness) = (path.clone(), readiness.clone());
         local::spawn_contained("readiness", async move {
             let mut connection = Connection::new(stream);
-            while let Ok(Ok(true)) = timeout(IDLE_TIMEOUT, exchange(&node, &mut connection)).await {
+            loop {
+                let exchange = exchange(&path, &*readiness, &mut connection);
+                let Ok(Ok(true)) = timeout(IDLE_TIMEOUT, exchange).await else {
+                    return;
+                };
             }
         });
     }
 }
 
-async fn exchange(node: &Node, connection: &mut Connection<TcpStream>) -> Result<bool, Fault> {
+async fn exchange(
+    path: &str,
+    readiness: &dyn Fn() -> Readiness,
+    connection: &mut Connection<TcpStream>,
+) -> Result<bool, Fault> {
     let Some(head) = connection.request_head(MAX_HEAD_BYTES).await? else {
         return Ok(false);
     };
-    let path = head.target.split('?').next().unwrap_or_default();
-    let (status, phrase, text) = if path != node.cfg.ready_path {
-        (404, "Not Found", "no such path\n")
-    } else if node.stopping.get() {
-        (503, "Service Unavailable", "stopping\n")
-    } else if node.in_force().is_none() {
-        (503, "Service Unavailable", "no configuration yet\n")
-    } else {
-        (200, "OK", "ready\n")
+    let asked = head.target.split('?').next().unwrap_or_default();
+    let (status, phrase, text) = match readiness() {
+        _ if asked != path => (404, "Not Found", "no such path\n"),
+        Readiness::Stopping => (503, "Service Unavailable", "stopping\n"),
+        Readiness::Blank => (503, "Service Unavailable", "no configuration yet\n"),
+        Readiness::Ready => (200, "OK", "ready\n"),
     };
     let bytes = http1::response_bytes(status, phrase, &[], text.as_bytes(), None);
     let mut stream = connection.stream().clone();
--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -1,7 +1,6 @@
 //! The door at which the upstream beside this node registers.
 
-use super::{is_believed, local_changed, Registration};
-use crate::audit;
+use super::{health, is_believed, local_changed, Registration};
 use crate::local;
 use crate::node::Node;
 use async_std::future::timeout;
@@ -9,8 +8,9 @@
 use async_std::prelude::*;
 use async_std::task;
 use http1::{request_framing, Connection, Fault};
+use names::MILLISECOND;
 use platform::Registration as Told;
-use registry::{Change, Farewell, Verdict};
+use registry::{Change, Farewell, Instance, Verdict};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +23,10 @@
 /// Pause after the listener failed, for example because descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The upstream is asked who stands there once in this time at most, in microseconds: twice a second within its budget of
+/// looks.
+const ASK_AGAIN_US: u64 = 500 * MILLISECOND;
+
 /// Serves registrations for as long as the node runs.
 pub async fn serve(node: Rc<Node>, registration: Rc<Registration>, listener: TcpListener) {
     loop {
@@ -67,7 +71,7 @@
         .adapter
         .registration(&head.method, &head.target, &body);
     let (status, text) = match read {
-        Ok(told) => match take_in(node, registration, told) {
+        Ok(told) => match take_in(node, registration, told).await {
             Taken::Acknowledged => (200, "{}".to_string()),
             Taken::Doubted => (503, "another start stands here".to_string()),
             Taken::NotBelieved => (400, "not the upstream of this VM's settings".to_string()),
@@ -112,12 +116,15 @@
 
 /// Takes in what the upstream said. What follows from it has been done when this returns, so that
 /// the answer may acknowledge it.
-fn take_in(node: &Rc<Node>, registration: &Rc<Registration>, told: Told) -> Taken {
+async fn take_in(node: &Rc<Node>, registration: &Rc<Registration>, told: Told) -> Taken {
     let (changed, taken) = match told {
         Told::Heartbeat(heartbeat) => {
-            if !is_believed(node, &heartbeat.instance, "heartbeat") {
+            if !is_believed(node, registration, &heartbeat.instance, "heartbeat") {
                 return Taken::NotBelieved;
             }
+            if let Some(standing) = stands_already(node, registration, &heartbeat.instance).await {
+                return standing;
+            }
             let instance = heartbeat.instance.clone();
             let sequence = heartbeat.sequence;
             let now = node.now();
@@ -142,3 +149,23 @@
     }
     taken
 }
+
+/// Asks the upstream itself when another start is said to stand in the place of one that takes work: if that one still
+/// answers, the other is none. A false one would take the upstream's work for up to 4 s.
+async fn stands_already(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    told: &Instance,
+) -> Option<Taken> {
+    let known = registration.local.borrow().replaced_by(told).cloned()?;
+    let now = node.now();
+    if now < registration.asked_upstream.get() + ASK_AGAIN_US {
+        return Some(Taken::Doubted);
+    }
+    registration.asked_upstream.set(now);
+    if !health::still_answers(node, &known).await {
+        return None;
+    }
+    audit::still_stands(&known, told);
+    Some(Taken::NotBelieved)
+}
--- a/components/daemon/src/registration/health.rs
+++ b/components/daemon/src/registration/health.rs
@@ -2,7 +2,6 @@
 //! is restarted, and its next registration may be seconds away.
 
 use super::{is_believed, local_changed, Registration};
-use crate::audit;
 use crate::node::Node;
 use async_std::future::timeout;
 use async_std::task;
@@ -15,6 +14,8 @@
 
 /// Longest wait for the answer; it waits for a slot like a request.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// The same while another start waits to be acknowledged, which its upstream expects within a second.
+const STILL_THERE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest answer, in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 * 1024;
 /// Looks for a configuration that names the health check's path, and the pause between them.
@@ -23,7 +24,9 @@
 
 /// Takes the run that an earlier start of this node knew, if it still runs and takes work.
 pub async fn find(node: Rc<Node>, registration: Rc<Registration>, earlier: Instance) {
-    if registration.local.borrow().current().is_some() || !is_believed(&node, &earlier, "record") {
+    if registration.local.borrow().current().is_some()
+        || !is_believed(&node, &registration, &earlier, "record")
+    {
         return;
     }
     if earlier.state != State::Ready {
@@ -34,7 +37,7 @@
     }
     let path = health_path(&node, &earlier).await;
     let found = match path {
-        Some(path) => ask(&node, &earlier, &path).await,
+        Some(path) => ask(&node, &earlier, &path, ANSWER_TIMEOUT).await,
         None => Err(Error::new(
             Step::Upstream,
             &earlier.id,
@@ -55,24 +58,39 @@
 
 async fn health_path(node: &Rc<Node>, earlier: &Instance) -> Option<String> {
     for _ in 0..CONFIGURATION_LOOKS {
-        if let Some(in_force) = node.in_force() {
-            let registered = in_force.declarations.registered.get(&earlier.service)?;
-            return Some(registered.health_path.clone());
+        if node.in_force().is_some() {
+            return declared_path(node, earlier);
         }
         task::sleep(CONFIGURATION_PAUSE).await;
     }
     None
 }
 
-async fn ask(node: &Rc<Node>, earlier: &Instance, path: &str) -> Result<()> {
-    let fail = |cause: String| Error::new(Step::Upstream, &earlier.address, cause);
-    let address: SocketAddr = earlier
+fn declared_path(node: &Rc<Node>, instance: &Instance) -> Option<String> {
+    let in_force = node.in_force()?;
+    let registered = in_force.declarations.registered.get(&instance.service)?;
+    Some(registered.health_path.clone())
+}
+
+/// Whether the start `known` still answers at its address, so that no other one stands there. Unknown, and told as no,
+/// where nothing answers in time.
+pub async fn still_answers(node: &Rc<Node>, known: &Instance) -> bool {
+    let Some(path) = declared_path(node, known) else {
+        return false;
+    };
+    ask(node, known, &path, STILL_THERE_TIMEOUT).await.is_ok()
+}
+
+/// Asks the upstream at the address of `instance` for its identity; an error if another one or none answers.
+async fn ask(node: &Rc<Node>, instance: &Instance, path: &str, limit: Duration) -> Result<()> {
+    let fail = |cause: String| Error::new(Step::Upstream, &instance.address, cause);
+    let address: SocketAddr = instance
         .address
         .parse()
         .map_err(|_| fail("not an address".to_string()))?;
-    let patience = Patience::even(ANSWER_TIMEOUT);
+    let patience = Patience::even(limit);
     let call = http1::call(address, "GET", path, &[], &[], MAX_ANSWER_BYTES, patience);
-    let (head, _) = timeout(ANSWER_TIMEOUT, call)
+    let (head, _) = timeout(limit, call)
         .await
         .map_err(|_| fail("no answer in time".to_string()))?
         .map_err(|fault| fail(fault.to_string()))?;
@@ -81,7 +99,10 @@
     }
     let name = node.cfg.headers.instance.as_deref().unwrap_or_default();
     match http1::value(&head.headers, name) {
-        Some(id) if id == earlier.id.as_str() => Ok(()),
-        other => Err(fail(format!("{other:?} answers instead of {}", earlier.id))),
+        Some(id) if id == instance.id.as_str() => Ok(()),
+        other => Err(fail(format!(
+            "{other:?} answers instead of {}",
+            instance.id
+        ))),
     }
 }
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -14,12 +14,11 @@
 };
 pub use records::{look, run as run_records, withdraw};
 
-use crate::audit;
 use crate::home_driver;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
 use era::Eras;
-use names::{BootId, Name};
+use names::{BootId, Moment, Name};
 use platform::Adapter;
 use quarantine::Fingerprint;
 use registry::{Beside, Declared, Fleet, Incarnation, Instance, Local, Record, Version};
@@ -44,6 +43,8 @@
     pub taking_in: Cell<u32>,
     /// Whether something was learned by a comparison of which nearby nodes have not been told.
     pub has_learned: Cell<bool>,
+    /// When the upstream was last asked whether it still stands there; 0 for never.
+    asked_upstream: Cell<Moment>,
     /// Records of other nodes that are being written to the store.
     storing: Cell<u32>,
     /// Says that this node's record has changed and has to be stored.
@@ -74,6 +75,7 @@
             eras: RefCell::new(Eras::new(boot.0)),
             taking_in: Cell::new(0),
             has_learned: Cell::new(false),
+            asked_upstream: Cell::new(Moment(0)),
             storing: Cell::new(0),
             changed: async_channel::bounded(1),
         }
@@ -94,7 +96,16 @@
 /// Whether a word about the upstream beside this node may be believed: one that names another service or address than
 /// the settings is not about it. When such words were believed, calls from this VM were made in the name of a service
 /// that nobody has, and its upstream got no work any more.
-pub fn is_believed(node: &Node, told: &Instance, source: &'static str) -> bool {
+pub fn is_believed(
+    node: &Node,
+    registration: &Registration,
+    told: &Instance,
+    source: &'static str,
+) -> bool {
+    if registration.local.borrow().is_known_by(told) {
+        // It was believed before, and goes on, whatever the settings say by now.
+        return true;
+    }
     let in_force = node.in_force();
     let declared = |service: &Name| declared(in_force.as_deref(), service);
     let beside = beside(node);
@@ -173,6 +184,12 @@
     registration.store_soon();
 }
 
+/// The service of the upstream that stands beside this node.
+pub fn service(registration: &Registration) -> Option<Name> {
+    let local = registration.local.borrow();
+    local.current().map(|run| run.service.clone())
+}
+
 /// The start of the upstream that stands beside this node.
 pub fn current(registration: &Registration) -> Option<Incarnation> {
     let local = registration.local.borrow();
--- a/components/daemon/src/registration/offer.rs
+++ b/components/daemon/src/registration/offer.rs
@@ -4,13 +4,13 @@
 
 use super::records::{decode, write_anew, Stands};
 use super::Registration;
-use crate::audit;
 use crate::links;
 use crate::local;
 use crate::node::Node;
-use crate::stats;
-use crate::watching::{called, Purpose};
+use crate::store::called;
 use async_std::task;
+use audit::stats;
+use audit::Purpose;
 use era::Era;
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -5,13 +5,12 @@
 //! in `registry`.
 
 use super::{health, Registration};
-use crate::audit;
 use crate::containment;
 use crate::links::{self, Reply};
 use crate::local;
 use crate::node::Node;
-use crate::stats;
 use async_std::task;
+use audit::stats;
 use names::Name;
 use rand::seq::IndexedRandom;
 use rand::Rng;
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -6,14 +6,15 @@
 //! do finds its upstream without waiting to be told of it.
 
 use super::{health, offer, peers, Registration, Source};
-use crate::audit;
 use crate::containment;
 use crate::local;
 use crate::node::Node;
-use crate::store_eras;
-use crate::watching::{called, rest, set_reachable, Purpose, LEAST_PAUSE_MS};
+use crate::store;
+use crate::store::called;
+use crate::watching::{rest, set_reachable, LEAST_PAUSE_MS};
 use async_std::future::timeout;
 use async_std::task;
+use audit::Purpose;
 use errors::{Error, Result, Step};
 use platform::{Put, Reading, Stored};
 use quarantine::Fingerprint;
@@ -267,7 +268,7 @@
                     Ok(found) => {
                         *stands = Stands::of(&object, &found);
                         if found == own {
-                            offer::done(node, registration, store_eras::known(node));
+                            offer::done(node, registration, store::known(node));
                             return Ok(());
                         }
                         containment::succeed(node, registration, &found);
--- a/components/daemon/src/relay.rs
+++ b/components/daemon/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::links::{self, Reply};
 use crate::local;
 use crate::node::Node;
-use crate::stats;
+use audit::stats;
 use home::Reason;
 use keys::ranked;
 use names::{AttemptId, Moment, Name};
--- a/components/daemon/src/reload.rs
+++ b/components/daemon/src/reload.rs
@@ -4,7 +4,6 @@
 //! limits of memory hold until the next start; what is kept here holds from the next request on.
 
 use crate::local;
-use crate::node::Node;
 use async_std::task;
 use errors::Problems;
 use futures_util::StreamExt;
@@ -48,8 +47,9 @@
     }
 }
 
-/// Follows the file for as long as the node runs.
-pub async fn run(node: Rc<Node>, source: Source) {
+/// Follows the file for as long as the node runs: keeps `live` as the file says, and calls `changed` after each reading
+/// that may have changed it.
+pub async fn run(live: Rc<RefCell<Live>>, source: Source, changed: impl Fn()) {
     let asked = Rc::new(RefCell::new(false));
     local::spawn(watch_signal(asked.clone()));
     let mut last_bad = String::new();
@@ -59,7 +59,9 @@
         match source() {
             Ok(cfg) => {
                 last_bad.clear();
-                take_in(&node, &cfg, by_signal);
+                if take_in(&live, &cfg, by_signal) {
+                    changed();
+                }
             }
             Err(problems) => {
                 let problems = problems.to_string();
@@ -72,11 +74,12 @@
     }
 }
 
-fn take_in(node: &Rc<Node>, cfg: &Settings, by_signal: bool) {
+/// Whether what follows from the settings has to be worked out anew.
+fn take_in(live: &RefCell<Live>, cfg: &Settings, by_signal: bool) -> bool {
     let next = Live::of(cfg);
-    let before = node.live.replace(next.clone());
+    let before = live.replace(next.clone());
     if before == next && !by_signal {
-        return;
+        return false;
     }
     tracing::info!(
         by_signal,
@@ -84,7 +87,7 @@
         ?next,
         "settings read again"
     );
-    node.fleet_changed();
+    true
 }
 
 async fn watch_signal(asked: Rc<RefCell<bool>>) {
--- a/components/daemon/src/store_eras.rs
+++ b/components/daemon/src/store.rs
@@ -1,18 +1,35 @@
-//! Eras of the platform's store: who sees a new one tells the others, and what belongs to the one before counts no more.
+//! Calls to the platform's store, and its eras: who sees a new one tells the others, and what belongs to the one before
+//! counts no more.
 //!
 //! `era` decides; here it is told and written down.
 
-use crate::audit;
 use crate::links;
 use crate::node::Node;
 use crate::registration::{self, Registration};
-use crate::stats;
+use audit::{stats, Purpose};
 use era::{Era, Place, Seen};
+use errors::Result;
 use names::Name;
 use rollout::Summary;
+use std::future::Future;
 use std::rc::Rc;
 use wire::Frame;
 
+/// Makes a call, counts it and writes a line.
+pub async fn called<T>(
+    node: &Rc<Node>,
+    purpose: Purpose,
+    call: impl Future<Output = Result<T>>,
+) -> Result<T> {
+    let began = node.now();
+    let ended = call.await;
+    let took_us = node.now().since(began);
+    stats::platform_called(purpose, ended.is_ok());
+    answered(node);
+    audit::platform_called(purpose, took_us, ended.as_ref().err());
+    ended
+}
+
 /// Highest era of the store that is known; none where it tells none.
 pub fn known(node: &Node) -> Option<Era> {
     let registration = node.registration.as_ref()?;
@@ -28,7 +45,7 @@
 }
 
 /// Takes in the era that the store's answers tell, after a call to it.
-pub fn answered(node: &Rc<Node>) {
+fn answered(node: &Rc<Node>) {
     let Some(registration) = node.registration.clone() else {
         return;
     };
--- a/components/daemon/src/watching/freshness.rs
+++ b/components/daemon/src/watching/freshness.rs
@@ -4,7 +4,7 @@
 use crate::links;
 use crate::node::Node;
 use crate::registration;
-use crate::store_eras;
+use crate::store;
 use names::{Moment, Name, MILLISECOND};
 use rollout::Summary;
 use std::rc::Rc;
@@ -36,7 +36,7 @@
         return;
     };
     let now = node.now();
-    if age_us > now.0 || theirs.era != store_eras::known(node) {
+    if age_us > now.0 || theirs.era != store::known(node) {
         // Before this node ran, or of an era of the store that is over.
         return;
     }
--- a/components/daemon/src/watching/listed.rs
+++ b/components/daemon/src/watching/listed.rs
@@ -1,12 +1,14 @@
 //! The head that operators write and the list of VMs, where the platform lists them.
 
-use super::{called, Manner, Purpose, WATCH};
-use crate::audit::Origin;
+use super::{Manner, WATCH};
 use crate::configuration;
 use crate::links;
 use crate::local;
 use crate::node::Node;
+use crate::store::called;
 use async_std::task;
+use audit::Origin;
+use audit::Purpose;
 use era::Place;
 use errors::{Error, Result, Step};
 use membership::VmList;
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -3,12 +3,10 @@
 //! `watch` decides; here the calls are made and the nodes of the hall are told. What is asked depends on
 //! the platform: the head and the list of VMs ([`listed`]), or the operators' declarations ([`registered`]).
 
-mod calls;
 mod freshness;
 mod listed;
 mod registered;
 
-pub use calls::{called, Purpose};
 pub use freshness::confirmed_by;
 pub use registered::read_anew;
 
@@ -16,7 +14,7 @@
 use crate::links::{self, Reply};
 use crate::local;
 use crate::node::Node;
-use crate::store_eras;
+use crate::store;
 use async_std::task;
 use errors::Result;
 use futures_util::future::{select, select_all, Either};
@@ -214,9 +212,9 @@
 /// the open watches should have told: they say nothing any more. Without it a change was in force nowhere for
 /// ten seconds after the connections of all watches had fallen silent.
 async fn overtaken(node: &Rc<Node>) -> Result<()> {
-    let era = store_eras::known(node);
+    let era = store::known(node);
     loop {
-        if store_eras::known(node) != era {
+        if store::known(node) != era {
             // The revisions from which the open watches go on stand for something else now.
             if look_at_all(node).await? {
                 freshness::tell_other_halls(node);
--- a/components/daemon/src/watching/registered.rs
+++ b/components/daemon/src/watching/registered.rs
@@ -1,12 +1,14 @@
 //! The operators' declarations, as the store of a platform has them whose nodes register.
 
-use super::{called, Manner, Purpose, WATCH};
-use crate::audit::{self, Origin};
+use super::{Manner, WATCH};
 use crate::configuration::{self, BREATH};
 use crate::node::Node;
 use crate::registration::Registration;
-use crate::stats::{self, Work};
+use crate::store::called;
 use async_std::task;
+use audit::stats::{self, Work};
+use audit::Origin;
+use audit::Purpose;
 use era::{Era, Place};
 use errors::{contained, Error, Result, Step};
 use platform::{Reading, Stored, Watched};
--- a/components/registry/src/beside.rs
+++ b/components/registry/src/beside.rs
@@ -27,6 +27,15 @@
     }
 }
 
+/// The service that runs on a VM, and what says so.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Named {
+    /// The service.
+    pub service: Name,
+    /// What says so.
+    pub origin: Origin,
+}
+
 /// What a word about the upstream says otherwise than the settings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mismatch {
@@ -83,20 +92,16 @@
         None
     }
 
-    /// The service that runs on the VM, where `registered` is what the upstream last said that was believed.
-    pub fn service(
-        &self,
-        registered: Option<&Name>,
-        declared: impl Fn(&Name) -> Declared,
-    ) -> Option<(Name, Origin)> {
-        let from_settings = self.service.clone().map(|name| (name, Origin::Settings));
-        let from_upstream = registered
-            .filter(|name| self.may_be(name, declared))
-            .map(|name| (name.clone(), Origin::Registration));
-        match &self.service {
-            Some(service) if registered == Some(service) => from_settings,
-            _ => from_upstream.or(from_settings),
-        }
+    /// The service that runs on the VM. What its upstream last said and was believed goes first: settings that change while
+    /// it goes on are those of another one, or somebody else's.
+    pub fn service(&self, believed: Option<&Name>) -> Option<Named> {
+        let named = |service: &Name, origin| Named {
+            service: service.clone(),
+            origin,
+        };
+        let from_upstream = believed.map(|service| named(service, Origin::Registration));
+        let from_settings = self.service.as_ref();
+        from_upstream.or(from_settings.map(|service| named(service, Origin::Settings)))
     }
 
     /// Whether `told` may be the service of this VM. The settings decide, unless nobody declares the service that they
--- a/components/registry/src/local.rs
+++ b/components/registry/src/local.rs
@@ -98,6 +98,23 @@
         self.current.as_ref()
     }
 
+    /// Whether `told` names the present start as it is known: its identity, service and address.
+    pub fn is_known_by(&self, told: &Instance) -> bool {
+        self.current.as_ref().is_some_and(|current| {
+            let is_same_start = current.incarnation().is(&told.incarnation());
+            is_same_start && current.service == told.service && current.address == told.address
+        })
+    }
+
+    /// The start that takes work, if `told` is of another one at its address.
+    pub fn replaced_by(&self, told: &Instance) -> Option<&Instance> {
+        let incarnation = told.incarnation();
+        let current = self.current.as_ref()?;
+        let is_another = current.id != incarnation.id && self.ended(&incarnation).is_none();
+        let is_here = current.state == State::Ready && current.address == told.address;
+        (is_another && is_here).then_some(current)
+    }
+
     /// Takes in a registration.
     pub fn heartbeat(&mut self, now: Moment, heartbeat: Heartbeat) -> Verdict {
         let incarnation = heartbeat.instance.incarnation();
--- a/components/registry/tests/beside.rs
+++ b/components/registry/tests/beside.rs
@@ -1,9 +1,9 @@
 //! What a node believes of the upstream beside it, for everything that its settings, the declarations and others may
 //! say.
 
-use names::Name;
+use names::{Moment, Name};
 use proptest::prelude::*;
-use registry::{Beside, Declared, Instance, Mismatch, Origin, State};
+use registry::{Beside, Declared, Heartbeat, Instance, Local, Mismatch, Origin, State, DOUBT_US};
 use std::collections::BTreeSet;
 
 const ADDRESS: &str = "10.0.0.1:80";
@@ -64,10 +64,14 @@
     let word = told("prices", ADDRESS);
     assert_eq!(wrong.mismatch(&word, declared(&["prices"])), None);
     assert_eq!(wrong.mismatch(&word, unknown), Some(Mismatch::Service));
-    let named = wrong.service(Some(&prices), declared(&["prices"]));
-    assert_eq!(named, Some((prices.clone(), Origin::Registration)));
-    let named = wrong.service(Some(&prices), unknown);
-    assert_eq!(named, Some((Name::from("x1"), Origin::Settings)));
+    let named = wrong.service(Some(&prices)).expect("a name");
+    assert_eq!(
+        (named.service, named.origin),
+        (prices, Origin::Registration)
+    );
+    let named = wrong.service(None).expect("a name");
+    assert_eq!(named.service.as_str(), "x1");
+    assert_eq!(named.origin, Origin::Settings);
 }
 
 #[test]
@@ -79,31 +83,109 @@
     assert_eq!(silent.mismatch(&word, declared(&["prices"])), None);
     let refused = silent.mismatch(&stranger, declared(&["prices"]));
     assert_eq!(refused, Some(Mismatch::Service));
-    assert_eq!(silent.service(None, unknown), None);
+    assert_eq!(silent.service(None), None);
+}
+
+/// One thing that is said to a node.
+#[derive(Debug, Clone)]
+enum Said {
+    /// A registration: the service, the identity and the count.
+    Registration(usize, usize, u64),
+    /// The settings now name this service.
+    Settings(usize),
+    /// The declarations now name these services.
+    Declarations(BTreeSet<usize>),
+    /// Time passes.
+    Passes(u64),
+}
+
+fn said() -> impl Strategy<Value = Said> {
+    let service = 0..SERVICES.len();
+    prop_oneof![
+        (service.clone(), 0..3usize, 0..50u64)
+            .prop_map(|(s, id, at)| Said::Registration(s, id, at)),
+        service.clone().prop_map(Said::Settings),
+        proptest::collection::btree_set(service, 0..4).prop_map(Said::Declarations),
+        (0..2 * DOUBT_US).prop_map(Said::Passes),
+    ]
 }
 
 proptest! {
+    /// No word by itself names the calls: the settings and a registration agree on each name but the first one, or the
+    /// settings name what nobody declares.
+    #[test]
+    fn calls_are_made_in_a_name_on_which_two_sources_agreed_or_in_that_of_the_settings(
+        first in 0..SERVICES.len(),
+        steps in proptest::collection::vec(said(), 0..60),
+    ) {
+        let mut settings = beside(Some(SERVICES[first]));
+        let mut named: BTreeSet<usize> = BTreeSet::from([first]);
+        let mut local = Local::default();
+        let mut agreed = BTreeSet::new();
+        let mut now = Moment(1);
+        for step in steps {
+            let declared = |name: &Name| {
+                match named.iter().any(|index| SERVICES[*index] == name.as_str()) {
+                    true => Declared::Yes,
+                    false => Declared::No,
+                }
+            };
+            match step {
+                Said::Registration(service, id, sequence) => {
+                    let mut instance = told(SERVICES[service], ADDRESS);
+                    instance.id = Name::from(format!("i-{id}"));
+                    let goes_on = local.is_known_by(&instance);
+                    if goes_on || settings.mismatch(&instance, declared).is_none() {
+                        agreed.insert(instance.service.clone());
+                        let heartbeat = Heartbeat { instance, sequence, cold_ms: 0 };
+                        local.heartbeat(now, heartbeat);
+                    }
+                }
+                Said::Settings(service) => settings.service = Some(Name::from(SERVICES[service])),
+                Said::Declarations(services) => named = services,
+                Said::Passes(us) => now = now + us,
+            }
+            let believed = local.current().map(|run| run.service.clone());
+            let chosen = settings.service(believed.as_ref()).expect("the settings name one");
+            match chosen.origin {
+                Origin::Registration => prop_assert!(agreed.contains(&chosen.service)),
+                Origin::Settings => prop_assert!(believed.is_none()),
+            }
+        }
+    }
+
     #[test]
-    fn a_declared_service_in_the_settings_names_the_calls_whatever_else_is_said(
-        settings in 0..SERVICES.len(),
-        registered in proptest::option::of(0..SERVICES.len()),
-        others in proptest::collection::btree_set(0..SERVICES.len(), 0..4),
-        known in any::<bool>(),
+    fn an_upstream_that_goes_on_keeps_its_name_whatever_the_settings_and_others_say(
+        first in 0..SERVICES.len(),
+        steps in proptest::collection::vec(said(), 0..60),
     ) {
-        let service = Name::from(SERVICES[settings]);
-        let named: BTreeSet<&str> = others.iter().map(|index| SERVICES[*index]).collect();
-        let declared = |name: &Name| match (known, *name == service, named.contains(name.as_str())) {
-            (false, ..) => Declared::Unknown,
-            (true, true, _) | (true, _, true) => Declared::Yes,
-            (true, false, false) => Declared::No,
-        };
-        let beside = beside(Some(SERVICES[settings]));
-        let registered = registered.map(|index| Name::from(SERVICES[index]));
-        let chosen = beside.service(registered.as_ref(), declared).map(|(name, _)| name);
-        prop_assert_eq!(chosen, Some(service.clone()));
-        if let Some(registered) = registered.filter(|registered| *registered != service) {
-            let word = told(registered.as_str(), ADDRESS);
-            prop_assert_eq!(beside.mismatch(&word, declared), Some(Mismatch::Service));
+        let own = Name::from(SERVICES[first]);
+        let mut settings = beside(Some(SERVICES[first]));
+        let mut local = Local::default();
+        let instance = told(SERVICES[first], ADDRESS);
+        let all = declared(&SERVICES);
+        let mut now = Moment(1);
+        for (count, step) in steps.into_iter().enumerate() {
+            let is_believed = local.is_known_by(&instance) || settings.mismatch(&instance, all).is_none();
+            prop_assert!(is_believed, "its own word is not believed");
+            let instance = instance.clone();
+            let sequence = count as u64;
+            local.heartbeat(now, Heartbeat { instance, sequence, cold_ms: 0 });
+            match step {
+                Said::Registration(service, id, _) if service != first => {
+                    let mut other = told(SERVICES[service], ADDRESS);
+                    other.id = Name::from(format!("i-{id}"));
+                    prop_assert!(!local.is_known_by(&other));
+                    let refused = settings.mismatch(&other, all).is_some();
+                    prop_assert!(refused || settings.service.as_ref() != Some(&own));
+                }
+                Said::Settings(service) => settings.service = Some(Name::from(SERVICES[service])),
+                Said::Passes(us) => now = now + us,
+                _ => {}
+            }
+            let believed = local.current().map(|run| run.service.clone());
+            let chosen = settings.service(believed.as_ref());
+            prop_assert_eq!(chosen.map(|named| named.service), Some(own.clone()));
         }
     }
 }
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -340,3 +340,23 @@
     }
     assert_eq!(fleet.len(), 1);
 }
+
+#[test]
+fn a_record_that_somebody_changed_under_its_version_is_told_from_the_one_that_is_known() {
+    let known = record("vm", 2, 2, Some(instance("a", State::Ready)));
+    let changed = Record {
+        upstream: None,
+        ..known.clone()
+    };
+    let mut other = Fleet::new(record("me", 1, 0, None));
+    other.merge(known.clone());
+    assert_eq!(other.merge(changed.clone()), Merged::Differs);
+    assert_eq!(other.record(&known.vm), Some(&known));
+    // Its own node says anew what holds, whatever start the other one claims to be of.
+    let mut own = Fleet::new(known.clone());
+    assert_eq!(own.merge(known.clone()), Merged::Older);
+    assert_eq!(own.merge(changed), Merged::Own(known.version));
+    let later = record("vm", 2, 9, None);
+    assert_eq!(own.merge(later.clone()), Merged::Own(later.version));
+    assert!(own.rise_above(later.version).version > later.version);
+}
--- a/components/registry/tests/spread.rs
+++ b/components/registry/tests/spread.rs
@@ -211,3 +211,24 @@
         prop_assert!(fleets.iter().all(|fleet| digest(fleet) == first));
     }
 }
+
+#[test]
+fn records_that_differ_under_one_version_are_found_by_a_comparison_on_both_sides() {
+    let mut fleets = fleets(4, 2);
+    let mut changed = record(3, 2);
+    changed.serving = false;
+    let mut other = Fleet::new(record(1, 2));
+    for record in [record(0, 2), record(2, 2), changed.clone()] {
+        other.merge(record);
+    }
+    let knows = &mut fleets[0];
+    let differing = knows.digests().differing(other.digests());
+    assert_ne!(differing, 0);
+    let at_other = compare(&other, &versions(knows, differing));
+    assert!(at_other.lacks);
+    assert!(at_other.news.contains(&changed));
+    let at_knows = compare(knows, &versions(&other, differing));
+    assert!(at_knows.lacks);
+    assert!(at_knows.news.contains(&record(3, 2)));
+    assert_eq!(knows.merge(changed), Merged::Differs);
+}
--- a/components/daemon/src/upstream.rs
+++ b/components/upstream/src/lib.rs
@@ -1,10 +1,10 @@
 //! Exchanges with the upstream beside this node, over connections kept open.
 
-use crate::clock::Clock;
 use async_std::future::timeout;
 use async_std::io::{ErrorKind, ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use async_std::task;
+use clock::Clock;
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
 use http1::{response_framing, Connection, EndByClose, Fault, Framing, ResponseHead};
