--- a/components/rollout/tests/rollout/differences.rs
+++ b/components/rollout/tests/rollout/differences.rs
@@ -2,7 +2,7 @@
 
 use declarations::Bundle;
 use era::Place;
-use rollout::{diff, split, Change, Configuration, Head, Offered, Rollout};
+use rollout::{diff, Configuration, Offered, Rollout};
 use std::collections::BTreeMap;
 
 fn bundle(policy: &str) -> Bundle {
@@ -19,22 +19,7 @@
 }
 
 fn configuration(revision: u64, policy: &str) -> Configuration {
-    let (files, objects) = split(&bundle(policy));
-    Configuration {
-        head: Head {
-            revision,
-            previous: None,
-            change: Change {
-                id: format!("{revision}"),
-                who: "a".to_string(),
-                when_ms: 0,
-                why: "b".to_string(),
-            },
-            files,
-        },
-        objects,
-        read: Place::default(),
-    }
+    crate::revision(revision, &bundle(policy), Place::default())
 }
 
 #[test]
--- a/components/rollout/tests/rollout/main.rs
+++ b/components/rollout/tests/rollout/main.rs
@@ -6,3 +6,29 @@
 mod returns;
 mod reuse;
 mod world;
+
+use declarations::Bundle;
+use era::Place;
+use rollout::{split, Change, Configuration, Head};
+
+/// A revision with these files, read at `read`.
+pub fn revision(revision: u64, bundle: &Bundle, read: Place) -> Configuration {
+    let (files, objects) = split(bundle);
+    let change = Change {
+        id: revision.to_string(),
+        who: "a".to_string(),
+        when_ms: 0,
+        why: "b".to_string(),
+    };
+    let head = Head {
+        revision,
+        previous: None,
+        change,
+        files,
+    };
+    Configuration {
+        head,
+        objects,
+        read,
+    }
+}
--- a/components/rollout/tests/rollout/returns.rs
+++ b/components/rollout/tests/rollout/returns.rs
@@ -2,7 +2,7 @@
 
 use declarations::Bundle;
 use era::{Era, Place};
-use rollout::{split, Change, Configuration, Head, Offered, Rollout, Summary};
+use rollout::{Configuration, Offered, Rollout, Summary};
 use std::collections::BTreeMap;
 
 fn configuration(revision: u64, deadline_ms: u64, read: (u64, u64)) -> Configuration {
@@ -11,28 +11,11 @@
          services = one:1\ndeadline_ms = {deadline_ms}\n"
     );
     let files = BTreeMap::from([("services.ini".to_string(), text)]);
-    let (files, objects) = split(&Bundle { files });
-    let change = Change {
-        id: format!("{revision}"),
-        who: "a".to_string(),
-        when_ms: 0,
-        why: "b".to_string(),
-    };
-    let head = Head {
-        revision,
-        previous: None,
-        change,
-        files,
-    };
     let read = Place {
         era: Some(Era(read.0)),
         revision: read.1,
     };
-    Configuration {
-        head,
-        objects,
-        read,
-    }
+    crate::revision(revision, &Bundle { files }, read)
 }
 
 fn summary(rollout: &Rollout) -> Summary {
--- a/components/rollout/tests/rollout/reuse.rs
+++ b/components/rollout/tests/rollout/reuse.rs
@@ -8,7 +8,7 @@
 
 use declarations::{Bundle, Route};
 use era::Place;
-use rollout::{split, Change, Checking, Configuration, Head, Offered, Rollout};
+use rollout::{split, Checking, Configuration, Offered, Rollout};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -21,24 +21,7 @@
         text += &format!("services = one:1\ndeadline_ms = {deadline_ms}\n\n");
     }
     let files = BTreeMap::from([("services.ini".to_string(), text)]);
-    let (files, objects) = split(&Bundle { files });
-    let change = Change {
-        id: revision.to_string(),
-        who: "a".to_string(),
-        when_ms: 0,
-        why: "b".to_string(),
-    };
-    let head = Head {
-        revision,
-        previous: None,
-        change,
-        files,
-    };
-    Configuration {
-        head,
-        objects,
-        read: Place::default(),
-    }
+    crate::revision(revision, &Bundle { files }, Place::default())
 }
 
 fn routes(rollout: &Rollout) -> BTreeMap<String, Arc<Route>> {
