--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -3,7 +3,7 @@
 use crate::limit::{allowed, Kind};
 use declarations::Route;
 use entry::View;
-use home::{Load, Offer, Reason};
+use home::{Load, Offer, Reason, Refusal};
 use names::{AttemptId, Name};
 use registry::Named;
 use wire::{RelayOutcome, Request};
@@ -41,6 +41,7 @@
         caller = routed.caller.map_or("-", |named| named.service.as_str()),
         caller_from = routed.caller.map_or("-", |named| named.origin.as_str()),
         caller_told = routed.caller_told.unwrap_or("-"),
+        account = req.account.as_ref().map_or("-", Name::as_str),
         revision = routed.revision,
         level = req.level,
         deadline_ms = routed.deadline_ms.unwrap_or(0),
@@ -75,6 +76,30 @@
     }
 }
 
+/// A request was turned away for its key, by what was known of accounts: the revision, and since when the platform was
+/// not known to hold anything newer. The key itself is told nowhere.
+pub fn barred(id: &str, refusal: &Refusal, revision: u64, age_us: Option<u64>) {
+    if allowed(Kind::Routed) {
+        let age_ms = age_us.map(|age_us| age_us / 1_000);
+        let reason = refusal.reason.as_str();
+        tracing::info!(id, reason, revision, age_ms, "request barred");
+    }
+}
+
+/// A request of a limited account got no token. `part`: what this node keeps of every limit.
+pub fn over_limit(id: &str, account: &Name, refusal: &Refusal, part: f64) {
+    if allowed(Kind::Routed) {
+        tracing::info!(
+            id,
+            account = %account,
+            reason = refusal.reason.as_str(),
+            retry_after_ms = refusal.retry_after_ms,
+            part,
+            "no token for a request"
+        );
+    }
+}
+
 /// No route fits a request.
 pub fn no_route(id: &str, host: &str, path: &str, revision: u64) {
     if allowed(Kind::Routed) {
--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -1,9 +1,11 @@
 //! Reading a caller's request.
 
 use crate::node::Parent;
+use accounts::KeyDigest;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use http1::{request_framing, single, Connection, Fault, Header, RequestHead};
+use names::Name;
 use settings::Headers;
 use std::net::IpAddr;
 use std::time::Duration;
@@ -80,6 +82,10 @@
     pub parent: Option<Parent>,
     /// Idempotency key.
     pub key: Option<String>,
+    /// What stands for the key of its client account.
+    pub account_key: Option<KeyDigest>,
+    /// The client account in whose name it goes on, once that is known.
+    pub account: Option<Name>,
     /// Identity that the caller gave its try; `-` for none.
     pub id: String,
     /// The caller's IP address.
@@ -122,9 +128,10 @@
     parent_of: impl Fn(&str) -> Option<Parent>,
     connection: &mut Connection<TcpStream>,
     caller: IpAddr,
-    head: RequestHead,
+    mut head: RequestHead,
     limits: Limits,
 ) -> Result<CallerRequest, BadRequest> {
+    let account_key = take_account_key(names, &mut head.headers)?;
     let body = read_body(connection, &head, limits).await?;
     let deadline_ms = number(&head.headers, &names.deadline_ms)?;
     let id = match &names.request_id {
@@ -133,7 +140,10 @@
     };
     let parent = parent_of(&id);
     let told = number(&head.headers, &names.level)?;
-    let level = told.unwrap_or_else(|| parent.map_or(0, |parent| u64::from(parent.level) + 1));
+    let level = told.unwrap_or_else(|| {
+        let parent = parent.as_ref();
+        parent.map_or(0, |parent| u64::from(parent.level) + 1)
+    });
     if level > u64::from(MAX_LEVEL) {
         return Err(bad(508, format!("more than {MAX_LEVEL} levels of calls")));
     }
@@ -165,11 +175,28 @@
         level: level as u32,
         parent,
         key,
+        account_key,
+        account: None,
         id,
         caller: caller.to_string(),
     })
 }
 
+/// Takes the account's key out of the headers, so that nothing behind this point can pass it on, and with it whatever
+/// account the caller names itself.
+fn take_account_key(
+    names: &Headers,
+    headers: &mut Vec<Header>,
+) -> Result<Option<KeyDigest>, BadRequest> {
+    let digest = match &names.account_key {
+        Some(name) => one(headers, name)?.map(|key| KeyDigest::of(key.as_bytes())),
+        None => None,
+    };
+    let own: Vec<&String> = names.account_key.iter().chain(&names.account).collect();
+    headers.retain(|(name, _)| !own.iter().any(|own| name.eq_ignore_ascii_case(own)));
+    Ok(digest)
+}
+
 /// Path with query, and the host of a target in absolute form.
 fn split_target(target: &str) -> Result<(&str, Option<&str>), BadRequest> {
     if target.starts_with('/') || target == "*" {
--- a/components/daemon/src/callers/response.rs
+++ b/components/daemon/src/callers/response.rs
@@ -15,6 +15,9 @@
 /// When to come back, in milliseconds; `Retry-After` has the same in seconds.
 const RETRY_AFTER_MS_HEADER: &str = "drumwheel-retry-after-ms";
 
+/// Says that a key of a client account is wanted.
+const CHALLENGE: &str = "ApiKey";
+
 /// What is written to a caller.
 #[derive(Debug)]
 pub enum Response {
@@ -32,6 +35,14 @@
 }
 
 impl Response {
+    /// Bytes of the body.
+    pub fn body_bytes(&self) -> usize {
+        match self {
+            Response::Answer(answer) => answer.body.len(),
+            Response::Own { body, .. } => body.len(),
+        }
+    }
+
     /// The whole response to a request with `method`; `close` says that the connection ends.
     pub fn bytes(&self, method: &str, close: bool) -> Vec<u8> {
         let close = close.then(|| ("Connection".to_string(), "close".to_string()));
@@ -104,10 +115,12 @@
 pub fn phrase(status: u16) -> &'static str {
     match status {
         400 => "Bad Request",
+        401 => "Unauthorized",
         403 => "Forbidden",
         404 => "Not Found",
         408 => "Request Timeout",
         409 => "Conflict",
+        429 => "Too Many Requests",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
@@ -124,12 +137,17 @@
     let code = match refusal.reason {
         Reason::NoService => 404,
         Reason::Policy => 403,
+        Reason::Key => 401,
+        Reason::OverLimit => 429,
         Reason::Deadline if !names.not_run_is_503 => 504,
         _ => 503,
     };
     let mut res = own(code, "not-run", refusal.reason, "the request was not run");
     if let Response::Own { headers, .. } = &mut res {
-        if code == 503 || code == 504 {
+        if code == 401 {
+            headers.push(pair("www-authenticate", CHALLENGE));
+        }
+        if matches!(code, 429 | 503 | 504) {
             let ms = refusal.retry_after_ms.max(1);
             headers.push(pair("retry-after", &retry_after(names, ms)));
             headers.push(pair(RETRY_AFTER_MS_HEADER, &ms.to_string()));
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -1,5 +1,6 @@
 //! From a request to its outcome: service, policy, attempts.
 
+use super::admission;
 use super::request::CallerRequest;
 use super::response::{self, Response};
 use crate::candidates::{self, Connections};
@@ -9,11 +10,12 @@
 use crate::node::Node;
 use crate::registration;
 use crate::relay::{self, Relay};
+use accounts::{Account, Proof, MOST_PRIORITY};
 use async_std::task;
 use audit::stats::{self, Stage};
 use audit::Routed;
 use declarations::{Route, Service};
-use entry::{Candidate, Origin, Outcome, Treatment};
+use entry::{Candidate, Origin, Outcome, Price, Treatment};
 use futures_util::FutureExt;
 use home::{Reason, Refusal};
 use keys::KEY_DEADLINE_US;
@@ -34,6 +36,10 @@
 /// Added to the priority of a request for the calls that are made for it, which puts them above all
 /// outer requests: when one is refused, the slot time that its request has used is lost.
 const INNER_PRIORITY: u8 = 10;
+/// Steps between the priorities of two accounts: all those of routes lie between them.
+const ACCOUNT_STEP: u8 = 10;
+/// What is added for calls where requests have accounts.
+const INNER_PRIORITY_OF_ACCOUNTS: u8 = ACCOUNT_STEP * (MOST_PRIORITY + 1);
 /// Headers that begin so are this program's own and are not passed on.
 const PREFIX: &str = "drumwheel-";
 /// Upstreams that may see a request of a policy that lets it run once: one that turns it away unrun may
@@ -100,9 +106,19 @@
     let Some(deadline) = deadline(node, &ruled, &call) else {
         return too_late(&call);
     };
+    let account = match admission::identify(&in_force, &call, service.open, proof(node)) {
+        Ok(account) => account,
+        Err(refusal) => return RelayOutcome::NotRun(refusal),
+    };
+    call.account = account.as_ref().map(|account| account.name.clone());
+    let peers = links::Peers(node.clone());
+    let token = match admission::admit(&node.quotas, &peers, &call, account.as_deref()).await {
+        Ok(token) => token,
+        Err(refusal) => return RelayOutcome::NotRun(refusal),
+    };
     let treatment = Treatment {
         repeatable: ruled.repeatable,
-        priority: ruled.priority,
+        priority: priority(&ruled, &call, account.as_deref()),
         attempts: attempts(&ruled, call.level),
         arrivals: ruled.attempts.max(LEAST_ARRIVALS),
         origin: origin(&call),
@@ -119,14 +135,15 @@
     let plan = Plan {
         order,
         candidates: node.candidates(&in_force, service),
+        price: Price::of(ruled.priority, 0, true),
         treatment,
         req,
         key: None,
         deadline,
-        objective_us: 0,
-        patient: true,
     };
-    direct(node, plan, hung_up).await
+    let outcome = direct(node, plan, hung_up).await;
+    admission::settle(&node.quotas, &peers, token, &outcome);
+    outcome
 }
 
 /// The revision in force. A node that has just started has one in a moment: callers who come before that wait
@@ -147,18 +164,26 @@
     node: &Rc<Node>,
     in_force: &InForce,
     route: &Route,
-    call: CallerRequest,
+    mut call: CallerRequest,
     hung_up: impl Future<Output = ()>,
 ) -> RelayOutcome {
     let ruled = &route.treatment;
     let Some(deadline) = deadline(node, ruled, &call) else {
         return too_late(&call);
     };
+    let account = match admission::identify(in_force, &call, route.open, proof(node)) {
+        Ok(account) => account,
+        Err(refusal) => return RelayOutcome::NotRun(refusal),
+    };
+    call.account = account.as_ref().map(|account| account.name.clone());
+    let peers = links::Peers(node.clone());
+    let token = match admission::admit(&node.quotas, &peers, &call, account.as_deref()).await {
+        Ok(token) => token,
+        Err(refusal) => return RelayOutcome::NotRun(refusal),
+    };
     let service = node.share_of(route);
     let is_inner = call.parent.is_some();
-    let priority = call.parent.map_or(ruled.priority, |parent| {
-        parent.priority.saturating_add(INNER_PRIORITY)
-    });
+    let priority = priority(ruled, &call, account.as_deref());
     let treatment = Treatment {
         repeatable: ruled.repeatable,
         priority,
@@ -185,6 +210,7 @@
         Ok(order) => order,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
+    let crossing = if is_inner { priority } else { ruled.priority };
     let plan = Plan {
         order,
         candidates: registered(node, &service),
@@ -192,10 +218,33 @@
         req,
         key: None,
         deadline,
-        objective_us: route.objective_ms * MILLISECOND,
-        patient: is_inner,
+        price: Price::of(crossing, route.objective_ms * MILLISECOND, is_inner),
     };
-    direct(node, plan, hung_up).await
+    let outcome = direct(node, plan, hung_up).await;
+    admission::settle(&node.quotas, &peers, token, &outcome);
+    outcome
+}
+
+/// How new what is known of accounts is, and must be.
+fn proof(node: &Node) -> Proof {
+    let bound_ms = node.cfg.accounts.withdrawn_within_ms;
+    Proof {
+        age_us: node.watch.borrow().age_us(node.now()),
+        withdrawn_within_us: bound_ms.map(|ms| ms * MILLISECOND),
+    }
+}
+
+/// The account's priority goes before the route's, and calls go before all outer requests.
+fn priority(ruled: &policy::Treatment, call: &CallerRequest, account: Option<&Account>) -> u8 {
+    match &call.parent {
+        Some(parent) if parent.account.is_some() => {
+            parent.priority.saturating_add(INNER_PRIORITY_OF_ACCOUNTS)
+        }
+        Some(parent) => parent.priority.saturating_add(INNER_PRIORITY),
+        None => account.map_or(ruled.priority, |account| {
+            account.priority * ACCOUNT_STEP + ruled.priority
+        }),
+    }
 }
 
 /// The upstreams that registered for `service`, among which a request chooses.
@@ -278,7 +327,7 @@
 }
 
 fn origin(call: &CallerRequest) -> Origin {
-    match call.parent {
+    match &call.parent {
         Some(parent) if parent.repeat => Origin::Repeat,
         Some(_) => Origin::Run,
         None if call.level > 0 => Origin::Run,
@@ -328,6 +377,10 @@
         let caller = caller_named(node);
         headers.extend(caller.map(|named| (name.clone(), named.service.to_string())));
     }
+    if let Some(name) = &names.account {
+        let account = call.account.as_ref();
+        headers.extend(account.map(|account| (name.clone(), account.to_string())));
+    }
     Request {
         service: service.clone(),
         method: call.method,
@@ -336,6 +389,7 @@
         body: call.body,
         level: call.level,
         id: call.id,
+        account: call.account,
     }
 }
 
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -138,7 +138,7 @@
     let told = node
         .fetch
         .borrow_mut()
-        .told(now, from, standing, theirs.bytes);
+        .told(now, from, standing, theirs.bytes_for(&mine));
     let missed = node.fetch.borrow().missed();
     audit::newer_there(from, &mine, theirs, told, missed);
     match told {
@@ -171,8 +171,8 @@
 pub fn wanted(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
     let mine = node.summary();
     if mine.has_newer_content_than(theirs) {
-        if let Some(in_force) = node.in_force() {
-            let configuration = Arc::new(in_force.configuration.clone());
+        let lacking = node.rollout.borrow().lacking(theirs.content);
+        if let Some(configuration) = lacking.map(Arc::new) {
             audit::declarations_sent(from, theirs.revision, mine.revision, configuration.size());
             reply.send(node, Frame::Configuration(configuration));
         }
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -10,7 +10,7 @@
 use async_channel::Sender;
 use async_std::future::timeout;
 use async_std::task;
-use entry::{Candidate, Origin, Outcome, Treatment};
+use entry::{Candidate, Origin, Outcome, Price, Treatment};
 use futures_util::future::join_all;
 use home::Reason;
 use keys::{
@@ -228,8 +228,7 @@
             req: self.relay.req.clone(),
             key: Some(self.key),
             deadline: self.deadline,
-            objective_us: 0,
-            patient: true,
+            price: Price::of(self.relay.priority, 0, true),
         };
         let finished = run_call(node, plan, pending()).await;
         let outcome = outcome(finished);
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -53,10 +53,8 @@
     pub key: Option<KeyHash>,
     /// The caller's deadline.
     pub deadline: Moment,
-    /// Time within which an answer has its full worth, in microseconds; 0 when nothing is known.
-    pub objective_us: u64,
-    /// Whether offers may wait for a slot until the deadline.
-    pub patient: bool,
+    /// What an offer may cost.
+    pub price: Price,
     /// The VMs at which it may run, the best first, if an upstream ended while it ran a copy.
     pub order: Option<Vec<Name>>,
 }
@@ -64,7 +62,7 @@
 /// Takes a request to its outcome.
 pub async fn run_call(node: &Rc<Node>, plan: Plan, hung_up: impl Future<Output = ()>) -> Finished {
     let (tx, rx) = async_channel::bounded(EVENTS);
-    let price = Price::of(plan.treatment.priority, plan.objective_us, plan.patient);
+    let price = plan.price;
     let call = Call::new(
         plan.req.service.clone(),
         plan.treatment.clone(),
--- a/components/daemon/src/jobs.rs
+++ b/components/daemon/src/jobs.rs
@@ -40,7 +40,7 @@
 }
 
 /// A request that the upstream beside this node is serving, as a call made for it sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Parent {
     /// How many services it has passed.
     pub level: u32,
@@ -48,6 +48,8 @@
     pub priority: u8,
     /// Whether another upstream has seen it before.
     pub repeat: bool,
+    /// The client account in whose name it runs.
+    pub account: Option<Name>,
 }
 
 /// An entry-side attempt that has not ended.
--- a/components/daemon/src/links/accept.rs
+++ b/components/daemon/src/links/accept.rs
@@ -1,6 +1,6 @@
 //! The peers' door: connections that other nodes open to this one.
 
-use super::{age, frames, max_bytes, socket, Outlet, Reply, MAX_WAITING_FRAMES};
+use super::{age, frames, max_bytes, socket, Outlet, Reply};
 use crate::local;
 use crate::node::Node;
 use async_std::future::timeout;
@@ -62,7 +62,7 @@
             return;
         }
     };
-    let (tx, mut stream) = socket::split(socket, MAX_WAITING_FRAMES);
+    let (tx, mut stream) = socket::split(socket);
     let reply = Reply::Peer(Outlet::new(node, &vm, tx.clone()));
     node.incoming.borrow_mut().insert(serial, reply.clone());
     let error = read(node, &vm, &mut stream, &reply).await;
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -1,9 +1,9 @@
 //! Opening a connection to another node and reading from it.
 
+use super::REDIAL_US;
 use super::{
     age, frames, lost, max_bytes, not_sent, socket, transmit_up, Link, Outlet, Reply, UpLink,
 };
-use super::{MAX_WAITING_FRAMES, REDIAL_US};
 use crate::node::Node;
 use async_channel::Receiver;
 use async_std::future::timeout;
@@ -97,7 +97,7 @@
     if node.view.borrow_mut().met(vm, welcome.hello.boot) {
         node.entry.borrow_mut().forget(vm);
     }
-    let (tx, stream) = socket::split(socket, MAX_WAITING_FRAMES);
+    let (tx, stream) = socket::split(socket);
     let (cut, cut_rx) = async_channel::bounded(1);
     let up = UpLink {
         out: Outlet::new(node, vm, tx),
@@ -138,7 +138,7 @@
     let welcome = prove(node, &mut socket, peer).await?;
     let summary = wire::encode(node.now().0, &Frame::Summary(node.summary()));
     socket::send_now(&mut socket, peer, summary).await?;
-    let (tx, mut stream) = socket::split(socket, MAX_WAITING_FRAMES);
+    let (tx, mut stream) = socket::split(socket);
     let reply = Reply::Peer(Outlet::new(node, &welcome.hello.vm, tx));
     loop {
         let bytes = socket::receive(&mut stream, peer).await?;
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -27,7 +27,8 @@
 use std::sync::Arc;
 use wire::{Frame, Request, MAX_FRAME_OVERHEAD};
 
-/// Frames that may wait for one connection. When it is full the connection counts as broken.
+/// Frames that may wait for one connection. When it is full the connection counts as broken. Room for them is taken as
+/// they come: a node has hundreds of connections, on which hardly ever one waits.
 const MAX_WAITING_FRAMES: usize = 1_024;
 /// After a failed dial no other is tried for so long, in microseconds.
 const REDIAL_US: u64 = 100 * MILLISECOND;
@@ -69,7 +70,7 @@
     /// Sends a frame that is encoded already; false when the queue is full or the connection has ended.
     fn send(&self, kind: &'static str, bytes: Vec<u8>) -> bool {
         stats::frame_sent(kind, self.same_hall, bytes.len());
-        self.tx.try_send(bytes).is_ok()
+        self.tx.len() < MAX_WAITING_FRAMES && self.tx.try_send(bytes).is_ok()
     }
 }
 
@@ -169,6 +170,48 @@
     }
 }
 
+/// What the quota duty sees of the other nodes.
+pub struct Peers(pub Rc<Node>);
+
+impl quota::Peers for Peers {
+    fn now(&self) -> Moment {
+        self.0.now()
+    }
+
+    fn me(&self) -> Name {
+        self.0.cfg.vm.clone()
+    }
+
+    fn nodes(&self) -> usize {
+        self.0.others().len() + 1
+    }
+
+    fn near(&self) -> Vec<Name> {
+        let near = self.0.others().into_iter();
+        let near = near.filter(|(vm, same_hall)| *same_hall && is_up(&self.0, vm));
+        near.map(|(vm, _)| vm).collect()
+    }
+
+    fn is_up(&self, vm: &Name) -> bool {
+        is_up(&self.0, vm)
+    }
+
+    fn send(&self, to: &Name, message: quota::Message) {
+        send(&self.0, to, &Frame::Quota(message));
+    }
+}
+
+/// Number of other nodes of this hall that are known, and to how many of them a connection is open.
+pub fn near(node: &Node) -> (usize, usize) {
+    let near = node
+        .others()
+        .into_iter()
+        .filter(|(_, same_hall)| *same_hall);
+    let near: Vec<Name> = near.map(|(vm, _)| vm).collect();
+    let open = near.iter().filter(|vm| is_up(node, vm)).count();
+    (near.len(), open)
+}
+
 /// Whether there is neither a connection to a node nor a try to open one.
 pub fn is_apart(node: &Node, vm: &Name) -> bool {
     match node.links.borrow().get(vm) {
@@ -178,6 +221,15 @@
     }
 }
 
+/// Number of connections that are being opened.
+pub fn connecting(node: &Node) -> usize {
+    let links = node.links.borrow();
+    let connecting = links
+        .values()
+        .filter(|link| matches!(link, Link::Connecting(_)));
+    connecting.count()
+}
+
 /// Whether a connection to a node is open.
 pub fn is_up(node: &Node, vm: &Name) -> bool {
     matches!(node.links.borrow().get(vm), Some(Link::Up(_)))
@@ -351,6 +403,7 @@
             let confirmed_us_ago = summary.confirmed_us_ago;
             summary.confirmed_us_ago = confirmed_us_ago.map(|us| us.saturating_add(late_us));
         }
+        Frame::Quota(message) => message.age(late_us),
         _ => {}
     }
 }
--- a/components/daemon/src/links/socket.rs
+++ b/components/daemon/src/links/socket.rs
@@ -68,10 +68,11 @@
         .map_err(|error| Error::new(Step::Frame, peer, error))
 }
 
-/// Splits a socket; a task writes what the returned sender is given, flushing when it runs dry.
-pub fn split(socket: Socket, waiting: usize) -> (Sender<Vec<u8>>, SplitStream<Socket>) {
+/// Splits a socket; a task writes what the returned sender is given, flushing when it runs dry. Senders bound what
+/// waits.
+pub fn split(socket: Socket) -> (Sender<Vec<u8>>, SplitStream<Socket>) {
     let (sink, stream) = socket.split();
-    let (tx, rx) = async_channel::bounded(waiting);
+    let (tx, rx) = async_channel::unbounded();
     crate::local::spawn(write(sink, rx));
     (tx, stream)
 }
--- a/components/daemon/src/look.rs
+++ b/components/daemon/src/look.rs
@@ -78,6 +78,7 @@
         body: Vec::new(),
         level: 0,
         id: "-".to_string(),
+        account: None,
     })
 }
 
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -20,6 +20,7 @@
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
+use quota::{Bounds, Quotas, JOIN_US};
 use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -125,6 +126,8 @@
     pub registration: Option<Rc<Registration>>,
     /// Requests under which upstreams ended.
     pub containment: Containment,
+    /// Shares and tokens of limited client accounts.
+    pub quotas: Quotas,
     /// Turns of the services among which routes are split.
     pub splits: RefCell<HashMap<Name, Split>>,
     /// What the platform last said of itself.
@@ -199,6 +202,7 @@
             platform: Rc::new(Client::new(cfg.platform.clone())),
             registration,
             containment: Containment::new(clock.now()),
+            quotas: Quotas::new(bounds(&cfg), clock.now() + JOIN_US),
             splits: RefCell::default(),
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
@@ -293,6 +297,7 @@
         Summary {
             revision: rollout.revision(),
             bytes: rollout.bytes(),
+            change_bytes: rollout.change_bytes(),
             list_version: self.view.borrow().list().version,
             confirmed_us_ago: self.watch.borrow().age_us(self.now()),
             era: store::known(self),
@@ -342,6 +347,7 @@
             level: job.req.level,
             priority: job.priority,
             repeat: job.repeat,
+            account: job.req.account.clone(),
         })
     }
 
@@ -350,7 +356,7 @@
         let mut splits = self.splits.borrow_mut();
         let split = splits.entry(route.name.clone()).or_default();
         let weights = route.shares.iter().map(|share| share.weight);
-        let share = split.next(weights).unwrap_or(0);
+        let share = split.next(weights, &mut rand::rng()).unwrap_or(0);
         route.shares[share].service.clone()
     }
 
@@ -451,6 +457,13 @@
     Watch::new(cfg.vm.clone(), timing, now, cfg.first_start, boot.0)
 }
 
+fn bounds(cfg: &Settings) -> Bounds {
+    Bounds {
+        overshoot: cfg.accounts.overshoot,
+        slack: cfg.accounts.slack,
+    }
+}
+
 fn rule(name: &str) -> Rule {
     match name {
         "random" => Rule::Random,
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -24,6 +24,10 @@
 /// the store is away is found within this time.
 const DIAL_EVERY: Duration = Duration::from_millis(250);
 
+/// Connections to its hall that a node opens at the same time, at most. When all nodes of a large hall opened all of
+/// theirs at once, most took longer than a connection may, and were begun again.
+const MOST_DIALS: usize = 32;
+
 /// Every so many looks a node compares what it knows with others: once a second. One that has not read
 /// the records in the store yet does so at each look.
 const COMPARE_EVERY_LOOKS: u32 = 4;
@@ -220,8 +224,9 @@
             let near = near.map(|record| record.vm.clone());
             near.filter(|vm| links::is_apart(&node, vm)).collect()
         };
-        for vm in apart {
-            links::dial(&node, &vm);
+        let room = MOST_DIALS.saturating_sub(links::connecting(&node));
+        for vm in apart.choose_multiple(&mut rand::rng(), room) {
+            links::dial(&node, vm);
         }
         look += 1;
         if look % COMPARE_EVERY_LOOKS == 0 || !registration.has_listed.get() {
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -200,6 +200,7 @@
         if object.name == node.cfg.vm {
             *stands = Stands::of(object, &record);
             containment::succeed(node, registration, &record);
+            node.quotas.is_counted();
         }
         peers::taken(node, registration, record, Source::Store);
     }
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -99,6 +99,8 @@
     learn(&node).await;
     loop {
         let now = node.now();
+        let (known, open) = links::near(&node);
+        node.watch.borrow_mut().connected(now, known, open);
         let advice = node.watch.borrow_mut().advice(now);
         match advice {
             Advice::Ask if is_coming(&node) => pause(&node).await,
--- a/components/daemon/src/watching/registered.rs
+++ b/components/daemon/src/watching/registered.rs
@@ -12,7 +12,7 @@
 use era::{Era, Place};
 use errors::{contained, Error, Result, Step};
 use platform::{Reading, Stored, Watched};
-use rollout::{split, Change, Configuration, Head};
+use rollout::{split_sections, Change, Configuration, Head};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,8 +61,15 @@
     Ok(())
 }
 
-/// Reads the declarations for this node alone, because copies between nodes would take longer.
+/// Reads the declarations for this node alone, because copies between nodes would take longer. A node that has none
+/// yet takes an answer that may lag, which costs a tenth; what it misses it is told by others.
 pub async fn read_anew(node: &Rc<Node>) -> Result<()> {
+    if node.rollout.borrow().newest() == 0 {
+        list(node, Reading::MayLag).await?;
+        if node.rollout.borrow().newest() > 0 {
+            return Ok(());
+        }
+    }
     list(node, Reading::Newest).await
 }
 
@@ -147,7 +154,7 @@
 /// A revision of this product from what the platform's operators wrote. Every node makes the same
 /// of the same, so that nodes can compare.
 fn to_configuration(written: platform::Written, read: Place) -> Configuration {
-    let (files, objects) = split(&written.bundle);
+    let (files, objects) = split_sections(&written.bundle);
     let change = Change {
         id: format!("platform-{}", written.version),
         who: "platform".to_string(),
--- a/components/declarations/src/check.rs
+++ b/components/declarations/src/check.rs
@@ -1,6 +1,7 @@
 //! The check of a whole set of declarations.
 
 use crate::bundle::{Bundle, SERVICES_FILE};
+use crate::check_accounts;
 use crate::check_routes;
 use crate::examples;
 use crate::model::{Declarations, Group, HallMeasuring, Service};
@@ -14,6 +15,17 @@
 /// Most measuring budget that may be set for a hall, in either unit.
 const MOST_BUDGET: f64 = 1e9;
 
+/// Kinds of sections.
+const SECTIONS: [&str; 7] = [
+    "service",
+    "group",
+    "hall",
+    "registered",
+    "route",
+    "limits",
+    "account",
+];
+
 /// Checks `bundle` and returns its declarations, or every problem found in any file.
 pub fn check(bundle: &Bundle) -> Result<Declarations, Problems> {
     let Some(text) = bundle.files.get(SERVICES_FILE) else {
@@ -32,13 +44,12 @@
     read_groups(&mut reader, &mut declarations);
     read_halls(&mut reader, &mut declarations);
     read_services(&mut reader, bundle, &mut declarations, &mut problems);
+    check_accounts::read(&mut reader, &mut declarations);
     check_routes::read(&mut reader, &mut declarations);
     declarations
         .prefixes
         .sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
-    if let Err(found) =
-        reader.finish(&["service", "group", "hall", "registered", "route", "limits"])
-    {
+    if let Err(found) = reader.finish(&SECTIONS) {
         problems.splice(0..0, found.0);
     }
     if problems.is_empty() {
@@ -125,6 +136,7 @@
     let inputs = lower_words(reader.text(section, "inputs"));
     let drain_header = reader.text(section, "drain_header");
     let shed_header = reader.text(section, "shed_header");
+    let open = reader.value_or(section, "open", "true or false", false);
     let group = read_group_name(reader, declarations, section);
     let policy = read_policy(reader, bundle, section, problems);
     Some(Service {
@@ -134,6 +146,7 @@
         inputs,
         drain_header: drain_header.map(|header| header.to_lowercase()),
         shed_header: shed_header.map(|header| header.to_lowercase()),
+        open,
     })
 }
 
--- /dev/null
+++ b/components/declarations/src/check_accounts.rs
@@ -0,0 +1,61 @@
+//! The check of client accounts.
+
+use crate::model::Declarations;
+use accounts::{Account, HeldTwice, KeyDigest, Limit, MOST_PRIORITY};
+use names::Name;
+use sections::Reader;
+use std::sync::Arc;
+
+/// Highest rate or burst that may be set.
+const MOST_REQUESTS: u64 = 1_000_000_000;
+const KEYS: &str = "digests of keys, each the first 32 digits of the SHA-256 in hexadecimal";
+/// Stands for what is not to be shown.
+const HIDDEN: &str = "(hidden)";
+
+pub(crate) fn read(reader: &mut Reader, declarations: &mut Declarations) {
+    for (section, name) in reader.named("account") {
+        let account = read_account(reader, &section, &name);
+        let account = declarations.accounts.add(account);
+        read_keys(reader, declarations, &section, &account);
+    }
+}
+
+fn read_account(reader: &mut Reader, section: &str, name: &str) -> Account {
+    let most = u64::from(MOST_PRIORITY);
+    let priority = reader.number_or(section, "priority", 0..=most, 0) as u8;
+    let requests_per_s = reader.number_or(section, "requests_per_s", 0..=MOST_REQUESTS, 0) as u32;
+    let burst = reader.number_or(section, "burst", 0..=MOST_REQUESTS, 0) as u32;
+    let limit = Limit {
+        requests_per_s,
+        burst,
+    };
+    Account {
+        name: Name::from(name),
+        priority,
+        limit: (requests_per_s > 0).then_some(limit),
+    }
+}
+
+/// An account may have lost all its keys, and lets nobody in then.
+fn read_keys(
+    reader: &mut Reader,
+    declarations: &mut Declarations,
+    section: &str,
+    account: &Arc<Account>,
+) {
+    let Some(text) = reader.text(section, "keys") else {
+        reader.problem(section, "keys", "", &format!("missing; must be {KEYS}"));
+        return;
+    };
+    for word in text.split_whitespace() {
+        let Ok(digest) = word.parse::<KeyDigest>() else {
+            // Somebody may have written the key itself.
+            reader.problem(section, "keys", HIDDEN, &format!("each must be {KEYS}"));
+            continue;
+        };
+        if let Err(HeldTwice { by }) = declarations.accounts.give(digest, account) {
+            let allowed = format!("a key is held already by account {by}");
+            reader.problem(section, "keys", HIDDEN, &allowed);
+        }
+    }
+}
--- a/components/declarations/src/check_routes.rs
+++ b/components/declarations/src/check_routes.rs
@@ -85,6 +85,7 @@
     let objective_ms = reader.number_or(section, "objective_ms", 1..=MOST_MS, deadline_ms);
     let priority = reader.number_or(section, "priority", 0..=9, 0) as u8;
     let attempts = reader.number_or(section, "attempts", 1..=MOST_ATTEMPTS, 1) as u32;
+    let open = reader.value_or(section, "open", "true or false", false);
     Some(Route {
         name: Name::from(name),
         host: host?.to_lowercase(),
@@ -98,6 +99,7 @@
             refuse: None,
         },
         objective_ms,
+        open,
     })
 }
 
--- a/components/declarations/src/lib.rs
+++ b/components/declarations/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod bundle;
 mod check;
+mod check_accounts;
 mod check_routes;
 mod examples;
 mod model;
--- a/components/declarations/src/model.rs
+++ b/components/declarations/src/model.rs
@@ -2,6 +2,7 @@
 
 use crate::route::{CallerLimits, Registered, Route};
 use crate::steps::RouteSections;
+use accounts::Accounts;
 use names::Name;
 use policy::Policy;
 use std::collections::{BTreeMap, HashMap};
@@ -22,6 +23,8 @@
     pub drain_header: Option<String>,
     /// Response header by which an upstream says that it did not start the request, in lower case.
     pub shed_header: Option<String>,
+    /// Whether requests need no key of a client account.
+    pub open: bool,
 }
 
 /// One group of upstreams.
@@ -63,6 +66,8 @@
     pub route_sections: RouteSections,
     /// Bounds on what callers send; none where the node's own settings hold.
     pub limits: Option<CallerLimits>,
+    /// Client accounts; where there are none, requests need no key.
+    pub accounts: Accounts,
 }
 
 impl Declarations {
--- a/components/declarations/src/route.rs
+++ b/components/declarations/src/route.rs
@@ -28,6 +28,8 @@
     pub treatment: Treatment,
     /// Time within which an answer has its full worth, in milliseconds.
     pub objective_ms: u64,
+    /// Whether requests need no key of a client account.
+    pub open: bool,
 }
 
 /// A service whose upstreams register themselves.
--- a/components/declarations/tests/declarations.rs
+++ b/components/declarations/tests/declarations.rs
@@ -178,3 +178,18 @@
         .replace("services = prices\n", "services = bids\n");
     insta::assert_snapshot!(problems(&routes(&bad)));
 }
+
+#[test]
+fn accounts_with_problems_are_refused_without_showing_a_key() {
+    let digest = "5f2b5cdbe5194f10b3241568fe4e2b24";
+    let text = format!(
+        "[account a]\nkeys = {digest} the-key-itself\npriority = 12\n\n\
+         [account b]\nkeys = {digest}\nrequests_per_s = many\n\n[account c]\npriority = 1\n"
+    );
+    let files = [("services.ini".to_string(), text)].into();
+    let problems = check(&Bundle { files })
+        .expect_err("bad accounts")
+        .to_string();
+    assert!(!problems.contains("the-key-itself") && !problems.contains(digest));
+    insta::assert_snapshot!(problems);
+}
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -129,6 +129,14 @@
     Uncertain,
     /// Upstreams ended while they ran the request: no further one sees it.
     Quarantined,
+    /// It carries no key of a client account, or one that nobody holds.
+    Key,
+    /// Its key may have been withdrawn without this node knowing.
+    StaleKeys,
+    /// Its client account has used up its limit.
+    OverLimit,
+    /// What is left of its account's limit cannot be known now.
+    LimitUnknown,
     /// The request itself is at fault: malformed, too large or too slow.
     BadRequest,
 }
@@ -153,6 +161,10 @@
             Reason::NotCoordinator => "not-coordinator",
             Reason::Uncertain => "uncertain",
             Reason::Quarantined => "quarantined",
+            Reason::Key => "key",
+            Reason::StaleKeys => "stale-keys",
+            Reason::OverLimit => "over-limit",
+            Reason::LimitUnknown => "limit-unknown",
             Reason::BadRequest => "bad-request",
         }
     }
--- /dev/null
+++ b/components/quota/src/collector.rs
@@ -0,0 +1,135 @@
+//! Keeps the tokens of limited accounts for the shares that were lent to this node.
+
+use crate::bounds::Bounds;
+use crate::bucket::Bucket;
+use accounts::Limit;
+use names::{Moment, Name, SECOND};
+use std::collections::HashMap;
+
+/// Accounts for which tokens are kept at most.
+const MOST_BUCKETS: usize = 100_000;
+
+/// There is no token now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Short {
+    /// When there is one, in microseconds from now; none while this node holds no share.
+    pub wait_us: Option<u64>,
+}
+
+/// A share that another node, or this one, has lent.
+#[derive(Debug, Clone, Copy)]
+struct Share {
+    part: f64,
+    until: Moment,
+}
+
+/// The tokens at one node.
+#[derive(Debug)]
+pub struct Collector {
+    bounds: Bounds,
+    shares: HashMap<Name, Share>,
+    /// Sum of the shares.
+    part: f64,
+    /// Seconds of the whole fleet's share that this node has held, up to `at`.
+    held_s: f64,
+    at: Moment,
+    buckets: HashMap<Name, Bucket>,
+}
+
+impl Collector {
+    /// A node to which nothing is lent.
+    pub fn new(bounds: Bounds) -> Collector {
+        Collector {
+            bounds,
+            shares: HashMap::new(),
+            part: 0.0,
+            held_s: 0.0,
+            at: Moment(0),
+            buckets: HashMap::new(),
+        }
+    }
+
+    /// `from` lends its `part` of every limit for `lasts_us`, in place of what it lent before.
+    pub fn lent(&mut self, now: Moment, from: &Name, part: f64, lasts_us: u64) {
+        self.advance(now);
+        let share = Share {
+            part: part.clamp(0.0, 1.0),
+            until: now + lasts_us,
+        };
+        self.shares.insert(from.clone(), share);
+        self.shares_changed();
+    }
+
+    /// Takes a token of an account.
+    pub fn take(&mut self, now: Moment, account: &Name, limit: Limit) -> Result<(), Short> {
+        self.advance(now);
+        let (bounds, held_s, part) = (self.bounds, self.held_s, self.part);
+        let Some(bucket) = self.bucket(account, limit) else {
+            return Err(Short { wait_us: None });
+        };
+        bucket.settle(bounds, held_s, part);
+        bucket.set_limit(limit);
+        bucket.settle(bounds, held_s, part);
+        bucket.take(bounds).map_err(|share_s| {
+            let wait_us = share_s / part * SECOND as f64;
+            let wait_us = wait_us.is_finite().then_some(wait_us as u64);
+            Short { wait_us }
+        })
+    }
+
+    /// Takes a token back for a request that has not run and never will.
+    pub fn give_back(&mut self, now: Moment, account: &Name) {
+        self.advance(now);
+        let (bounds, held_s, part) = (self.bounds, self.held_s, self.part);
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.settle(bounds, held_s, part);
+            bucket.give_back();
+            bucket.settle(bounds, held_s, part);
+        }
+    }
+
+    /// The part of every limit that is lent to this node now.
+    pub fn part(&mut self, now: Moment) -> f64 {
+        self.advance(now);
+        self.part
+    }
+
+    fn bucket(&mut self, account: &Name, limit: Limit) -> Option<&mut Bucket> {
+        if self.buckets.len() >= MOST_BUCKETS && !self.buckets.contains_key(account) {
+            return None;
+        }
+        let bucket = self.buckets.entry(account.clone());
+        Some(bucket.or_insert_with(|| Bucket::new(limit)))
+    }
+
+    /// Lets time pass; each share counts until its end.
+    fn advance(&mut self, now: Moment) {
+        loop {
+            let ended = self.shares.iter().filter(|(_, share)| share.until <= now);
+            let next = ended.min_by_key(|(_, share)| share.until);
+            let Some((from, until)) = next.map(|(from, share)| (from.clone(), share.until)) else {
+                break;
+            };
+            self.hold_up_to(until);
+            self.shares.remove(&from);
+            self.shares_changed();
+        }
+        self.hold_up_to(now);
+    }
+
+    fn hold_up_to(&mut self, until: Moment) {
+        self.held_s += self.part * until.since(self.at) as f64 / SECOND as f64;
+        self.at = self.at.max(until);
+    }
+
+    /// What goes beyond the shares that are left is lost: it may be held elsewhere from now on.
+    fn shares_changed(&mut self) {
+        let before = self.part;
+        self.part = self.shares.values().map(|share| share.part).sum();
+        if self.part < before {
+            for bucket in self.buckets.values_mut() {
+                bucket.settle(self.bounds, self.held_s, self.part);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/quota/src/quotas.rs
@@ -0,0 +1,215 @@
+//! The duty of one node: lends its share, keeps what is lent to it, and takes tokens for its callers.
+
+use crate::bounds::Bounds;
+use crate::collector::{Collector, Short};
+use crate::lender::Lender;
+use crate::message::{Answer, Message};
+use accounts::{Account, Accounts};
+use async_channel::Sender;
+use async_std::future::timeout;
+use membership::rendezvous;
+use names::{Moment, Name};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How long a collector's answer is waited for before the next one is asked.
+const PATIENCE: Duration = Duration::from_millis(150);
+/// What the places of collectors are drawn for.
+const TOPIC: &str = "quota";
+
+/// The node's own view of the others.
+pub trait Peers {
+    /// The present moment.
+    fn now(&self) -> Moment;
+    /// This node's VM.
+    fn me(&self) -> Name;
+    /// Number of nodes that are known, this one included.
+    fn nodes(&self) -> usize;
+    /// The nodes of this hall to which a connection is open.
+    fn near(&self) -> Vec<Name>;
+    /// Whether a connection to a node is open.
+    fn is_up(&self, vm: &Name) -> bool;
+    /// Sends a message.
+    fn send(&self, to: &Name, message: Message);
+}
+
+/// A token that was taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Token {
+    /// Whose it is.
+    account: Name,
+    /// Who gave it.
+    from: Name,
+}
+
+/// Whether a request of a limited account goes on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// It does.
+    Granted(Token),
+    /// The account has used up its limit.
+    Over {
+        /// When there is a token again, in microseconds.
+        wait_us: u64,
+    },
+    /// No collector could tell.
+    Unanswered,
+}
+
+/// Shares and tokens of one node.
+#[derive(Debug)]
+pub struct Quotas {
+    lender: RefCell<Lender>,
+    collector: RefCell<Collector>,
+    waiting: RefCell<HashMap<u64, Sender<Answer>>>,
+    next_id: Cell<u64>,
+}
+
+impl Quotas {
+    /// A node that owns a share from `owns_from` on.
+    pub fn new(bounds: Bounds, owns_from: Moment) -> Quotas {
+        Quotas {
+            lender: RefCell::new(Lender::new(owns_from)),
+            collector: RefCell::new(Collector::new(bounds)),
+            waiting: RefCell::default(),
+            next_id: Cell::new(0),
+        }
+    }
+
+    /// The others have counted this VM for long.
+    pub fn is_counted(&self) {
+        self.lender.borrow_mut().is_counted();
+    }
+
+    /// Lends this node's share for a further while.
+    pub fn lend(&self, peers: &impl Peers) {
+        let now = peers.now();
+        let ranked = ranked(peers);
+        let loans = self.lender.borrow_mut().step(now, peers.nodes(), &ranked);
+        let me = peers.me();
+        for loan in loans {
+            let (part, lasts_us) = (loan.part, loan.lasts_us);
+            if loan.to == me {
+                self.lent(now, &me, part, lasts_us);
+            } else {
+                peers.send(&loan.to, Message::Lend { part, lasts_us });
+            }
+        }
+    }
+
+    /// The part of every limit that this node keeps tokens for now.
+    pub fn part(&self, now: Moment) -> f64 {
+        self.collector.borrow_mut().part(now)
+    }
+
+    /// Takes a token for a request.
+    pub async fn take(&self, peers: &impl Peers, account: &Account) -> Admission {
+        let asked = self.lender.borrow().asked(&account.name);
+        let mut soonest_us: Option<u64> = None;
+        for from in asked {
+            let answer = if from == peers.me() {
+                self.answer(peers.now(), Some(account))
+            } else {
+                self.ask(peers, &from, account).await
+            };
+            match answer {
+                Answer::Granted => {
+                    let account = account.name.clone();
+                    return Admission::Granted(Token { account, from });
+                }
+                Answer::Short { wait_us } => {
+                    let known = soonest_us.into_iter().chain(wait_us);
+                    soonest_us = known.min();
+                }
+                Answer::Unknown => {}
+            }
+        }
+        match soonest_us {
+            Some(wait_us) => Admission::Over { wait_us },
+            None => Admission::Unanswered,
+        }
+    }
+
+    /// Gives a token back whose request has not run and never will.
+    pub fn give_back(&self, peers: &impl Peers, token: Token) {
+        let Token { account, from } = token;
+        if from == peers.me() {
+            let now = peers.now();
+            self.collector.borrow_mut().give_back(now, &account);
+        } else if peers.is_up(&from) {
+            peers.send(&from, Message::GiveBack { account });
+        }
+    }
+
+    /// Takes in a message of another node; what is to be answered, if anything.
+    pub fn heard(
+        &self,
+        now: Moment,
+        from: &Name,
+        message: Message,
+        accounts: Option<&Accounts>,
+    ) -> Option<Message> {
+        match message {
+            Message::Lend { part, lasts_us } => self.lent(now, from, part, lasts_us),
+            Message::Take { id, account } => {
+                let account = accounts.and_then(|accounts| accounts.get(account.as_str()));
+                let answer = self.answer(now, account.map(AsRef::as_ref));
+                return Some(Message::Taken { id, answer });
+            }
+            Message::Taken { id, answer } => {
+                if let Some(tx) = self.waiting.borrow_mut().remove(&id) {
+                    // Who waited may have given up.
+                    tx.try_send(answer).ok();
+                }
+            }
+            Message::GiveBack { account } => {
+                self.collector.borrow_mut().give_back(now, &account);
+            }
+        }
+        None
+    }
+
+    fn lent(&self, now: Moment, from: &Name, part: f64, lasts_us: u64) {
+        let mut collector = self.collector.borrow_mut();
+        collector.lent(now, from, part, lasts_us);
+    }
+
+    fn answer(&self, now: Moment, account: Option<&Account>) -> Answer {
+        let limited = account.and_then(|account| Some((&account.name, account.limit?)));
+        let Some((name, limit)) = limited else {
+            return Answer::Unknown;
+        };
+        match self.collector.borrow_mut().take(now, name, limit) {
+            Ok(()) => Answer::Granted,
+            Err(Short { wait_us }) => Answer::Short { wait_us },
+        }
+    }
+
+    async fn ask(&self, peers: &impl Peers, from: &Name, account: &Account) -> Answer {
+        if !peers.is_up(from) {
+            return Answer::Unknown;
+        }
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let (tx, rx) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(id, tx);
+        let account = account.name.clone();
+        peers.send(from, Message::Take { id, account });
+        let answer = timeout(PATIENCE, rx.recv()).await;
+        self.waiting.borrow_mut().remove(&id);
+        match answer {
+            Ok(Ok(answer)) => answer,
+            _ => Answer::Unknown,
+        }
+    }
+}
+
+/// The nodes that this one may lend to, in an order on which all agree.
+fn ranked(peers: &impl Peers) -> Vec<Name> {
+    let mut ranked = peers.near();
+    ranked.push(peers.me());
+    ranked.sort_by_cached_key(|vm| rendezvous(TOPIC, vm));
+    ranked.dedup();
+    ranked
+}
--- a/components/rollout/src/head.rs
+++ b/components/rollout/src/head.rs
@@ -105,6 +105,53 @@
     (refs, objects)
 }
 
+/// Sections of a file that stand in one object, on average: an object of routes has some 3 KB then.
+const SECTIONS_A_PART: u64 = 16;
+
+/// The same in small objects that begin and end with sections. Whether an object ends before a section hangs on the
+/// section's heading alone, so that two sets that differ in a few sections share all other objects, and a node that
+/// has one of them needs only the rest of the other.
+pub fn split_sections(bundle: &Bundle) -> (Vec<FileRef>, BTreeMap<Digest, ByteBuf>) {
+    let mut refs = Vec::new();
+    let mut objects = BTreeMap::new();
+    for (path, text) in &bundle.files {
+        let mut parts = Vec::new();
+        for part in section_parts(text) {
+            let digest = digest(part.as_bytes());
+            objects.insert(digest.clone(), ByteBuf::from(part));
+            parts.push(digest);
+        }
+        refs.push(FileRef {
+            path: path.clone(),
+            parts,
+        });
+    }
+    (refs, objects)
+}
+
+fn section_parts(text: &str) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut start = 0;
+    for (at, _) in text.match_indices("\n[") {
+        let heading = &text[at + 1..];
+        let heading = heading.lines().next().unwrap_or_default();
+        if ends_part(heading) {
+            parts.push(&text[start..at + 1]);
+            start = at + 1;
+        }
+    }
+    parts.push(&text[start..]);
+    parts
+}
+
+/// Whether an object ends before the section of this heading: one section in [`SECTIONS_A_PART`], the same on all
+/// nodes.
+fn ends_part(heading: &str) -> bool {
+    let hash = Sha256::digest(heading.as_bytes());
+    let first = hash.first_chunk().copied().unwrap_or_default();
+    u64::from_be_bytes(first) % SECTIONS_A_PART == 0
+}
+
 /// Puts the files of `head` together from content objects; an error names the file.
 pub(crate) fn join(head: &Head, objects: &BTreeMap<Digest, ByteBuf>) -> Result<Bundle, String> {
     let mut files = BTreeMap::new();
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -10,11 +10,14 @@
 mod fetch;
 mod head;
 mod node;
+mod recent;
 
 pub use apply::{Apply, ApplyAction, ApplyEvent, ApplyOutcome, Plan};
 pub use diff::diff;
 pub use fetch::{
     Advice, Fetch, Standing, HOLD_US, LARGE_BYTES, PATIENCE_US, SMALL_HOLD_US, SMALL_PATIENCE_US,
 };
-pub use head::{content_key, digest, split, Change, Digest, FileRef, Head, HEAD_KEY, PART_BYTES};
+pub use head::{
+    content_key, digest, split, split_sections, Change, Digest, FileRef, Head, HEAD_KEY, PART_BYTES,
+};
 pub use node::{Checking, Configuration, InForce, Offered, Rollout, RolloutCounters, Summary};
--- a/components/rollout/src/node.rs
+++ b/components/rollout/src/node.rs
@@ -1,6 +1,7 @@
 //! A node's side: taking in revisions.
 
 use crate::head::{join, Digest, Head};
+use crate::recent::Recent;
 use declarations::{Bundle, CheckSteps, Declarations};
 use era::{Era, Place};
 use evacuation::Evacuated;
@@ -19,6 +20,9 @@
     /// Bytes of its content.
     #[serde(rename = "b")]
     pub bytes: u64,
+    /// Bytes of it that a node lacks which holds the revision before it.
+    #[serde(rename = "d", default)]
+    pub change_bytes: u64,
     /// Version of the platform's list; 0 for none.
     #[serde(rename = "l")]
     pub list_version: u64,
@@ -56,6 +60,15 @@
         self.has_newer_content_than(other) || self.list_version > other.list_version
     }
 
+    /// Bytes that `other` has to be sent for what is in force here.
+    pub fn bytes_for(&self, other: &Summary) -> u64 {
+        if other.revision == 0 {
+            self.bytes
+        } else {
+            self.change_bytes
+        }
+    }
+
     /// Whether the content here is newer than that of `other`: its revision is higher, or it is another content of the
     /// same one and was read later.
     pub fn has_newer_content_than(&self, other: &Summary) -> bool {
@@ -83,11 +96,30 @@
 }
 
 impl Configuration {
+    /// Takes over what it names and lacks from another one.
+    pub fn complete_from(&mut self, other: &Configuration) {
+        for part in self.head.files.iter().flat_map(|file| &file.parts) {
+            if self.objects.contains_key(part) {
+                continue;
+            }
+            if let Some(bytes) = other.objects.get(part) {
+                self.objects.insert(part.clone(), bytes.clone());
+            }
+        }
+    }
+
     /// The files of the revision.
     pub fn bundle(&self) -> Result<Bundle, String> {
         join(&self.head, &self.objects)
     }
 
+    /// Bytes of its content that another one lacks.
+    fn size_beside(&self, other: Option<&Configuration>) -> u64 {
+        let is_new = |digest: &Digest| other.is_none_or(|it| !it.objects.contains_key(digest));
+        let new = self.objects.iter().filter(|(digest, _)| is_new(digest));
+        new.map(|(_, bytes)| bytes.len() as u64).sum()
+    }
+
     /// Bytes of its content.
     pub fn size(&self) -> usize {
         self.objects.values().map(|object| object.len()).sum()
@@ -139,6 +171,9 @@
     in_force: Option<Arc<InForce>>,
     /// Tells the content in force from others of its revision; 0 for none.
     content: u64,
+    /// Bytes of the content in force that the revision before it lacked.
+    change_bytes: u64,
+    recent: Recent,
     /// Where the content in force was last read.
     read: Place,
     /// Revision that is being checked, and where it was read; the newest if there are several.
@@ -176,6 +211,19 @@
             .map_or(0, |in_force| in_force.configuration.size() as u64)
     }
 
+    /// Bytes of the content in force that a node lacks which holds the revision before it.
+    pub fn change_bytes(&self) -> u64 {
+        self.change_bytes
+    }
+
+    /// What is in force, without what a node has that holds `content`; the whole for any node of which that is not
+    /// known.
+    pub fn lacking(&self, content: u64) -> Option<Configuration> {
+        let configuration = &self.in_force.as_ref()?.configuration;
+        let lacking = self.recent.lacking(content, configuration);
+        Some(lacking.unwrap_or_else(|| configuration.clone()))
+    }
+
     /// Highest revision in force or being checked: what this node need not be sent.
     pub fn newest(&self) -> u64 {
         let checking = self.checking.map_or(0, |(revision, _)| revision);
@@ -249,7 +297,12 @@
 
     /// Begins to take a revision in. Its check is carried out by the caller, step by step, and ended with
     /// [`Rollout::end`].
-    pub fn begin(&mut self, configuration: Configuration) -> Result<Checking, Offered> {
+    ///
+    /// A configuration may leave out what is in force here already.
+    pub fn begin(&mut self, mut configuration: Configuration) -> Result<Checking, Offered> {
+        if let Some(in_force) = &self.in_force {
+            configuration.complete_from(&in_force.configuration);
+        }
         self.wants(&configuration.head, configuration.read)?;
         let revision = configuration.head.revision;
         if self.is_under_way(revision, configuration.read) {
@@ -283,6 +336,9 @@
         assert!(after >= before, "revision {after} follows {before}");
         self.content = configuration.head.short_digest();
         self.read = configuration.read;
+        let before = self.in_force.as_ref();
+        self.change_bytes = configuration.size_beside(before.map(|it| &it.configuration));
+        self.recent.put(self.content, &configuration);
         self.in_force = Some(Arc::new(InForce {
             configuration,
             declarations,
--- a/components/rollout/tests/rollout/main.rs
+++ b/components/rollout/tests/rollout/main.rs
@@ -3,6 +3,7 @@
 mod differences;
 mod fetch;
 mod fuzz;
+mod lacking;
 mod returns;
 mod reuse;
 mod world;
--- a/components/settings/src/headers.rs
+++ b/components/settings/src/headers.rs
@@ -23,6 +23,10 @@
     pub load: Option<String>,
     /// In an answer to a health check: how much longer the upstream is cold, in milliseconds.
     pub cold_ms: Option<String>,
+    /// Key of a client account; read here and shown to no upstream.
+    pub account_key: Option<String>,
+    /// Name of the client account in which a request runs; always set by the node.
+    pub account: Option<String>,
     /// Whether `Retry-After` may hold a fraction of a second; otherwise it is rounded up.
     pub retry_after_fractions: bool,
     /// Whether every request that was not run for lack of capacity or time ends as 503.
@@ -41,6 +45,8 @@
         not_run: name("not_run"),
         load: name("load"),
         cold_ms: name("cold_ms"),
+        account_key: name("account_key"),
+        account: name("account"),
         retry_after_fractions: flag(reader, "retry_after_fractions"),
         not_run_is_503: flag(reader, "not_run_is_503"),
     }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,10 +1,12 @@
 //! Settings of a node: one INI file, checked whole at start.
 
+mod accounts;
 mod cold;
 mod headers;
 mod millis;
 mod node;
 
+pub use accounts::AccountBounds;
 pub use cold::ColdLimit;
 pub use headers::Headers;
 pub use millis::{Millis, MILLIS};
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -1,5 +1,6 @@
 //! The settings and their check.
 
+use crate::accounts::{self, AccountBounds};
 use crate::cold::{self, ColdLimit};
 use crate::headers::{self, Headers};
 use crate::millis::{Millis, MILLIS};
@@ -160,6 +161,8 @@
     pub registers_every_ms: u64,
     /// What a cold upstream bears beyond what is declared.
     pub cold: ColdLimit,
+    /// How closely the fleet keeps to what is declared of client accounts.
+    pub accounts: AccountBounds,
 }
 
 impl Settings {
@@ -185,7 +188,7 @@
         let settings = read(&mut reader);
         reader.finish(&[
             "node", "listen", "upstream", "platform", "peers", "limits", "log", "choice",
-            "headers", "retries",
+            "headers", "retries", "accounts",
         ])?;
         settings.ok_or_else(Problems::default)
     }
@@ -250,9 +253,11 @@
     let end_by_close = reader.value_or("upstream", "end_by_close", "true or false", false);
     let retries = retries(reader);
     let cold = cold::read(reader);
+    let accounts = accounts::read(reader);
     let evacuated_within_ms = millis(reader, "platform", "evacuated_within", 0);
     let registers_every_ms = millis(reader, "upstream", "registers_every", 0);
     Some(Settings {
+        accounts,
         cold,
         registers_every_ms,
         evacuated_within_ms,
--- a/components/watch/src/duty.rs
+++ b/components/watch/src/duty.rs
@@ -19,6 +19,12 @@
 /// and nothing is served yet.
 const FIRST_START_US: u64 = 4 * SECOND;
 const FIRST_SPREAD_US: u64 = 2 * SECOND;
+/// Longest wait of a node that starts with the whole fleet until it is connected to half of its hall, in microseconds:
+/// the more nodes, the longer that takes.
+const FIRST_CONNECTED_US: u64 = 16 * SECOND;
+/// How much earlier than a node of a hall that draws evenly the first one asks, as a factor on the number of nodes: see
+/// [`Watch::draw`].
+const SPARE: f64 = 4.0;
 /// A node that has heard no word of any other for so long is alone, in microseconds.
 const ALONE_US: u64 = 2 * SECOND;
 /// Pauses of a node that is alone between calls that fail, in microseconds: the first one, which doubles,
@@ -76,6 +82,10 @@
     due: Moment,
     /// Longest next pause while it is alone, in microseconds.
     pause_us: u64,
+    /// Nodes of its hall, as far as it knows.
+    hall: usize,
+    /// Until when it waits for connections before it asks; none once it has them.
+    connects_until: Option<Moment>,
     rng: SmallRng,
 }
 
@@ -94,17 +104,34 @@
             need: Need::First,
             due: now,
             pause_us: LEAST_PAUSE_US,
+            hall: 1,
+            connects_until: None,
             rng: SmallRng::seed_from_u64(seed),
         };
-        let (wait_us, spread_us) = if first_start {
-            (FIRST_START_US, FIRST_SPREAD_US)
+        let (wait_us, spread_us, connect_us) = if first_start {
+            (FIRST_START_US, FIRST_SPREAD_US, FIRST_CONNECTED_US)
         } else {
-            (timing.quiet_us, timing.spread_us)
+            (timing.quiet_us, timing.spread_us, timing.connect_us)
         };
+        watch.connects_until = Some(now + connect_us);
         watch.due = now + wait_us + watch.draw(spread_us);
         watch
     }
 
+    /// Takes in how many nodes of the hall are known, and to how many of them a connection is open. A node that has
+    /// just started leaves the platform alone until it can hear those that ask: while connections were still being
+    /// opened, each of them asked for itself.
+    pub fn connected(&mut self, now: Moment, known: usize, open: usize) {
+        self.hall = known + 1;
+        let Some(until) = self.connects_until else {
+            return;
+        };
+        if 2 * open >= known || now >= until {
+            self.connects_until = None;
+            self.due = self.due.max(now + self.draw(self.timing.spread_us));
+        }
+    }
+
     /// What to do now, while this node neither asks nor watches.
     pub fn advice(&mut self, now: Moment) -> Advice {
         if self.state != State::Idle {
@@ -122,10 +149,10 @@
         if need == Need::Nothing {
             return Advice::Rest(now + self.timing.quiet_us);
         }
-        if now >= self.due {
-            Advice::Ask
-        } else {
-            Advice::Rest(self.due)
+        match self.connects_until {
+            Some(until) if now < until => Advice::Rest(until.max(self.due)),
+            _ if now >= self.due => Advice::Ask,
+            _ => Advice::Rest(self.due),
         }
     }
 
@@ -162,7 +189,7 @@
         if self.is_alone(now) {
             let pause_us = self.pause_us;
             self.pause_us = (pause_us * 2).min(MOST_PAUSE_US);
-            self.due = now + pause_us / 2 + self.draw(pause_us / 2);
+            self.due = now + pause_us / 2 + self.rng.random_range(0..=pause_us / 2);
         } else {
             self.pause_us = LEAST_PAUSE_US;
             self.due = now + 2 * self.timing.spread_us + self.draw(self.timing.spread_us);
@@ -267,7 +294,13 @@
         self.heard.is_none_or(|at| now.since(at) > ALONE_US)
     }
 
+    /// A time up to `most_us`, mostly late in it, so that in a hall of any size few nodes ask before they hear of the
+    /// first: of n that draw, `(SPARE n)^(t / most) / SPARE` do so by the time t. Drawn evenly it would be
+    /// `n t / most`.
     fn draw(&mut self, most_us: u64) -> u64 {
-        self.rng.random_range(0..=most_us)
+        let spread = (self.hall as f64 * SPARE).ln();
+        let drawn: f64 = self.rng.random_range(f64::MIN_POSITIVE..=1.0);
+        let part = (1.0 + drawn.ln() / spread).max(0.0);
+        (most_us as f64 * part) as u64
     }
 }
--- a/components/watch/src/timing.rs
+++ b/components/watch/src/timing.rs
@@ -30,6 +30,9 @@
     pub confirm_spread_us: u64,
     /// What was not confirmed for so long counts as stale.
     pub stale_us: u64,
+    /// A node that starts waits for connections to its hall for so long at most. Its callers' changes bind it only
+    /// after that.
+    pub connect_us: u64,
 }
 
 impl Timing {
@@ -43,6 +46,7 @@
             confirm_us: bound_us / CONFIRM_PART,
             confirm_spread_us: bound_us / CONFIRM_SPREAD_PART,
             stale_us: bound_us / STALE_PART,
+            connect_us: bound_us,
         }
     }
 }
--- a/components/watch/tests/watch/main.rs
+++ b/components/watch/tests/watch/main.rs
@@ -83,6 +83,25 @@
     }
 }
 
+/// The larger the hall, the longer its connections take to open, and the later words are read.
+#[test]
+fn calls_at_a_start_of_the_whole_fleet_do_not_grow_with_the_hall() {
+    for first_start in [true, false] {
+        for nodes in [50, 100, 200] {
+            for seed in 0..3 {
+                let mut world = World::new(nodes, first_start, seed);
+                world.way_us = nodes as u64 * MILLISECOND;
+                let opens_us = if first_start { 50 } else { 15 } * MILLISECOND;
+                world.connect_until(nodes as u64 * opens_us);
+                world.run(24 * SECOND);
+                let calls = world.calls.len();
+                assert!(calls <= 40, "{calls} calls of {nodes} nodes, seed {seed}");
+                assert!(!world.watchers().is_empty());
+            }
+        }
+    }
+}
+
 #[test]
 fn when_a_watcher_goes_only_its_place_is_filled_anew() {
     for seed in 0..5 {
--- a/components/watch/tests/watch/world.rs
+++ b/components/watch/tests/watch/world.rs
@@ -5,7 +5,7 @@
 
 /// How often a node looks at its duty.
 const LOOK_US: u64 = 100 * MILLISECOND;
-/// Time that a word takes, and a call to the platform.
+/// Time that a word takes unless a test says otherwise, and a call to the platform.
 const WAY_US: u64 = MILLISECOND;
 const CALL_US: u64 = 10 * MILLISECOND;
 /// How long a call lasts whose answer comes a few bytes a second: it is not given up before that.
@@ -36,6 +36,8 @@
     is_unanswered: bool,
     /// Whether it hears the others and they hear it.
     is_connected: bool,
+    /// From when on it hears the others and they hear it.
+    connected_from: Moment,
 }
 
 /// The hall.
@@ -49,6 +51,8 @@
     pub calls: Vec<(Moment, usize)>,
     /// Calls by which watchers asked whether they had missed anything.
     pub looks: Vec<Moment>,
+    /// Time that a word takes.
+    pub way_us: u64,
 }
 
 /// A word on its way.
@@ -81,6 +85,7 @@
                 is_served: true,
                 is_unanswered: false,
                 is_connected: true,
+                connected_from: Moment(0),
             }
         });
         World {
@@ -90,6 +95,7 @@
             newest: 0,
             calls: Vec::new(),
             looks: Vec::new(),
+            way_us: WAY_US,
         }
     }
 
@@ -131,6 +137,19 @@
         self.nodes[index].is_connected = is_connected;
     }
 
+    /// Nodes are connected to the others one after the other, until `last_us` from now.
+    pub fn connect_until(&mut self, last_us: u64) {
+        let count = self.nodes.len() as u64;
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            node.connected_from = self.now + last_us * (index as u64 + 1) / count;
+        }
+    }
+
+    fn is_heard(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        node.is_connected && node.connected_from <= self.now
+    }
+
     /// Open watches say nothing any more; new calls work.
     pub fn mute_watches(&mut self) {
         for node in &mut self.nodes {
@@ -169,12 +188,13 @@
             self.words.drain(..).partition(|said| said.arrives <= now);
         self.words = rest;
         for said in due {
-            if !self.nodes[said.from].is_connected {
+            if !self.is_heard(said.from) {
                 continue;
             }
             let name = self.nodes[said.from].name.clone();
             for (index, node) in self.nodes.iter_mut().enumerate() {
-                if index == said.from || !node.is_up || !node.is_connected {
+                let hears = node.is_connected && node.connected_from <= now;
+                if index == said.from || !node.is_up || !hears {
                     continue;
                 }
                 node.watch.heard(now, &name, said.word);
@@ -191,7 +211,7 @@
         let node = &self.nodes[index];
         let age_us = node.watch.age_us(self.now);
         self.words.push(Said {
-            arrives: self.now + WAY_US,
+            arrives: self.now + self.way_us,
             from: index,
             word,
             knows: node.knows,
@@ -202,7 +222,10 @@
     fn step(&mut self, index: usize) {
         let now = self.now;
         let newest = self.newest;
+        let known = self.nodes.len() - 1;
+        let open = if self.is_heard(index) { known } else { 0 };
         let node = &mut self.nodes[index];
+        node.watch.connected(now, known, open);
         if let Some((began, ends)) = node.call {
             if ends > now {
                 self.speak(index);
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -206,6 +206,8 @@
     Configuration(Arc<Configuration>),
     /// The platform's list.
     Vms(Arc<VmList>),
+    /// Shares and tokens of limited client accounts.
+    Quota(quota::Message),
 }
 
 impl Frame {
@@ -243,6 +245,7 @@
             Frame::Want(_) => "want",
             Frame::Configuration(_) => "configuration",
             Frame::Vms(_) => "vms",
+            Frame::Quota(_) => "quota",
         }
     }
 }
--- a/components/wire/src/http.rs
+++ b/components/wire/src/http.rs
@@ -28,6 +28,9 @@
     pub level: u32,
     /// Identity that the caller gave its try; `-` for none.
     pub id: String,
+    /// Client account in whose name it runs; none where none is needed.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<Name>,
 }
 
 impl Request {
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -34,6 +34,7 @@
             body,
             level: 0,
             id: "-".to_string(),
+            account: None,
         }),
     }
 }
