--- a/components/daemon/src/callers/admission.rs
+++ b/components/daemon/src/callers/admission.rs
@@ -20,6 +20,8 @@
 const UNPROVED_RETRY_MS: u64 = 500;
 /// Time between two loans of this node's share: a third of the lease, so that one may be lost.
 const LEND_EVERY: Duration = Duration::from_millis(500);
+/// Time between two tries before the first loan, and between two looks whether any account is limited.
+const LEND_FIRST: Duration = Duration::from_millis(50);
 
 /// In whose name a request goes on; none where no account is needed. `proof`: how new what is in force is, and must be.
 pub fn identify(
@@ -114,10 +116,12 @@
     let peers = links::Peers(node.clone());
     loop {
         let in_force = node.in_force();
-        if in_force.is_some_and(|in_force| in_force.declarations.accounts.has_limits()) {
-            node.quotas.lend(&peers);
+        let has_limits =
+            in_force.is_some_and(|in_force| in_force.declarations.accounts.has_limits());
+        let has_lent = has_limits && node.quotas.lend(&peers);
+        if has_limits {
             stats::set("drumwheel_quota_part", node.quotas.part(node.now()));
         }
-        task::sleep(LEND_EVERY).await;
+        task::sleep(if has_lent { LEND_EVERY } else { LEND_FIRST }).await;
     }
 }
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -186,6 +186,10 @@
         self.0.others().len() + 1
     }
 
+    fn hall(&self) -> usize {
+        near(&self.0).0
+    }
+
     fn near(&self) -> Vec<Name> {
         let near = self.0.others().into_iter();
         let near = near.filter(|(vm, same_hall)| *same_hall && is_up(&self.0, vm));
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -20,7 +20,7 @@
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
-use quota::{Bounds, Quotas, JOIN_US};
+use quota::{Bounds, Quotas};
 use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -202,7 +202,7 @@
             platform: Rc::new(Client::new(cfg.platform.clone())),
             registration,
             containment: Containment::new(clock.now()),
-            quotas: Quotas::new(bounds(&cfg), clock.now() + JOIN_US),
+            quotas: Quotas::new(bounds(&cfg), clock.now()),
             splits: RefCell::default(),
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
--- a/components/quota/src/bucket.rs
+++ b/components/quota/src/bucket.rs
@@ -10,6 +10,8 @@
     tokens: f64,
     /// Seconds of the whole fleet's share up to which tokens were added.
     added_up_to: f64,
+    /// Requests that found no token since the last one was taken.
+    waiting: u32,
 }
 
 impl Bucket {
@@ -19,6 +21,7 @@
             limit,
             tokens: 0.0,
             added_up_to: 0.0,
+            waiting: 0,
         }
     }
 
@@ -36,13 +39,17 @@
         self.limit = limit;
     }
 
-    /// Takes one token; else the seconds of the whole fleet's share until there is one.
+    /// Takes one token; else the seconds of the whole fleet's share until there is one, also for those that were told to
+    /// wait before.
     pub(crate) fn take(&mut self, bounds: Bounds) -> Result<(), f64> {
         if self.tokens >= 1.0 {
             self.tokens -= 1.0;
+            self.waiting = 0;
             return Ok(());
         }
-        Err((1.0 - self.tokens) / bounds.tokens_per_s(self.limit))
+        let before = f64::from(self.waiting);
+        self.waiting = self.waiting.saturating_add(1);
+        Err((1.0 + before - self.tokens) / bounds.tokens_per_s(self.limit))
     }
 
     /// Puts one back that was not used.
--- a/components/quota/src/lender.rs
+++ b/components/quota/src/lender.rs
@@ -3,7 +3,7 @@
 use names::{Moment, Name, MILLISECOND, SECOND};
 
 /// How long a share is lent; it is lent anew at each step.
-pub const LEASE_US: u64 = 1_500 * MILLISECOND;
+const LEASE_US: u64 = 1_500 * MILLISECOND;
 /// Added to a lease before the share is lent elsewhere: the way of the message, which its receiver can't see.
 const WAY_US: u64 = 100 * MILLISECOND;
 /// A VM that has just joined owns no share for so long: the others must count it first.
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -15,6 +15,6 @@
 
 pub use bounds::Bounds;
 pub use collector::{Collector, Short};
-pub use lender::{Lender, Loan, JOIN_US, LEASE_US};
+pub use lender::{Lender, Loan, JOIN_US};
 pub use message::{Answer, Message};
 pub use quotas::{Admission, Peers, Quotas, Token};
--- a/components/quota/src/quotas.rs
+++ b/components/quota/src/quotas.rs
@@ -2,19 +2,27 @@
 
 use crate::bounds::Bounds;
 use crate::collector::{Collector, Short};
-use crate::lender::Lender;
+use crate::lender::{Lender, JOIN_US};
 use crate::message::{Answer, Message};
 use accounts::{Account, Accounts};
 use async_channel::Sender;
 use async_std::future::timeout;
 use membership::rendezvous;
-use names::{Moment, Name};
+use names::{Moment, Name, MILLISECOND};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::time::Duration;
 
 /// How long a collector's answer is waited for before the next one is asked.
 const PATIENCE: Duration = Duration::from_millis(150);
+/// A collector that has no token is left alone for so long at most, in microseconds, whatever wait it told: limits rise,
+/// and shares come back.
+const MOST_REST_US: u64 = 500 * MILLISECOND;
+/// The same for one to which nothing is lent yet, in microseconds.
+const UNLENT_REST_US: u64 = 50 * MILLISECOND;
+/// A node that has just started lends nothing for so long, in microseconds, unless it is connected to half of its hall
+/// before: what it lent to itself meanwhile could be lent to nobody else until the lease has lapsed.
+const CONNECT_US: u64 = 1_500 * MILLISECOND;
 /// What the places of collectors are drawn for.
 const TOPIC: &str = "quota";
 
@@ -26,6 +34,8 @@
     fn me(&self) -> Name;
     /// Number of nodes that are known, this one included.
     fn nodes(&self) -> usize;
+    /// Number of the other nodes of this hall that are known.
+    fn hall(&self) -> usize;
     /// The nodes of this hall to which a connection is open.
     fn near(&self) -> Vec<Name>;
     /// Whether a connection to a node is open.
@@ -60,18 +70,26 @@
 /// Shares and tokens of one node.
 #[derive(Debug)]
 pub struct Quotas {
+    started: Moment,
     lender: RefCell<Lender>,
     collector: RefCell<Collector>,
+    /// Whether anything was lent so far.
+    has_lent: Cell<bool>,
+    /// Until when a collector has no token of an account.
+    short: RefCell<HashMap<(Name, Name), Moment>>,
     waiting: RefCell<HashMap<u64, Sender<Answer>>>,
     next_id: Cell<u64>,
 }
 
 impl Quotas {
-    /// A node that owns a share from `owns_from` on.
-    pub fn new(bounds: Bounds, owns_from: Moment) -> Quotas {
+    /// A node that starts now.
+    pub fn new(bounds: Bounds, started: Moment) -> Quotas {
         Quotas {
-            lender: RefCell::new(Lender::new(owns_from)),
+            started,
+            lender: RefCell::new(Lender::new(started + JOIN_US)),
             collector: RefCell::new(Collector::new(bounds)),
+            has_lent: Cell::new(false),
+            short: RefCell::default(),
             waiting: RefCell::default(),
             next_id: Cell::new(0),
         }
@@ -82,11 +100,16 @@
         self.lender.borrow_mut().is_counted();
     }
 
-    /// Lends this node's share for a further while.
-    pub fn lend(&self, peers: &impl Peers) {
+    /// Lends this node's share for a further while. Returns whether it has lent anything so far.
+    pub fn lend(&self, peers: &impl Peers) -> bool {
         let now = peers.now();
+        let is_connected = 2 * peers.near().len() >= peers.hall();
+        if !self.has_lent.get() && !is_connected && now < self.started + CONNECT_US {
+            return false;
+        }
         let ranked = ranked(peers);
         let loans = self.lender.borrow_mut().step(now, peers.nodes(), &ranked);
+        self.has_lent.set(self.has_lent.get() || !loans.is_empty());
         let me = peers.me();
         for loan in loans {
             let (part, lasts_us) = (loan.part, loan.lasts_us);
@@ -96,6 +119,7 @@
                 peers.send(&loan.to, Message::Lend { part, lasts_us });
             }
         }
+        self.has_lent.get()
     }
 
     /// The part of every limit that this node keeps tokens for now.
@@ -108,11 +132,7 @@
         let asked = self.lender.borrow().asked(&account.name);
         let mut soonest_us: Option<u64> = None;
         for from in asked {
-            let answer = if from == peers.me() {
-                self.answer(peers.now(), Some(account))
-            } else {
-                self.ask(peers, &from, account).await
-            };
+            let answer = self.ask(peers, &from, account).await;
             match answer {
                 Answer::Granted => {
                     let account = account.name.clone();
@@ -186,10 +206,32 @@
         }
     }
 
+    /// Asks a collector, unless it said a moment ago that it will have no token yet: while an account asks far beyond its
+    /// limit, collectors would answer nothing else.
     async fn ask(&self, peers: &impl Peers, from: &Name, account: &Account) -> Answer {
-        if !peers.is_up(from) {
-            return Answer::Unknown;
+        let place = (account.name.clone(), from.clone());
+        let now = peers.now();
+        let until = self.short.borrow().get(&place).copied();
+        if let Some(until) = until.filter(|until| now < *until) {
+            let wait_us = Some(until.since(now));
+            return Answer::Short { wait_us };
         }
+        let answer = if *from == peers.me() {
+            self.answer(now, Some(account))
+        } else if peers.is_up(from) {
+            self.ask_peer(peers, from, account).await
+        } else {
+            Answer::Unknown
+        };
+        if let Answer::Short { wait_us } = answer {
+            let rest_us = wait_us.unwrap_or(UNLENT_REST_US).min(MOST_REST_US);
+            let until = peers.now() + rest_us;
+            self.short.borrow_mut().insert(place, until);
+        }
+        answer
+    }
+
+    async fn ask_peer(&self, peers: &impl Peers, from: &Name, account: &Account) -> Answer {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let (tx, rx) = async_channel::bounded(1);
