--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -186,8 +186,10 @@
         self.0.others().len() + 1
     }
 
-    fn hall(&self) -> usize {
-        near(&self.0).0
+    fn hall(&self) -> Vec<Name> {
+        let others = self.0.others().into_iter();
+        let near = others.filter(|(_, same_hall)| *same_hall);
+        near.map(|(vm, _)| vm).collect()
     }
 
     fn near(&self) -> Vec<Name> {
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -461,6 +461,7 @@
     Bounds {
         overshoot: cfg.accounts.overshoot,
         slack: cfg.accounts.slack,
+        window_s: cfg.accounts.window_ms as f64 / 1_000.0,
     }
 }
 
--- a/components/quota/src/bounds.rs
+++ b/components/quota/src/bounds.rs
@@ -5,6 +5,9 @@
 /// Part of the tolerance that is handed out. The rest covers VMs that join while a part of the fleet is cut off and
 /// doesn't count them yet.
 const USED_PART: f64 = 0.5;
+/// Part of the tolerance that collectors have at once after a start: when the whole fleet has lost power, callers come
+/// back all together. With the part above it leaves room for two such starts in a window.
+const START_PART: f64 = 0.25;
 
 /// The tolerance: in any window an account may have `(rate * window + burst) * (1 + overshoot) + slack` requests.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -13,6 +16,8 @@
     pub overshoot: f64,
     /// Requests beyond that.
     pub slack: f64,
+    /// The window, in seconds.
+    pub window_s: f64,
 }
 
 impl Bounds {
@@ -26,4 +31,10 @@
         let burst = f64::from(limit.burst) * (1.0 + self.overshoot * USED_PART);
         burst + self.slack * USED_PART
     }
+
+    /// Tokens that the whole fleet has for an account when all of it has just started again.
+    pub(crate) fn at_start(&self, limit: Limit) -> f64 {
+        let window = f64::from(limit.requests_per_s) * self.window_s + f64::from(limit.burst);
+        (window * self.overshoot + self.slack) * START_PART
+    }
 }
--- a/components/quota/src/bucket.rs
+++ b/components/quota/src/bucket.rs
@@ -10,6 +10,8 @@
     tokens: f64,
     /// Seconds of the whole fleet's share up to which tokens were added.
     added_up_to: f64,
+    /// The part of a start's tokens that was added.
+    started: f64,
     /// Requests that found no token since the last one was taken.
     waiting: u32,
 }
@@ -21,14 +23,17 @@
             limit,
             tokens: 0.0,
             added_up_to: 0.0,
+            started: 0.0,
             waiting: 0,
         }
     }
 
     /// Adds what has come since. `held_s`: seconds of the whole fleet's share so far; `part`: what the collector holds
-    /// now of it.
-    pub(crate) fn settle(&mut self, bounds: Bounds, held_s: f64, part: f64) {
+    /// now of it; `started`: the part of a start's tokens that it has.
+    pub(crate) fn settle(&mut self, bounds: Bounds, held_s: f64, part: f64, started: f64) {
         let gained = (held_s - self.added_up_to) * bounds.tokens_per_s(self.limit);
+        let gained = gained + (started - self.started) * bounds.at_start(self.limit);
+        self.started = started;
         let capacity = bounds.capacity(self.limit) * part;
         self.tokens = (self.tokens + gained).min(capacity);
         self.added_up_to = held_s;
--- a/components/quota/src/collector.rs
+++ b/components/quota/src/collector.rs
@@ -3,9 +3,12 @@
 use crate::bounds::Bounds;
 use crate::bucket::Bucket;
 use accounts::Limit;
-use names::{Moment, Name, SECOND};
+use names::{Moment, Name, MILLISECOND, SECOND};
 use std::collections::HashMap;
 
+/// A collector that has started again has a start's tokens of what is lent to it within this time, in microseconds. One
+/// that started alone is lent nothing so soon: leases before must lapse first.
+const STARTS_US: u64 = 1_500 * MILLISECOND;
 /// Accounts for which tokens are kept at most.
 const MOST_BUCKETS: usize = 100_000;
 
@@ -33,6 +36,10 @@
     /// Seconds of the whole fleet's share that this node has held, up to `at`.
     held_s: f64,
     at: Moment,
+    /// Until when what is lent to it brings a start's tokens.
+    starts_until: Moment,
+    /// The part of every limit for which it has had them.
+    started: f64,
     buckets: HashMap<Name, Bucket>,
 }
 
@@ -45,10 +52,17 @@
             part: 0.0,
             held_s: 0.0,
             at: Moment(0),
+            starts_until: Moment(0),
+            started: 0.0,
             buckets: HashMap::new(),
         }
     }
 
+    /// This node has started again at `now`.
+    pub fn starts_again(&mut self, now: Moment) {
+        self.starts_until = now + STARTS_US;
+    }
+
     /// `from` lends its `part` of every limit for `lasts_us`, in place of what it lent before.
     pub fn lent(&mut self, now: Moment, from: &Name, part: f64, lasts_us: u64) {
         self.advance(now);
@@ -58,18 +72,22 @@
         };
         self.shares.insert(from.clone(), share);
         self.shares_changed();
+        if now < self.starts_until {
+            self.started = self.started.max(self.part);
+        }
     }
 
     /// Takes a token of an account.
     pub fn take(&mut self, now: Moment, account: &Name, limit: Limit) -> Result<(), Short> {
         self.advance(now);
         let (bounds, held_s, part) = (self.bounds, self.held_s, self.part);
+        let started = self.started;
         let Some(bucket) = self.bucket(account, limit) else {
             return Err(Short { wait_us: None });
         };
-        bucket.settle(bounds, held_s, part);
+        bucket.settle(bounds, held_s, part, started);
         bucket.set_limit(limit);
-        bucket.settle(bounds, held_s, part);
+        bucket.settle(bounds, held_s, part, started);
         bucket.take(bounds).map_err(|share_s| {
             let wait_us = share_s / part * SECOND as f64;
             let wait_us = wait_us.is_finite().then_some(wait_us as u64);
@@ -81,10 +99,11 @@
     pub fn give_back(&mut self, now: Moment, account: &Name) {
         self.advance(now);
         let (bounds, held_s, part) = (self.bounds, self.held_s, self.part);
+        let started = self.started;
         if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.settle(bounds, held_s, part);
+            bucket.settle(bounds, held_s, part, started);
             bucket.give_back();
-            bucket.settle(bounds, held_s, part);
+            bucket.settle(bounds, held_s, part, started);
         }
     }
 
@@ -128,7 +147,7 @@
         self.part = self.shares.values().map(|share| share.part).sum();
         if self.part < before {
             for bucket in self.buckets.values_mut() {
-                bucket.settle(self.bounds, self.held_s, self.part);
+                bucket.settle(self.bounds, self.held_s, self.part, self.started);
             }
         }
     }
--- a/components/quota/src/lender.rs
+++ b/components/quota/src/lender.rs
@@ -10,7 +10,7 @@
 pub const JOIN_US: u64 = 5 * SECOND;
 /// Collectors that a node lends to, an equal part to each: with one of them lost, the other still serves more than
 /// what accounts usually ask.
-const COLLECTORS: usize = 2;
+pub(crate) const COLLECTORS: usize = 2;
 
 /// A part of every limit, for a time.
 #[derive(Debug, Clone, PartialEq)]
--- a/components/quota/src/quotas.rs
+++ b/components/quota/src/quotas.rs
@@ -2,11 +2,12 @@
 
 use crate::bounds::Bounds;
 use crate::collector::{Collector, Short};
-use crate::lender::{Lender, JOIN_US};
+use crate::lender::{Lender, COLLECTORS, JOIN_US};
 use crate::message::{Answer, Message};
 use accounts::{Account, Accounts};
 use async_channel::Sender;
 use async_std::future::timeout;
+use async_std::task;
 use membership::rendezvous;
 use names::{Moment, Name, MILLISECOND};
 use std::cell::{Cell, RefCell};
@@ -20,9 +21,13 @@
 const MOST_REST_US: u64 = 500 * MILLISECOND;
 /// The same for one to which nothing is lent yet, in microseconds.
 const UNLENT_REST_US: u64 = 50 * MILLISECOND;
-/// A node that has just started lends nothing for so long, in microseconds, unless it is connected to half of its hall
-/// before: what it lent to itself meanwhile could be lent to nobody else until the lease has lapsed.
+/// A node that has just started lends nothing for so long, in microseconds, unless it is connected to the collectors of
+/// its hall before: what it lent to others meanwhile could not be lent to them until the lease has lapsed.
 const CONNECT_US: u64 = 1_500 * MILLISECOND;
+/// Callers of a node that has just started wait for its first loan so long at most, in microseconds.
+const FIRST_LOAN_WAIT_US: u64 = 300 * MILLISECOND;
+/// Time between two looks for it.
+const FIRST_LOAN_LOOK: Duration = Duration::from_millis(10);
 /// What the places of collectors are drawn for.
 const TOPIC: &str = "quota";
 
@@ -34,8 +39,8 @@
     fn me(&self) -> Name;
     /// Number of nodes that are known, this one included.
     fn nodes(&self) -> usize;
-    /// Number of the other nodes of this hall that are known.
-    fn hall(&self) -> usize;
+    /// The other nodes of this hall that are known.
+    fn hall(&self) -> Vec<Name>;
     /// The nodes of this hall to which a connection is open.
     fn near(&self) -> Vec<Name>;
     /// Whether a connection to a node is open.
@@ -95,19 +100,24 @@
         }
     }
 
-    /// The others have counted this VM for long.
+    /// The others have counted this VM for long: its node has started again.
     pub fn is_counted(&self) {
         self.lender.borrow_mut().is_counted();
+        let mut collector = self.collector.borrow_mut();
+        collector.starts_again(self.started);
     }
 
     /// Lends this node's share for a further while. Returns whether it has lent anything so far.
     pub fn lend(&self, peers: &impl Peers) -> bool {
         let now = peers.now();
-        let is_connected = 2 * peers.near().len() >= peers.hall();
+        let is_connected = ranked(peers, peers.hall())
+            .iter()
+            .take(COLLECTORS)
+            .all(|vm| *vm == peers.me() || peers.is_up(vm));
         if !self.has_lent.get() && !is_connected && now < self.started + CONNECT_US {
             return false;
         }
-        let ranked = ranked(peers);
+        let ranked = ranked(peers, peers.near());
         let loans = self.lender.borrow_mut().step(now, peers.nodes(), &ranked);
         self.has_lent.set(self.has_lent.get() || !loans.is_empty());
         let me = peers.me();
@@ -129,6 +139,9 @@
 
     /// Takes a token for a request.
     pub async fn take(&self, peers: &impl Peers, account: &Account) -> Admission {
+        while !self.has_lent.get() && peers.now() < self.started + FIRST_LOAN_WAIT_US {
+            task::sleep(FIRST_LOAN_LOOK).await;
+        }
         let asked = self.lender.borrow().asked(&account.name);
         let mut soonest_us: Option<u64> = None;
         for from in asked {
@@ -247,9 +260,9 @@
     }
 }
 
-/// The nodes that this one may lend to, in an order on which all agree.
-fn ranked(peers: &impl Peers) -> Vec<Name> {
-    let mut ranked = peers.near();
+/// These nodes and this one, in an order on which all agree.
+fn ranked(peers: &impl Peers, others: Vec<Name>) -> Vec<Name> {
+    let mut ranked = others;
     ranked.push(peers.me());
     ranked.sort_by_cached_key(|vm| rendezvous(TOPIC, vm));
     ranked.dedup();
--- a/components/quota/tests/shares.rs
+++ b/components/quota/tests/shares.rs
@@ -12,6 +12,7 @@
 const BOUNDS: Bounds = Bounds {
     overshoot: 0.1,
     slack: 20.0,
+    window_s: 5.0,
 };
 
 /// A loan on its way.
@@ -103,6 +104,18 @@
         }
     }
 
+    /// The whole hall loses power, twice in a window at most.
+    fn lose_power(&mut self) {
+        let nodes = self.groups.len();
+        self.sent.clear();
+        self.now = self.now + SECOND;
+        self.lenders = (0..nodes).map(|_| Lender::new(Moment(0))).collect();
+        self.collectors = (0..nodes).map(|_| Collector::new(BOUNDS)).collect();
+        for collector in &mut self.collectors {
+            collector.starts_again(self.now);
+        }
+    }
+
     fn run(&mut self, steps: u64, late_us: u64, asks: u64, limit: Limit) {
         for step in 0..steps {
             if step % LEND_EVERY == 0 {
@@ -260,3 +273,28 @@
     assert_eq!(lender.step(Moment(4 * SECOND), 4, &me), []);
     assert_eq!(lender.step(Moment(5 * SECOND), 4, &me).len(), 1);
 }
+
+#[test]
+fn a_hall_that_loses_power_twice_stays_within_the_bound_and_serves_at_once() {
+    for requests_per_s in [2, 20, 200] {
+        let limit = Limit {
+            requests_per_s,
+            burst: requests_per_s,
+        };
+        let mut world = World::new(9);
+        world.run(120, 0, 2, limit);
+        for _ in 0..2 {
+            world.lose_power();
+            let before = world.granted.len();
+            world.run(4, 0, 1, limit);
+            assert!(
+                world.granted.len() > before,
+                "nothing at {requests_per_s}/s"
+            );
+            world.run(16, 0, 4, limit);
+        }
+        world.run(100, 0, 4, limit);
+        let most = world.most_in_window() as f64;
+        assert!(most <= bound(limit), "{most} of {}", bound(limit));
+    }
+}
