--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -182,14 +182,21 @@
         self.0.cfg.vm.clone()
     }
 
-    fn nodes(&self) -> usize {
-        self.0.others().len() + 1
+    fn nodes(&self) -> Vec<Name> {
+        let Some(registration) = &self.0.registration else {
+            let others = self.0.others().into_iter().map(|(vm, _)| vm);
+            return others.chain([self.me()]).collect();
+        };
+        let fleet = registration.fleet.borrow();
+        let staying = fleet.records().filter(|record| !record.is_gone());
+        staying.map(|record| record.vm.clone()).collect()
     }
 
     fn hall(&self) -> Vec<Name> {
-        let others = self.0.others().into_iter();
-        let near = others.filter(|(_, same_hall)| *same_hall);
-        near.map(|(vm, _)| vm).collect()
+        let me = self.me();
+        let mut nodes = quota::Peers::nodes(self);
+        nodes.retain(|vm| *vm != me && self.0.hall_of(vm).as_ref() == Some(&self.0.cfg.hall));
+        nodes
     }
 
     fn near(&self) -> Vec<Name> {
--- a/components/quota/src/lender.rs
+++ b/components/quota/src/lender.rs
@@ -50,12 +50,15 @@
         self.owns_from = Moment(0);
     }
 
+    /// This VM is about to go: the others stop counting it. If it stays after all, it joins anew.
+    pub fn leaves(&mut self, now: Moment) {
+        self.owns_from = now + JOIN_US;
+    }
+
     /// Lends for a further while. `nodes`: the nodes that are known, this one included; `ranked`: those that can be
     /// lent to, in an order on which all nodes agree.
     pub fn step(&mut self, now: Moment, nodes: usize, ranked: &[Name]) -> Vec<Loan> {
-        if now < self.owns_from {
-            return Vec::new();
-        }
+        let owns = now >= self.owns_from;
         let mut wanted = wanted(ranked);
         let mut loans = Vec::new();
         let mut others = Vec::new();
@@ -77,10 +80,16 @@
                 loans.push((slot, wanted.remove(0)));
             }
         }
-        let loans = loans
+        let loans: Vec<Loan> = loans
             .into_iter()
-            .map(|(slot, to)| self.lend(now, slot, to, nodes));
-        together(loans.collect())
+            .map(|(slot, to)| self.lend(now, slot, to, nodes))
+            .collect();
+        // One that owns nothing lends nothing, and still knows whom to ask.
+        if owns {
+            together(loans)
+        } else {
+            Vec::new()
+        }
     }
 
     /// Whom to ask for a token of an account, first and next.
--- a/components/quota/src/quotas.rs
+++ b/components/quota/src/quotas.rs
@@ -19,6 +19,8 @@
 /// A collector that has no token is left alone for so long at most, in microseconds, whatever wait it told: limits rise,
 /// and shares come back.
 const MOST_REST_US: u64 = 500 * MILLISECOND;
+/// A node that goes is counted for so long after, in microseconds: what it has lent lapses before.
+const COUNTED_US: u64 = 3_000 * MILLISECOND;
 /// The same for one to which nothing is lent yet, in microseconds.
 const UNLENT_REST_US: u64 = 50 * MILLISECOND;
 /// A node that has just started lends nothing for so long, in microseconds, unless it is connected to the collectors of
@@ -26,6 +28,8 @@
 const CONNECT_US: u64 = 1_500 * MILLISECOND;
 /// Callers of a node that has just started wait for its first loan so long at most, in microseconds.
 const FIRST_LOAN_WAIT_US: u64 = 300 * MILLISECOND;
+/// After this time, in microseconds, connections to half of the hall are enough: its collectors may have ended.
+const COLLECTORS_WAIT_US: u64 = 300 * MILLISECOND;
 /// Time between two looks for it.
 const FIRST_LOAN_LOOK: Duration = Duration::from_millis(10);
 /// What the places of collectors are drawn for.
@@ -37,8 +41,8 @@
     fn now(&self) -> Moment;
     /// This node's VM.
     fn me(&self) -> Name;
-    /// Number of nodes that are known, this one included.
-    fn nodes(&self) -> usize;
+    /// The nodes that are known, this one included; those that are about to go with their VM excepted.
+    fn nodes(&self) -> Vec<Name>;
     /// The other nodes of this hall that are known.
     fn hall(&self) -> Vec<Name>;
     /// The nodes of this hall to which a connection is open.
@@ -80,6 +84,8 @@
     collector: RefCell<Collector>,
     /// Whether anything was lent so far.
     has_lent: Cell<bool>,
+    /// When each node was last known as one that stays.
+    counted: RefCell<HashMap<Name, Moment>>,
     /// Until when a collector has no token of an account.
     short: RefCell<HashMap<(Name, Name), Moment>>,
     waiting: RefCell<HashMap<u64, Sender<Answer>>>,
@@ -94,6 +100,7 @@
             lender: RefCell::new(Lender::new(started + JOIN_US)),
             collector: RefCell::new(Collector::new(bounds)),
             has_lent: Cell::new(false),
+            counted: RefCell::default(),
             short: RefCell::default(),
             waiting: RefCell::default(),
             next_id: Cell::new(0),
@@ -110,17 +117,19 @@
     /// Lends this node's share for a further while. Returns whether it has lent anything so far.
     pub fn lend(&self, peers: &impl Peers) -> bool {
         let now = peers.now();
-        let is_connected = ranked(peers, peers.hall())
-            .iter()
-            .take(COLLECTORS)
-            .all(|vm| *vm == peers.me() || peers.is_up(vm));
-        if !self.has_lent.get() && !is_connected && now < self.started + CONNECT_US {
+        if !self.has_lent.get() && !self.is_connected(peers) {
             return false;
         }
-        let ranked = ranked(peers, peers.near());
-        let loans = self.lender.borrow_mut().step(now, peers.nodes(), &ranked);
-        self.has_lent.set(self.has_lent.get() || !loans.is_empty());
         let me = peers.me();
+        let nodes = peers.nodes();
+        let ranked = ranked(peers, peers.near());
+        let mut lender = self.lender.borrow_mut();
+        if !nodes.contains(&me) {
+            lender.leaves(now);
+        }
+        let loans = lender.step(now, self.count(now, nodes), &ranked);
+        drop(lender);
+        self.has_lent.set(true);
         for loan in loans {
             let (part, lasts_us) = (loan.part, loan.lasts_us);
             if loan.to == me {
@@ -132,6 +141,26 @@
         self.has_lent.get()
     }
 
+    /// Number of nodes that own a share, or did a moment ago.
+    fn count(&self, now: Moment, nodes: Vec<Name>) -> usize {
+        let mut counted = self.counted.borrow_mut();
+        counted.extend(nodes.into_iter().map(|vm| (vm, now)));
+        counted.retain(|_, at| now.since(*at) < COUNTED_US);
+        counted.len()
+    }
+
+    /// Whether this node, which has just started, reaches those to whom it would lend if it reached all.
+    fn is_connected(&self, peers: &impl Peers) -> bool {
+        let now = peers.now();
+        let hall = peers.hall();
+        let reaches_half = 2 * peers.near().len() >= hall.len();
+        let may_have_ended = now >= self.started + COLLECTORS_WAIT_US;
+        let mut collectors = ranked(peers, hall).into_iter().take(COLLECTORS);
+        collectors.all(|vm| vm == peers.me() || peers.is_up(&vm))
+            || reaches_half && may_have_ended
+            || now >= self.started + CONNECT_US
+    }
+
     /// The part of every limit that this node keeps tokens for now.
     pub fn part(&self, now: Moment) -> f64 {
         self.collector.borrow_mut().part(now)
--- a/components/quota/tests/shares.rs
+++ b/components/quota/tests/shares.rs
@@ -271,6 +271,8 @@
     let mut lender = Lender::new(Moment(5 * SECOND));
     let me = [Name::from("me")];
     assert_eq!(lender.step(Moment(4 * SECOND), 4, &me), []);
+    // It takes tokens all the same, of what others own.
+    assert_eq!(lender.asked(&account()), me);
     assert_eq!(lender.step(Moment(5 * SECOND), 4, &me).len(), 1);
 }
 
@@ -298,3 +300,15 @@
         assert!(most <= bound(limit), "{most} of {}", bound(limit));
     }
 }
+
+#[test]
+fn a_vm_that_goes_owns_nothing_any_more() {
+    let mut lender = Lender::new(Moment(0));
+    let me = [Name::from("me")];
+    let now = Moment(SECOND);
+    assert_eq!(lender.step(now, 4, &me).len(), 1);
+    lender.leaves(now + SECOND);
+    assert_eq!(lender.step(now + SECOND, 4, &me), []);
+    assert_eq!(lender.step(now + 5 * SECOND, 4, &me), []);
+    assert_eq!(lender.step(now + 6 * SECOND, 4, &me).len(), 1);
+}
--- a/components/registry/src/record.rs
+++ b/components/registry/src/record.rs
@@ -119,6 +119,12 @@
 }
 
 impl Record {
+    /// Whether its upstream has said that it is gone: the VM goes with it, or another one is started there.
+    pub fn is_gone(&self) -> bool {
+        let upstream = self.upstream.as_ref();
+        upstream.is_some_and(|upstream| upstream.state == State::Gone)
+    }
+
     /// Whether the upstream takes new work through its node.
     pub fn is_ready(&self) -> bool {
         let ready = |upstream: &Instance| upstream.state == State::Ready;
