--- a/components/watch/src/duty.rs
+++ b/components/watch/src/duty.rs
@@ -22,6 +22,9 @@
 /// Longest wait of a node that starts with the whole fleet until it is connected to half of its hall, in microseconds:
 /// the more nodes, the longer that takes.
 const FIRST_CONNECTED_US: u64 = 16 * SECOND;
+/// Longest wait of such a node while it knows no other one, in microseconds: nodes learn of one another once their
+/// upstreams have registered.
+const FIRST_ALONE_US: u64 = 8 * SECOND;
 /// How much earlier than a node of a hall that draws evenly the first one asks, as a factor on the number of nodes: see
 /// [`Watch::draw`].
 const SPARE: f64 = 4.0;
@@ -86,6 +89,8 @@
     hall: usize,
     /// Until when it waits for connections before it asks; none once it has them.
     connects_until: Option<Moment>,
+    /// Until when it waits for the first other node that it knows.
+    alone_until: Moment,
     rng: SmallRng,
 }
 
@@ -106,13 +111,20 @@
             pause_us: LEAST_PAUSE_US,
             hall: 1,
             connects_until: None,
+            alone_until: now,
             rng: SmallRng::seed_from_u64(seed),
         };
-        let (wait_us, spread_us, connect_us) = if first_start {
-            (FIRST_START_US, FIRST_SPREAD_US, FIRST_CONNECTED_US)
+        let (wait_us, spread_us) = if first_start {
+            (FIRST_START_US, FIRST_SPREAD_US)
         } else {
-            (timing.quiet_us, timing.spread_us, timing.connect_us)
+            (timing.quiet_us, timing.spread_us)
         };
+        let (alone_us, connect_us) = if first_start {
+            (FIRST_ALONE_US, FIRST_CONNECTED_US)
+        } else {
+            (timing.quiet_us, timing.connect_us)
+        };
+        watch.alone_until = now + alone_us;
         watch.connects_until = Some(now + connect_us);
         watch.due = now + wait_us + watch.draw(spread_us);
         watch
@@ -126,7 +138,9 @@
         let Some(until) = self.connects_until else {
             return;
         };
-        if 2 * open >= known || now >= until {
+        let is_connected = known > 0 && 2 * open >= known;
+        let is_alone = known == 0 && now >= self.alone_until;
+        if is_connected || is_alone || now >= until {
             self.connects_until = None;
             self.due = self.due.max(now + self.draw(self.timing.spread_us));
         }
--- a/components/watch/tests/watch/main.rs
+++ b/components/watch/tests/watch/main.rs
@@ -92,6 +92,8 @@
                 let mut world = World::new(nodes, first_start, seed);
                 world.way_us = nodes as u64 * MILLISECOND;
                 let opens_us = if first_start { 50 } else { 15 } * MILLISECOND;
+                let known_us = if first_start { 5 * SECOND } else { SECOND / 2 };
+                world.known_from = Moment(known_us);
                 world.connect_until(nodes as u64 * opens_us);
                 world.run(24 * SECOND);
                 let calls = world.calls.len();
--- a/components/watch/tests/watch/world.rs
+++ b/components/watch/tests/watch/world.rs
@@ -53,6 +53,8 @@
     pub looks: Vec<Moment>,
     /// Time that a word takes.
     pub way_us: u64,
+    /// From when on nodes know of one another.
+    pub known_from: Moment,
 }
 
 /// A word on its way.
@@ -96,6 +98,7 @@
             calls: Vec::new(),
             looks: Vec::new(),
             way_us: WAY_US,
+            known_from: Moment(0),
         }
     }
 
@@ -222,8 +225,14 @@
     fn step(&mut self, index: usize) {
         let now = self.now;
         let newest = self.newest;
-        let known = self.nodes.len() - 1;
-        let open = if self.is_heard(index) { known } else { 0 };
+        let is_heard = self.is_heard(index);
+        // Others are known shortly before connections to them are open.
+        let known = if is_heard || now >= self.known_from {
+            self.nodes.len() - 1
+        } else {
+            0
+        };
+        let open = if is_heard { known } else { 0 };
         let node = &mut self.nodes[index];
         node.watch.connected(now, known, open);
         if let Some((began, ends)) = node.call {
