--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -22,6 +22,7 @@
 use names::{Moment, Name, MILLISECOND};
 use policy::Input;
 use quarantine::Standing;
+use quota::Token;
 use registry::Named;
 use rollout::InForce;
 use std::future::Future;
@@ -106,19 +107,13 @@
     let Some(deadline) = deadline(node, &ruled, &call) else {
         return too_late(&call);
     };
-    let account = match admission::identify(&in_force, &call, service.open, proof(node)) {
-        Ok(account) => account,
-        Err(refusal) => return RelayOutcome::NotRun(refusal),
-    };
-    call.account = account.as_ref().map(|account| account.name.clone());
-    let peers = links::Peers(node.clone());
-    let token = match admission::admit(&node.quotas, &peers, &call, account.as_deref()).await {
-        Ok(token) => token,
+    let admitted = match admit(node, &in_force, &mut call, service.open).await {
+        Ok(admitted) => admitted,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
     let treatment = Treatment {
         repeatable: ruled.repeatable,
-        priority: priority(&ruled, &call, account.as_deref()),
+        priority: priority(&ruled, &call, admitted.account.as_deref()),
         attempts: attempts(&ruled, call.level),
         arrivals: ruled.attempts.max(LEAST_ARRIVALS),
         origin: origin(&call),
@@ -130,7 +125,9 @@
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
     if let Some(key) = key {
-        return owned(node, &in_force, key, treatment.priority, req, deadline).await;
+        let outcome = owned(node, &in_force, key, treatment.priority, req, deadline).await;
+        settle(node, admitted, &outcome);
+        return outcome;
     }
     let plan = Plan {
         order,
@@ -142,7 +139,7 @@
         deadline,
     };
     let outcome = direct(node, plan, hung_up).await;
-    admission::settle(&node.quotas, &peers, token, &outcome);
+    settle(node, admitted, &outcome);
     outcome
 }
 
@@ -171,19 +168,13 @@
     let Some(deadline) = deadline(node, ruled, &call) else {
         return too_late(&call);
     };
-    let account = match admission::identify(in_force, &call, route.open, proof(node)) {
-        Ok(account) => account,
-        Err(refusal) => return RelayOutcome::NotRun(refusal),
-    };
-    call.account = account.as_ref().map(|account| account.name.clone());
-    let peers = links::Peers(node.clone());
-    let token = match admission::admit(&node.quotas, &peers, &call, account.as_deref()).await {
-        Ok(token) => token,
+    let admitted = match admit(node, in_force, &mut call, route.open).await {
+        Ok(admitted) => admitted,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
     let service = node.share_of(route);
     let is_inner = call.parent.is_some();
-    let priority = priority(ruled, &call, account.as_deref());
+    let priority = priority(ruled, &call, admitted.account.as_deref());
     let treatment = Treatment {
         repeatable: ruled.repeatable,
         priority,
@@ -221,10 +212,38 @@
         price: Price::of(crossing, route.objective_ms * MILLISECOND, is_inner),
     };
     let outcome = direct(node, plan, hung_up).await;
-    admission::settle(&node.quotas, &peers, token, &outcome);
+    settle(node, admitted, &outcome);
     outcome
 }
 
+/// A request that may go on.
+struct Admitted {
+    /// In whose name; none where no account is needed.
+    account: Option<Arc<Account>>,
+    /// What it has taken of the account's limit.
+    token: Option<Token>,
+}
+
+/// Finds out who asks, and whether the account may ask more now.
+async fn admit(
+    node: &Rc<Node>,
+    in_force: &InForce,
+    call: &mut CallerRequest,
+    is_open: bool,
+) -> Result<Admitted, Refusal> {
+    let account = admission::identify(in_force, call, is_open, proof(node))?;
+    call.account = account.as_ref().map(|account| account.name.clone());
+    let peers = links::Peers(node.clone());
+    let token = admission::admit(&node.quotas, &peers, call, account.as_deref()).await?;
+    Ok(Admitted { account, token })
+}
+
+/// Gives back what a request has taken that has not run.
+fn settle(node: &Rc<Node>, admitted: Admitted, outcome: &RelayOutcome) {
+    let peers = links::Peers(node.clone());
+    admission::settle(&node.quotas, &peers, admitted.token, outcome);
+}
+
 /// How new what is known of accounts is, and must be.
 fn proof(node: &Node) -> Proof {
     let bound_ms = node.cfg.accounts.withdrawn_within_ms;
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -25,9 +25,9 @@
 
 /// Looks for the first registration of the upstream before the record is written without one, and the
 /// pause between them: together longer than the time between two registrations, and at the first start of
-/// the fleet longer than upstreams take to start. Without that half of 61 nodes wrote twice.
+/// the fleet longer than upstreams take to start and to be heard. Without that nodes write twice.
 const UPSTREAM_LOOKS: u32 = 40;
-const FIRST_START_LOOKS: u32 = 80;
+const FIRST_START_LOOKS: u32 = 160;
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(50);
 /// A change of the upstream is written after this time, in milliseconds, drawn between it and its double:
 /// what ends soon after its start is never written.
--- a/components/watch/src/duty.rs
+++ b/components/watch/src/duty.rs
@@ -21,10 +21,10 @@
 const FIRST_SPREAD_US: u64 = 2 * SECOND;
 /// Longest wait of a node that starts with the whole fleet until it is connected to half of its hall, in microseconds:
 /// the more nodes, the longer that takes.
-const FIRST_CONNECTED_US: u64 = 16 * SECOND;
+const FIRST_CONNECTED_US: u64 = 20 * SECOND;
 /// Longest wait of such a node while it knows no other one, in microseconds: nodes learn of one another once their
 /// upstreams have registered.
-const FIRST_ALONE_US: u64 = 8 * SECOND;
+const FIRST_ALONE_US: u64 = 10 * SECOND;
 /// How much earlier than a node of a hall that draws evenly the first one asks, as a factor on the number of nodes: see
 /// [`Watch::draw`].
 const SPARE: f64 = 4.0;
