--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -200,7 +200,9 @@
         if object.name == node.cfg.vm {
             *stands = Stands::of(object, &record);
             containment::succeed(node, registration, &record);
-            node.quotas.is_counted();
+            if record.boot != node.boot {
+                node.quotas.restarted();
+            }
         }
         peers::taken(node, registration, record, Source::Store);
     }
--- a/components/quota/src/lender.rs
+++ b/components/quota/src/lender.rs
@@ -46,7 +46,7 @@
     }
 
     /// The others have counted this VM for long, so that it owns a share at once.
-    pub fn is_counted(&mut self) {
+    pub fn owns_at_once(&mut self) {
         self.owns_from = Moment(0);
     }
 
--- a/components/quota/src/quotas.rs
+++ b/components/quota/src/quotas.rs
@@ -19,17 +19,17 @@
 /// A collector that has no token is left alone for so long at most, in microseconds, whatever wait it told: limits rise,
 /// and shares come back.
 const MOST_REST_US: u64 = 500 * MILLISECOND;
-/// A node that goes is counted for so long after, in microseconds: what it has lent lapses before.
-const COUNTED_US: u64 = 3_000 * MILLISECOND;
 /// The same for one to which nothing is lent yet, in microseconds.
 const UNLENT_REST_US: u64 = 50 * MILLISECOND;
+/// A node that goes is counted for so long after, in microseconds: what it has lent lapses before.
+const COUNTED_US: u64 = 3_000 * MILLISECOND;
 /// A node that has just started lends nothing for so long, in microseconds, unless it is connected to the collectors of
 /// its hall before: what it lent to others meanwhile could not be lent to them until the lease has lapsed.
 const CONNECT_US: u64 = 1_500 * MILLISECOND;
-/// Callers of a node that has just started wait for its first loan so long at most, in microseconds.
-const FIRST_LOAN_WAIT_US: u64 = 300 * MILLISECOND;
 /// After this time, in microseconds, connections to half of the hall are enough: its collectors may have ended.
 const COLLECTORS_WAIT_US: u64 = 300 * MILLISECOND;
+/// Callers of a node that has just started wait for its first loan so long at most, in microseconds.
+const FIRST_LOAN_WAIT_US: u64 = 300 * MILLISECOND;
 /// Time between two looks for it.
 const FIRST_LOAN_LOOK: Duration = Duration::from_millis(10);
 /// What the places of collectors are drawn for.
@@ -107,9 +107,9 @@
         }
     }
 
-    /// The others have counted this VM for long: its node has started again.
-    pub fn is_counted(&self) {
-        self.lender.borrow_mut().is_counted();
+    /// This node follows another start on its VM, which the others have counted for long.
+    pub fn restarted(&self) {
+        self.lender.borrow_mut().owns_at_once();
         let mut collector = self.collector.borrow_mut();
         collector.starts_again(self.started);
     }
@@ -130,6 +130,7 @@
         let loans = lender.step(now, self.count(now, nodes), &ranked);
         drop(lender);
         self.has_lent.set(true);
+        self.short.borrow_mut().retain(|_, until| now < *until);
         for loan in loans {
             let (part, lasts_us) = (loan.part, loan.lasts_us);
             if loan.to == me {
