Interfaces of the parts for services that are short of room

Settings [admission] and [hedging], off by default and auto in the users' template; auto is on where client accounts are declared or callers pipeline. Offers say whether their caller was refused before and whether a straggling run is to be reported; frames gain Straggles (version 7). Nothing reports or hedges yet.

Part A: the objective of a request runs from its caller's first try.

--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -23,6 +23,8 @@
     pub caller_told: Option<&'a str>,
     /// How long its caller waits, in milliseconds.
     pub deadline_ms: Option<u64>,
+    /// How long ago its caller first tried, where that is known, in milliseconds.
+    pub since_first_try_ms: u64,
     /// Requests of callers in progress.
     pub open: usize,
 }
@@ -47,6 +49,7 @@
         deadline_ms = routed.deadline_ms.unwrap_or(0),
         timeout_ms = route.treatment.deadline_ms,
         objective_ms = route.objective_ms,
+        since_first_try_ms = routed.since_first_try_ms,
         open = routed.open,
         "request routed"
     );
--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -14,6 +14,11 @@
     counter!("drumwheel_attempts_refused_total", "reason" => reason).increment(1);
 }
 
+/// A caller came back whose request was refused before.
+pub fn caller_returned() {
+    counter!("drumwheel_callers_returned_total").increment(1);
+}
+
 /// An attempt was offered to a home duty.
 pub fn attempt_offered(local: bool) {
     let place = if local { "own" } else { "peer" };
--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -5,8 +5,10 @@
 mod reading;
 mod request;
 mod response;
+mod returned;
 mod row;
 mod serve;
 
 pub use admission::run_loans;
 pub use connection::run;
+pub use returned::Try;
--- a/components/daemon/src/callers/reading.rs
+++ b/components/daemon/src/callers/reading.rs
@@ -229,6 +229,9 @@
     }
 
     fn put(&self, place: Place) -> Result<(), Ended> {
+        if !self.row.is_empty() {
+            self.node.activation.pipelined(self.node.now());
+        }
         self.row.join();
         // As many places as a row has, and one refusal behind them; else the writer has ended.
         self.places.try_send(place).map_err(|_| Ended::Gone)
--- /dev/null
+++ b/components/daemon/src/callers/returned.rs
@@ -0,0 +1,61 @@
+//! Recognises callers that were refused and try again.
+
+use super::request::CallerRequest;
+use crate::node::Node;
+use audit::stats;
+use names::{Moment, MILLISECOND};
+use quarantine::Fingerprint;
+use wire::RelayOutcome;
+
+/// One try of a caller, where the objective runs from the first.
+#[derive(Debug, Clone, Copy)]
+pub struct Try {
+    request: Fingerprint,
+    /// When the caller first tried.
+    pub first: Moment,
+    /// Whether this is a later try.
+    pub is_return: bool,
+    /// When the caller gives up.
+    deadline: Moment,
+}
+
+/// Looks whether the caller of a request that came at `now` was refused before; none where that isn't asked for, or the
+/// caller names no deadline by which it could be recognised.
+pub fn recognise(node: &Node, call: &CallerRequest, now: Moment) -> Option<Try> {
+    if call.parent.is_some() || !is_on(node, now) {
+        return None;
+    }
+    let deadline = now + call.deadline_ms? * MILLISECOND;
+    let is_host = |name: &str| name.eq_ignore_ascii_case("host");
+    let host = call.headers.iter().find(|(name, _)| is_host(name));
+    let host = host.map_or("", |(_, value)| value.as_str());
+    let request = Fingerprint::of(&call.method, host, &call.target, &call.body);
+    let first = node.returning.borrow().first_try(now, &request, deadline);
+    if first.is_some() {
+        stats::caller_returned();
+    }
+    Some(Try {
+        request,
+        first: first.unwrap_or(now),
+        is_return: first.is_some(),
+        deadline,
+    })
+}
+
+/// Remembers a request that was not run, so that its caller's next try is recognised.
+pub fn note(node: &Node, this: Option<Try>, outcome: &RelayOutcome) {
+    let Some(this) = this else {
+        return;
+    };
+    if matches!(outcome, RelayOutcome::NotRun(_)) {
+        let mut returning = node.returning.borrow_mut();
+        returning.refused(node.now(), this.request, this.first, this.deadline);
+    }
+}
+
+fn is_on(node: &Node, now: Moment) -> bool {
+    let in_force = node.in_force();
+    let has_accounts = in_force.is_some_and(|in_force| !in_force.declarations.accounts.is_empty());
+    let mode = node.cfg.admission.from_first_try;
+    node.activation.is_on(now, mode, has_accounts)
+}
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -3,6 +3,7 @@
 use super::admission;
 use super::request::CallerRequest;
 use super::response::{self, Response};
+use super::returned::{self, Try};
 use crate::candidates::{self, Connections};
 use crate::containment;
 use crate::entry_driver::{run_call, Plan};
@@ -93,7 +94,10 @@
     call.deadline_ms = call.deadline_ms.map(|ms| ms.saturating_sub(waited_ms));
     let fixed = in_force.declarations.fixed_route(&call.host, &call.path);
     if let Some(route) = fixed.cloned() {
-        return by_route(node, &in_force, &route, call, hung_up).await;
+        let tried = returned::recognise(node, &call, node.now());
+        let outcome = by_route(node, &in_force, &route, call, tried, hung_up).await;
+        returned::note(node, tried, &outcome);
+        return outcome;
     }
     let Some(service) = in_force.declarations.route(&call.host, &call.path) else {
         let revision = in_force.configuration.head.revision;
@@ -130,6 +134,7 @@
         return outcome;
     }
     let plan = Plan {
+        tried: None,
         order,
         candidates: node.candidates(&in_force, service),
         price: Price::of(ruled.priority, 0, true),
@@ -162,6 +167,7 @@
     in_force: &InForce,
     route: &Route,
     mut call: CallerRequest,
+    tried: Option<Try>,
     hung_up: impl Future<Output = ()>,
 ) -> RelayOutcome {
     let ruled = &route.treatment;
@@ -195,6 +201,7 @@
         caller: caller_named(node).as_ref(),
         caller_told: caller_told.as_deref(),
         deadline_ms,
+        since_first_try_ms: tried.map_or(0, |tried| node.now().since(tried.first) / MILLISECOND),
         open: node.open_calls.get(),
     });
     let order = match order_of(node, &req) {
@@ -203,6 +210,7 @@
     };
     let crossing = if is_inner { priority } else { ruled.priority };
     let plan = Plan {
+        tried,
         order,
         candidates: registered(node, &service),
         treatment,
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -222,6 +222,7 @@
             origin: Origin::Client,
         };
         let plan = Plan {
+            tried: None,
             order: None,
             candidates: self.candidates(),
             treatment,
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -1,5 +1,6 @@
 //! Carries out the decisions of the entry duty.
 
+use crate::callers::Try;
 use crate::containment;
 use crate::home_driver;
 use crate::links::{self, Reply};
@@ -26,7 +27,10 @@
     req: Arc<Request>,
     treatment: Treatment,
     key: Option<KeyHash>,
+    /// Since when its objective runs.
     began: Moment,
+    /// Whether its caller was refused before.
+    is_return: bool,
     price: Price,
     call: Call<Whole>,
     tx: Sender<Event<Whole>>,
@@ -53,6 +57,8 @@
     pub key: Option<KeyHash>,
     /// The caller's deadline.
     pub deadline: Moment,
+    /// The caller's try, where its objective runs from its first one.
+    pub tried: Option<Try>,
     /// What an offer may cost.
     pub price: Price,
     /// The VMs at which it may run, the best first, if an upstream ended while it ran a copy.
@@ -79,7 +85,8 @@
         req: plan.req,
         treatment: plan.treatment,
         key: plan.key,
-        began: node.now(),
+        began: plan.tried.map_or(node.now(), |tried| tried.first),
+        is_return: plan.tried.is_some_and(|tried| tried.is_return),
         price,
         call,
         tx,
@@ -182,6 +189,9 @@
             may_queue,
             repeat,
             suspicion,
+            returned: self.is_return,
+            report_straggler: false,
+            account: None,
         };
         let local = to == node.cfg.vm;
         stats::attempt_offered(local);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! more than they do (see `docs/DESIGN.md`). The operators' routes are joined to the duties by a
 //! bounded channel.
 
+mod activation;
 mod boot_record;
 mod caller_name;
 mod callers;
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -53,6 +53,7 @@
             };
             deliver(node, id, event);
         }
+        Frame::Straggles { id } => deliver(node, id, Event::Straggles(id)),
         Frame::Ended(suspects) => containment::told(node, from, suspects),
         Frame::Cleared { fingerprint, ran } => {
             containment::cleared(node, from, fingerprint, ran);
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -1,5 +1,6 @@
 //! The state of a node, shared by its tasks on one thread.
 
+use crate::activation::Activation;
 use crate::caller_name::CallerName;
 use crate::containment::Containment;
 pub use crate::jobs::{Job, Parent, Waiter};
@@ -20,7 +21,9 @@
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use platform::{Adapter, Client};
+use quarantine::Fingerprint;
 use quota::{Bounds, Quotas};
+use returning::Returning;
 use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
 use std::cell::{Cell, RefCell};
@@ -128,6 +131,10 @@
     pub containment: Containment,
     /// Shares and tokens of limited client accounts.
     pub quotas: Quotas,
+    /// Requests that this node has refused and whose callers may come back.
+    pub returning: RefCell<Returning<Fingerprint>>,
+    /// Whether functions whose mode is `auto` are on.
+    pub activation: Activation,
     /// Turns of the services among which routes are split.
     pub splits: RefCell<HashMap<Name, Split>>,
     /// What the platform last said of itself.
@@ -203,6 +210,8 @@
             registration,
             containment: Containment::new(clock.now()),
             quotas: Quotas::new(bounds(&cfg), clock.now()),
+            returning: RefCell::default(),
+            activation: Activation::default(),
             splits: RefCell::default(),
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -148,6 +148,7 @@
             Event::Lost(id) => self.lost(now, id, entry),
             Event::Told(id, reply) => self.told(now, id, reply, entry),
             Event::Silent(id) => self.silent(now, id, entry),
+            Event::Straggles(_) => Vec::new(),
         }
     }
 
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -66,6 +66,8 @@
     Gone(AttemptId),
     /// The home node does not answer heartbeats.
     Silent(AttemptId),
+    /// The attempt's run takes much longer than usual.
+    Straggles(AttemptId),
     /// The caller's deadline passed.
     Expired,
     /// The caller closed its connection.
@@ -87,6 +89,7 @@
             Event::Told(..) => "told",
             Event::Gone(_) => "gone",
             Event::Silent(_) => "silent",
+            Event::Straggles(_) => "straggles",
             Event::Expired => "expired",
             Event::HungUp => "hung-up",
         }
--- a/components/entry/tests/attempts/world/delivery.rs
+++ b/components/entry/tests/attempts/world/delivery.rs
@@ -86,6 +86,7 @@
                 home::Action::Refuse(id, refusal) => self.reply(home, Body::Refused(id, refusal)),
                 home::Action::Revoke(id) => self.reply(home, Body::Revoked(id)),
                 home::Action::Look => self.homes[home].looking = true,
+                home::Action::Straggles(_) => {}
             }
         }
     }
@@ -125,6 +126,9 @@
                     may_queue,
                     repeat,
                     suspicion,
+                    returned: false,
+                    report_straggler: false,
+                    account: None,
                 };
                 self.send(entry, home, Body::Offer(offer));
             }
--- a/components/home/src/attempt.rs
+++ b/components/home/src/attempt.rs
@@ -3,13 +3,17 @@
 
 use crate::limit::Class;
 use crate::Offer;
-use names::{AttemptId, Moment};
+use names::{AttemptId, Moment, MILLISECOND};
 
 /// Part of the objective that an attempt waits for a slot: a service that is short of slots serves more
 /// requests in time if it refuses early. Measured against 0.12, 0.4, and all that a run leaves: 0.02 to
 /// 0.06 of worth on days of high load.
 const PATIENCE_PART: f64 = 0.22;
 
+/// An attempt that can't be answered within its objective any more waits for so long, in microseconds: the time in which
+/// the upstream says whether it may start at once.
+const OVERDUE_WAIT_US: u64 = 20 * MILLISECOND;
+
 /// State of an attempt that has just arrived.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Offered;
@@ -41,6 +45,7 @@
     priority: u8,
     class: Class,
     may_queue: bool,
+    is_overdue: bool,
     state: S,
 }
 
@@ -81,6 +86,11 @@
         self.class
     }
 
+    /// Whether it can't be answered within its objective any more.
+    pub fn is_overdue(&self) -> bool {
+        self.is_overdue
+    }
+
     /// Whether it may wait for a slot.
     pub fn may_queue(&self) -> bool {
         self.may_queue
@@ -100,6 +110,7 @@
             priority: self.priority,
             class: self.class,
             may_queue: self.may_queue,
+            is_overdue: self.is_overdue,
             state,
         }
     }
@@ -123,10 +134,19 @@
                 repeatable: offer.repeatable,
             },
             may_queue: offer.may_queue,
+            is_overdue: false,
             state: Offered,
         }
     }
 
+    /// The same attempt, which can't be answered within its objective any more: it stands behind those that can, and is
+    /// refused when no slot comes free at once.
+    pub fn overdue(mut self, now: Moment) -> Attempt<Offered> {
+        self.is_overdue = true;
+        self.latest_start = self.deadline.min(now + OVERDUE_WAIT_US);
+        self
+    }
+
     /// Takes a slot.
     pub fn start(self, now: Moment, percent: u32) -> Attempt<Started> {
         self.with(Started { at: now, percent })
--- a/components/home/src/config.rs
+++ b/components/home/src/config.rs
@@ -74,6 +74,8 @@
     Refuse(AttemptId, Refusal),
     /// Ask the upstream for its pace and call [`crate::Home::looked`] with what it says; offers wait.
     Look,
+    /// Tell the entry duty that the run takes much longer than usual.
+    Straggles(AttemptId),
     /// Hand a queued attempt back, not run, to be moved elsewhere.
     Revoke(AttemptId),
 }
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -6,6 +6,7 @@
 use crate::config::Action;
 use crate::limit::Class;
 use crate::message::{Offer, Reason};
+use crate::queue::Rank;
 use names::Moment;
 
 impl<A: Clone> Home<A> {
@@ -20,7 +21,7 @@
             level: offer.level,
             repeatable: offer.repeatable,
         };
-        let attempt = Attempt::arrive(now, offer);
+        let attempt = self.ranked(now, offer, Attempt::arrive(now, offer));
         let running = self.in_flight(now);
         let limit = self.current_limit(now, &running);
         self.limit.offered(now);
@@ -48,7 +49,7 @@
         }
         let allowed = self.allowed(now, offer.level, limit);
         let is_first =
-            self.queue.is_empty() || !matters && self.queue.ahead_of(offer.priority) == 0;
+            self.queue.is_empty() || !matters && self.queue.ahead_of(Rank::of(&attempt)) == 0;
         let is_free = self.running.len() < allowed as usize && is_first && room == Room::Free;
         if is_free && !self.lets_wait(now, attempt.class()) {
             self.counters.looks_saved += 1;
@@ -62,7 +63,7 @@
             self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
             return actions;
         }
-        self.make_room(now, offer, &mut actions);
+        self.make_room(now, Rank::of(&attempt), &mut actions);
         self.counters.queued += 1;
         self.queue.put(attempt.queue(now));
         actions
@@ -90,7 +91,7 @@
         limit: u32,
     ) -> bool {
         let service = self.limit.service_us(running);
-        let ahead = self.queue.ahead_of(attempt.priority());
+        let ahead = self.queue.ahead_of(Rank::of(attempt));
         let wait = (ahead + 1) as f64 * service / limit as f64;
         if self.cold.wait_us(now, ahead) > 0 {
             // Another upstream may bear it now. What waits here until more is borne comes late, and so do the calls
@@ -105,15 +106,15 @@
         in_time && has_room
     }
 
-    /// When the queue is full, refuses the last of a lower priority.
-    pub(super) fn make_room(&mut self, now: Moment, offer: &Offer, actions: &mut Vec<Action>) {
+    /// When the queue is full, refuses the last of a lower rank.
+    pub(super) fn make_room(&mut self, now: Moment, rank: Rank, actions: &mut Vec<Action>) {
         if self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT {
             return;
         }
         let Some(last) = self.queue.last() else {
             return;
         };
-        if last.priority() >= offer.priority {
+        if Rank::of(last) <= rank {
             return;
         }
         let id = last.id();
--- a/components/home/src/duty/chances.rs
+++ b/components/home/src/duty/chances.rs
@@ -6,8 +6,9 @@
 //! nobody needs any more. At the usual pace these bounds lie beyond the patience and change nothing.
 
 use super::Home;
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Offered};
 use crate::limit::Class;
+use crate::message::Offer;
 use names::Moment;
 
 /// A run is expected to take this part of the objective at the usual pace before one of its kind has ended.
@@ -25,7 +26,7 @@
 impl<A: Clone> Home<A> {
     /// Lets an attempt wait only as long as it can still be answered within its objective.
     pub(super) fn in_time<S>(&self, now: Moment, attempt: Attempt<S>) -> Attempt<S> {
-        let Some(objective) = attempt.objective() else {
+        let Some(objective) = attempt.objective().filter(|_| !attempt.is_overdue()) else {
             return attempt;
         };
         let run_us = self.run_us(now, attempt.class()).unwrap_or_else(|| {
@@ -36,6 +37,26 @@
         attempt.waits_until(latest.max(now))
     }
 
+    /// Lets an attempt whose caller was refused before stand behind others when it can't be answered within its objective
+    /// any more.
+    ///
+    /// The load that this answers: a service is short of slots for some seconds, and a third of what comes are callers
+    /// that were refused a moment ago. Served late, they keep others from being served in time.
+    pub(super) fn ranked(
+        &self,
+        now: Moment,
+        offer: &Offer,
+        attempt: Attempt<Offered>,
+    ) -> Attempt<Offered> {
+        let run_us = self.run_us(now, attempt.class()).unwrap_or(0.0);
+        let is_late = |left_us: u64| left_us == 0 || (left_us as f64) < run_us;
+        if offer.returned && offer.objective_us.is_some_and(is_late) {
+            attempt.overdue(now)
+        } else {
+            attempt
+        }
+    }
+
     /// Whether a run that begins now would hardly end before the deadline. Slots of a service that is short of
     /// them would go to work that is lost already.
     pub(super) fn is_hopeless<S>(&self, now: Moment, attempt: &Attempt<S>) -> bool {
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -36,6 +36,19 @@
     /// Whether an upstream ended while it ran the request.
     #[serde(rename = "u", default, skip_serializing_if = "Suspicion::is_none")]
     pub suspicion: Suspicion,
+    /// Whether the caller was refused before, so that its objective runs from an earlier try.
+    #[serde(rename = "f", default, skip_serializing_if = "is_false")]
+    pub returned: bool,
+    /// Whether the entry duty wants to know when the run takes much longer than usual.
+    #[serde(rename = "k", default, skip_serializing_if = "is_false")]
+    pub report_straggler: bool,
+    /// The client account among which slots are shared fairly; the home node reads it from the request beside the offer.
+    #[serde(skip)]
+    pub account: Option<Name>,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Whether an upstream ended while it ran the offered request, and how it may run then.
--- a/components/home/src/queue.rs
+++ b/components/home/src/queue.rs
@@ -5,8 +5,25 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 
-/// Order in the queue: higher priorities first, then deeper levels, then earlier deadlines.
-type Place = (Reverse<u8>, Reverse<u32>, Moment, AttemptId);
+/// Who goes before whom: attempts that can still be answered within their objective, then higher priorities.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    is_overdue: bool,
+    priority: Reverse<u8>,
+}
+
+impl Rank {
+    /// The rank of an attempt.
+    pub(crate) fn of<S>(attempt: &Attempt<S>) -> Rank {
+        Rank {
+            is_overdue: attempt.is_overdue(),
+            priority: Reverse(attempt.priority()),
+        }
+    }
+}
+
+/// Order in the queue: by rank, then deeper levels first, then earlier deadlines.
+type Place = (Rank, Reverse<u32>, Moment, AttemptId);
 
 /// Attempts that wait for a slot.
 #[derive(Debug, Default)]
@@ -34,7 +51,7 @@
     /// Lets an attempt wait.
     pub(crate) fn put(&mut self, attempt: Attempt<Queued>) {
         let place = (
-            Reverse(attempt.priority()),
+            Rank::of(&attempt),
             Reverse(attempt.class().level),
             attempt.deadline(),
             attempt.id(),
@@ -68,11 +85,11 @@
         self.attempts.values().next_back()
     }
 
-    /// Number of attempts served before a new one of this priority.
-    pub(crate) fn ahead_of(&self, priority: u8) -> usize {
+    /// Number of attempts served before a new one of this rank.
+    pub(crate) fn ahead_of(&self, rank: Rank) -> usize {
         self.attempts
-            .values()
-            .take_while(|attempt| attempt.priority() >= priority)
+            .keys()
+            .take_while(|(other, ..)| *other <= rank)
             .count()
     }
 
--- a/components/home/tests/cold.rs
+++ b/components/home/tests/cold.rs
@@ -36,6 +36,9 @@
         may_queue,
         repeat: false,
         suspicion: Suspicion::None,
+        returned: false,
+        report_straggler: false,
+        account: None,
     }
 }
 
@@ -101,7 +104,7 @@
                     self.looks += 1;
                     self.asked = true;
                 }
-                Action::Refuse(..) | Action::Revoke(_) => {}
+                Action::Refuse(..) | Action::Revoke(_) | Action::Straggles(_) => {}
             }
         }
     }
--- a/components/home/tests/home.rs
+++ b/components/home/tests/home.rs
@@ -25,6 +25,9 @@
         may_queue: true,
         repeat: false,
         suspicion: home::Suspicion::None,
+        returned: false,
+        report_straggler: false,
+        account: None,
     }
 }
 
--- a/components/home/tests/pace.rs
+++ b/components/home/tests/pace.rs
@@ -29,6 +29,9 @@
         may_queue,
         repeat: false,
         suspicion: home::Suspicion::None,
+        returned: false,
+        report_straggler: false,
+        account: None,
     }
 }
 
--- a/components/model/src/world/entry_side.rs
+++ b/components/model/src/world/entry_side.rs
@@ -139,6 +139,9 @@
             may_queue,
             repeat,
             suspicion: Suspicion::None,
+            returned: false,
+            report_straggler: false,
+            account: None,
         };
         let from = request.vm;
         self.send(from, vm_of(to), Message::Offer { from, req, offer });
--- a/components/model/src/world/home_side.rs
+++ b/components/model/src/world/home_side.rs
@@ -138,6 +138,7 @@
                 Action::Look => self.at(self.now + LOOK_US, Happening::Looked { vm }),
                 Action::Refuse(id, refusal) => self.tell_end(vm, id, Event::Refused(id, refusal)),
                 Action::Revoke(id) => self.tell_end(vm, id, Event::Revoked(id)),
+                Action::Straggles(_) => {}
             }
         }
     }
--- /dev/null
+++ b/components/returning/src/lib.rs
@@ -0,0 +1,88 @@
+//! Callers that come back after a refusal.
+//!
+//! Answers the load in which a service is short of capacity for seconds: callers that were refused come back when their
+//! objective has nearly passed or has passed, and take slots from requests that could still be answered in time. A second
+//! try carries a new identity, so it is recognised by what does not change between two tries of one caller: the request
+//! itself and the moment at which the caller gives up.
+
+use names::{Moment, MILLISECOND};
+use std::collections::HashMap;
+use std::hash::Hash;
+
+/// Two tries of one caller name the same deadline within this time, in microseconds: the deadline is passed on in whole
+/// milliseconds, and each try spends some on the way.
+pub const DEADLINE_TOLERANCE_US: u64 = 60 * MILLISECOND;
+/// Refused requests that are remembered at most. An entry takes about 70 bytes.
+pub const MOST_REMEMBERED: usize = 4_096;
+
+/// A caller's request that was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Refused {
+    /// When its first try came.
+    first_try: Moment,
+    /// When the caller gives up.
+    deadline: Moment,
+}
+
+/// Requests that this node has refused and whose callers may come back. `K` identifies a request by its content.
+#[derive(Debug)]
+pub struct Returning<K> {
+    refused: HashMap<K, Refused>,
+    /// When the earliest deadline passes, at which entries are dropped next.
+    next_expiry: Moment,
+}
+
+impl<K> Default for Returning<K> {
+    fn default() -> Returning<K> {
+        Returning {
+            refused: HashMap::new(),
+            next_expiry: Moment(u64::MAX),
+        }
+    }
+}
+
+impl<K: Hash + Eq> Returning<K> {
+    /// When the caller of this request first tried, if it was refused before. `deadline` is when the caller gives up.
+    pub fn first_try(&self, now: Moment, request: &K, deadline: Moment) -> Option<Moment> {
+        let refused = self.refused.get(request)?;
+        let is_alive = now < refused.deadline;
+        let is_same = deadline.0.abs_diff(refused.deadline.0) <= DEADLINE_TOLERANCE_US;
+        (is_alive && is_same).then_some(refused.first_try)
+    }
+
+    /// Takes in that a request was refused whose caller first tried at `first_try` and gives up at `deadline`. Beyond
+    /// [`MOST_REMEMBERED`] it is not remembered: its next try counts as a first one.
+    pub fn refused(&mut self, now: Moment, request: K, first_try: Moment, deadline: Moment) {
+        self.expire(now);
+        let is_known = self.refused.contains_key(&request);
+        if deadline <= now || self.refused.len() >= MOST_REMEMBERED && !is_known {
+            return;
+        }
+        self.next_expiry = self.next_expiry.min(deadline);
+        let refused = Refused {
+            first_try,
+            deadline,
+        };
+        self.refused.insert(request, refused);
+    }
+
+    /// Number of requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.refused.len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.refused.is_empty()
+    }
+
+    /// Drops requests whose callers have given up.
+    fn expire(&mut self, now: Moment) {
+        if now < self.next_expiry {
+            return;
+        }
+        self.refused.retain(|_, refused| now < refused.deadline);
+        let deadlines = self.refused.values().map(|refused| refused.deadline);
+        self.next_expiry = deadlines.min().unwrap_or(Moment(u64::MAX));
+    }
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -5,9 +5,11 @@
 mod headers;
 mod millis;
 mod node;
+mod shortage;
 
 pub use accounts::AccountBounds;
 pub use cold::ColdLimit;
 pub use headers::Headers;
 pub use millis::{Millis, MILLIS};
 pub use node::{Fleet, LogFormat, RetryLimit, Settings};
+pub use shortage::{Admission, Hedging, Mode};
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -4,6 +4,7 @@
 use crate::cold::{self, ColdLimit};
 use crate::headers::{self, Headers};
 use crate::millis::{Millis, MILLIS};
+use crate::shortage::{self, Admission, Hedging};
 use errors::{Problem, Problems};
 use names::Name;
 use sections::Reader;
@@ -163,6 +164,10 @@
     pub cold: ColdLimit,
     /// How closely the fleet keeps to what is declared of client accounts.
     pub accounts: AccountBounds,
+    /// Who gets the slots of a service that is short of them.
+    pub admission: Admission,
+    /// Second starts of requests whose runs take long.
+    pub hedging: Hedging,
 }
 
 impl Settings {
@@ -187,8 +192,19 @@
         let mut reader = Reader::new(file, text)?;
         let settings = read(&mut reader);
         reader.finish(&[
-            "node", "listen", "upstream", "platform", "peers", "limits", "log", "choice",
-            "headers", "retries", "accounts",
+            "node",
+            "listen",
+            "upstream",
+            "platform",
+            "peers",
+            "limits",
+            "log",
+            "choice",
+            "headers",
+            "retries",
+            "accounts",
+            "admission",
+            "hedging",
         ])?;
         settings.ok_or_else(Problems::default)
     }
@@ -254,9 +270,13 @@
     let retries = retries(reader);
     let cold = cold::read(reader);
     let accounts = accounts::read(reader);
+    let admission = shortage::read_admission(reader);
+    let hedging = shortage::read_hedging(reader);
     let evacuated_within_ms = millis(reader, "platform", "evacuated_within", 0);
     let registers_every_ms = millis(reader, "upstream", "registers_every", 0);
     Some(Settings {
+        admission,
+        hedging,
         accounts,
         cold,
         registers_every_ms,
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -64,6 +64,11 @@
         /// State of the upstream.
         load: Load,
     },
+    /// Home to entry: the run takes much longer than usual.
+    Straggles {
+        /// The attempt.
+        id: AttemptId,
+    },
     /// Home to entry: it ran, and there is no whole answer.
     Broken {
         /// The attempt.
@@ -219,6 +224,7 @@
             Frame::Revoked { .. } => "revoked",
             Frame::Answered { .. } => "answered",
             Frame::Broken { .. } => "broken",
+            Frame::Straggles { .. } => "straggles",
             Frame::Ended(_) => "upstream-ended",
             Frame::Cleared { .. } => "cleared",
             Frame::Ask { .. } => "ask",
--- a/components/wire/src/handshake.rs
+++ b/components/wire/src/handshake.rs
@@ -12,7 +12,7 @@
 use sha2::Sha256;
 
 /// Version of the frames; both sides must have the same.
-pub const PROTOCOL_VERSION: u32 = 6;
+pub const PROTOCOL_VERSION: u32 = 7;
 
 /// First message, from the side that connects.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -24,6 +24,9 @@
             may_queue: false,
             repeat: false,
             suspicion: home::Suspicion::None,
+            returned: false,
+            report_straggler: false,
+            account: None,
         },
         key: None,
         req: Arc::new(Request {
