Model plays loads from files under policies: halls, accounts, pipelined callers, tails, returning callers

What was there: recorded loads of one site, played by tests alone. New: site and load files, a demand that moves by hall, accounts, answers of a connection in order, calls at once and in turn, runs with a tail, callers that wait a third of their time at most, recognition of returning callers by the product's crate, and a program that compares policies.

--- /dev/null
+++ b/components/model/src/library.rs
@@ -0,0 +1,106 @@
+//! The loads that come with the model, and those of other files.
+
+use crate::load::Load;
+use crate::read_site::SiteFile;
+use crate::scenario::{Head, Scenario};
+use errors::Problems;
+use std::path::Path;
+
+/// The files in `loads/`, by name.
+macro_rules! files {
+    ($($name:literal),* $(,)?) => {
+        &[$(($name, include_str!(concat!("../loads/", $name)))),*]
+    };
+}
+
+const LOADS: &[(&str, &str)] = files![
+    "wave-1.3.ini",
+    "wave-1.6.ini",
+    "wave-2.5.ini",
+    "half-gone.ini",
+    "all-slow.ini",
+    "five-upstreams.ini",
+    "account-times-ten.ini",
+];
+const SITES: &[(&str, &str)] = files!["site-k.ini", "site-s.ini"];
+/// Ending of load files.
+const ENDING: &str = ".ini";
+
+/// A load that can't be played.
+#[derive(Debug, thiserror::Error)]
+pub enum LoadError {
+    /// Neither a load of the model nor a file.
+    #[error("load {0:?}: must be one of {known}, or a file that ends in {ENDING}", known = names().join(", "))]
+    Unknown(String),
+    /// The file can't be read.
+    #[error("{0}: {1}")]
+    Unreadable(String, std::io::Error),
+    /// There are mistakes in it.
+    #[error("{0}")]
+    Mistaken(#[from] Problems),
+}
+
+/// Names of the loads that come with the model.
+pub fn names() -> Vec<&'static str> {
+    let names = LOADS.iter().map(|(name, _)| *name);
+    names.map(|name| name.trim_end_matches(ENDING)).collect()
+}
+
+impl Scenario {
+    /// Opens a load of the model by its name, or a file.
+    pub fn open(load: &str) -> Result<Scenario, LoadError> {
+        if !load.ends_with(ENDING) {
+            let file = format!("{load}{ENDING}");
+            let text = find(LOADS, &file).ok_or_else(|| LoadError::Unknown(load.to_string()))?;
+            return Ok(Scenario::parse(&file, text, known_site)?);
+        }
+        let text = std::fs::read_to_string(load);
+        let text = text.map_err(|error| LoadError::Unreadable(load.to_string(), error))?;
+        let dir = Path::new(load).parent().unwrap_or(Path::new(""));
+        let beside = |name: &str| match std::fs::read_to_string(dir.join(name)) {
+            Ok(text) => Ok(text),
+            Err(error) => known_site(name).map_err(|_| error.to_string()),
+        };
+        Ok(Scenario::parse(load, &text, beside)?)
+    }
+
+    /// Reads a load that came from `file`. `beside` gives the text of the files that it names.
+    pub fn parse(
+        file: &str,
+        text: &str,
+        beside: impl Fn(&str) -> Result<String, String>,
+    ) -> Result<Scenario, Problems> {
+        let head = Head::read(file, text)?;
+        let site_name = head.site.clone();
+        let site_text = match beside(&site_name) {
+            Ok(text) => text,
+            Err(cause) => return Err(head.no_file("site", &site_name, &cause)),
+        };
+        let site = SiteFile::read(&site_name, &site_text)?;
+        let recorded = match head.recorded.clone() {
+            None => None,
+            Some(name) => match beside(&name) {
+                Ok(text) => Some(Load::parse_for(&site.site, &name, &text)?),
+                Err(cause) => return Err(head.no_file("recorded", &name, &cause)),
+            },
+        };
+        let name = Path::new(file).file_stem().unwrap_or_default();
+        head.finish(&name.to_string_lossy(), site, recorded)
+    }
+}
+
+fn known_site(name: &str) -> Result<String, String> {
+    let known: Vec<&str> = SITES.iter().map(|(name, _)| *name).collect();
+    let text = find(SITES, name).map(str::to_string);
+    text.ok_or_else(|| {
+        format!(
+            "must be one of {}, or a file beside the load",
+            known.join(", ")
+        )
+    })
+}
+
+fn find(files: &[(&str, &'static str)], name: &str) -> Option<&'static str> {
+    let found = files.iter().find(|(other, _)| *other == name);
+    found.map(|(_, text)| *text)
+}
--- a/components/model/src/message.rs
+++ b/components/model/src/message.rs
@@ -2,7 +2,7 @@
 
 use entry::Event;
 use home::{Load, Offer};
-use names::AttemptId;
+use names::{AttemptId, Moment};
 
 /// Number of a request in the world, calls of upstreams included.
 pub(crate) type RequestId = usize;
@@ -21,6 +21,13 @@
     },
     /// To the node beside an upstream: nobody waits any more.
     Cancel(AttemptId),
+    /// To the node that made an offer: the run takes much longer than usual.
+    Straggles {
+        /// The request.
+        req: RequestId,
+        /// The attempt.
+        id: AttemptId,
+    },
     /// To the node that made an offer: what became of it, and the state of the upstream.
     Ended {
         /// The node beside the upstream.
@@ -51,6 +58,8 @@
     Looked { vm: usize },
     /// An upstream that fell over is back.
     Back { vm: usize },
+    /// An upstream is gone until a moment.
+    Gone { vm: usize, until: Moment },
     /// A node lets the time of its home duty pass.
     Tick { vm: usize },
 }
--- /dev/null
+++ b/components/model/src/reading.rs
@@ -0,0 +1,149 @@
+//! Numbers, times and names of one section of a file.
+
+use names::{Moment, Name, MILLISECOND, SECOND};
+use sections::Reader;
+use std::ops::RangeInclusive;
+
+/// One section. What is wrong in it is noted at the reader, and a value that is allowed stands in.
+pub(crate) struct Section<'a> {
+    reader: &'a mut Reader,
+    name: String,
+}
+
+impl<'a> Section<'a> {
+    pub(crate) fn new(reader: &'a mut Reader, name: &str) -> Section<'a> {
+        Section {
+            reader,
+            name: name.to_string(),
+        }
+    }
+
+    /// A text that must be there.
+    pub(crate) fn text(&mut self, key: &str, allowed: &str) -> Option<String> {
+        self.reader.required(&self.name, key, allowed)
+    }
+
+    /// A number that must be there.
+    pub(crate) fn number(&mut self, key: &str, range: RangeInclusive<f64>) -> f64 {
+        let allowed = between(&range);
+        let value = self.text(key, &allowed);
+        value.map_or(*range.start(), |value| self.parse(key, &value, range))
+    }
+
+    /// A number, or what it is when it isn't given.
+    pub(crate) fn number_or(&mut self, key: &str, range: RangeInclusive<f64>, default: f64) -> f64 {
+        match self.reader.text(&self.name, key) {
+            Some(value) => self.parse(key, &value, range),
+            None => default,
+        }
+    }
+
+    /// A whole number that must be there.
+    pub(crate) fn whole(&mut self, key: &str, range: RangeInclusive<u32>) -> u32 {
+        let (least, most) = (*range.start(), *range.end());
+        let allowed = format!("a whole number from {least} to {most}");
+        match self.text(key, &allowed) {
+            Some(_) => self.whole_or(key, range, least),
+            None => least,
+        }
+    }
+
+    /// A whole number, or what it is when it isn't given.
+    pub(crate) fn whole_or(&mut self, key: &str, range: RangeInclusive<u32>, default: u32) -> u32 {
+        let range = u64::from(*range.start())..=u64::from(*range.end());
+        self.reader
+            .number_or(&self.name, key, range, default.into()) as u32
+    }
+
+    /// Whole numbers with spaces between them.
+    pub(crate) fn wholes(&mut self, key: &str, count: usize) -> Vec<usize> {
+        let allowed = format!("{count} whole numbers from 0 to 999, one for each hall");
+        let Some(value) = self.text(key, &allowed) else {
+            return vec![0; count];
+        };
+        let numbers: Option<Vec<usize>> = value
+            .split_whitespace()
+            .map(|number| number.parse().ok().filter(|number| *number <= 999))
+            .collect();
+        match numbers.filter(|numbers| numbers.len() == count) {
+            Some(numbers) => numbers,
+            None => {
+                self.problem(key, &value, &format!("must be {allowed}"));
+                vec![0; count]
+            }
+        }
+    }
+
+    /// One of two texts; whether it is the first.
+    pub(crate) fn either(&mut self, key: &str, first: &str, second: &str, default: bool) -> bool {
+        match self.reader.text(&self.name, key) {
+            None => default,
+            Some(value) if value == first => true,
+            Some(value) if value == second => false,
+            Some(value) => {
+                self.problem(key, &value, &format!("must be {first} or {second}"));
+                default
+            }
+        }
+    }
+
+    /// A time in milliseconds, in microseconds.
+    pub(crate) fn ms(&mut self, key: &str) -> u64 {
+        (self.number(key, 0.0..=60_000.0) * MILLISECOND as f64) as u64
+    }
+
+    /// The same, or what it is when it isn't given.
+    pub(crate) fn ms_or(&mut self, key: &str, default_ms: f64) -> u64 {
+        (self.number_or(key, 0.0..=60_000.0, default_ms) * MILLISECOND as f64) as u64
+    }
+
+    /// A time in seconds, in microseconds.
+    pub(crate) fn seconds(&mut self, key: &str) -> u64 {
+        (self.number(key, 0.0..=600.0) * SECOND as f64) as u64
+    }
+
+    /// Beginning and end of something that has `from_s` and `for_s`.
+    pub(crate) fn span(&mut self) -> (Moment, Moment) {
+        let from = Moment(self.seconds("from_s"));
+        (from, from + self.seconds("for_s"))
+    }
+
+    /// The index of a name among others, if the key is there and right.
+    pub(crate) fn index(&mut self, key: &str, among: &[Name]) -> Option<usize> {
+        let value = self.reader.text(&self.name, key)?;
+        let found = among.iter().position(|name| name.as_str() == value);
+        if found.is_none() {
+            let known: Vec<&str> = among.iter().map(Name::as_str).collect();
+            let allowed = match known.as_slice() {
+                [] => "there is none".to_string(),
+                [first, .., last] if known.len() > 9 => format!("must be {first} to {last}"),
+                _ => format!("must be one of {}", known.join(", ")),
+            };
+            self.problem(key, &value, &allowed);
+        }
+        found
+    }
+
+    /// Whether a key is there.
+    pub(crate) fn has(&mut self, key: &str) -> bool {
+        self.reader.text(&self.name, key).is_some()
+    }
+
+    /// Notes what is wrong with a key.
+    pub(crate) fn problem(&mut self, key: &str, value: &str, allowed: &str) {
+        self.reader.problem(&self.name, key, value, allowed);
+    }
+
+    fn parse(&mut self, key: &str, value: &str, range: RangeInclusive<f64>) -> f64 {
+        let number = value.parse().ok();
+        if let Some(number) = number.filter(|number| range.contains(number)) {
+            return number;
+        }
+        self.problem(key, value, &format!("must be {}", between(&range)));
+        *range.start()
+    }
+}
+
+fn between(range: &RangeInclusive<f64>) -> String {
+    format!("a number from {} to {}", range.start(), range.end())
+}
--- /dev/null
+++ b/components/model/src/scenario.rs
@@ -0,0 +1,190 @@
+//! Load files: a site, and what is asked of it over time.
+
+use crate::demand::{Demand, HallWave, Surge, SurgeKind};
+use crate::load::Load;
+use crate::policy::Policy;
+use crate::read_site::SiteFile;
+use crate::reading::Section;
+use crate::site::{Site, Trouble, TroubleKind};
+use crate::tally::Tally;
+use crate::world::World;
+use errors::Problems;
+use names::{Moment, Name};
+use sections::Reader;
+use std::ops::Range;
+
+/// Sections of a load file.
+const KNOWN: [&str; 5] = ["load", "demand", "shares", "surge", "trouble"];
+/// Callers come for so many seconds at most.
+const MOST_S: f64 = 120.0;
+
+/// A load: a site, its demand, and what happens to its upstreams.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    /// The load's name.
+    pub name: String,
+    /// The site.
+    pub site: Site,
+    /// The demand.
+    pub demand: Demand,
+    /// The callers of a recording, who come in place of those drawn from the demand.
+    pub recorded: Option<Load>,
+    /// What happens to upstreams.
+    pub troubles: Vec<Trouble>,
+    /// Callers that are counted.
+    pub counted: Range<Moment>,
+}
+
+/// What a load file says apart from its site.
+pub(crate) struct Head {
+    reader: Reader,
+    /// Name of the site's file.
+    pub(crate) site: String,
+    /// Name of the file with recorded callers.
+    pub(crate) recorded: Option<String>,
+}
+
+impl Head {
+    /// Reads which site the load is for.
+    pub(crate) fn read(file: &str, text: &str) -> Result<Head, Problems> {
+        let mut reader = Reader::new(file, text)?;
+        let site = reader.required("load", "site", "the name of a site's file");
+        let recorded = reader.text("load", "recorded");
+        match site {
+            Some(site) => Ok(Head {
+                reader,
+                site,
+                recorded,
+            }),
+            None => Err(reader
+                .finish(&KNOWN)
+                .expect_err("a missing key is a problem")),
+        }
+    }
+
+    /// Notes that a file that the load names can't be had.
+    pub(crate) fn no_file(mut self, key: &str, name: &str, cause: &str) -> Problems {
+        self.reader.problem("load", key, name, cause);
+        match self.reader.finish(&KNOWN) {
+            Ok(()) => Problems::default(),
+            Err(Problems(all)) => Problems(all.into_iter().filter(|one| one.key == key).collect()),
+        }
+    }
+
+    /// Reads the rest.
+    pub(crate) fn finish(
+        mut self,
+        name: &str,
+        file: SiteFile,
+        recorded: Option<Load>,
+    ) -> Result<Scenario, Problems> {
+        let reader = &mut self.reader;
+        let mut load = Section::new(reader, "load");
+        let from = Moment(load.seconds("warm_s"));
+        let until = from + load.seconds("for_s");
+        if until.0 as f64 > MOST_S * 1e6 {
+            load.problem("for_s", "", &format!("must end within {MOST_S} s"));
+        }
+        let mut demand = Section::new(reader, "demand");
+        let base = match recorded {
+            Some(_) => 0.0,
+            None => demand.number("base", 0.0..=10.0),
+        };
+        let wave = HallWave {
+            height: demand.number_or("wave", 0.0..=0.9, 0.0),
+            period_us: (demand.number_or("wave_period_s", 0.1..=600.0, 15.0) * 1e6) as u64,
+            lag_us: (demand.number_or("wave_lag_s", 0.0..=600.0, 0.0) * 1e6) as u64,
+        };
+        let shares = shares(reader, &file);
+        let surges = surges(reader, &file.site);
+        let troubles = troubles(reader);
+        self.reader.finish(&KNOWN)?;
+        let demand = Demand {
+            base,
+            wave,
+            shares,
+            surges,
+            until,
+            deadline_spread: file.deadline_spread,
+            contents: file.contents,
+            connections: file.connections,
+        };
+        Ok(Scenario {
+            name: name.to_string(),
+            site: file.site,
+            demand,
+            recorded,
+            troubles,
+            counted: from..until,
+        })
+    }
+}
+
+impl Scenario {
+    /// Plays the load once under a policy. One seed gives the same callers under all policies.
+    pub fn play(&self, policy: Policy, seed: u64) -> Tally {
+        let load = match &self.recorded {
+            Some(recorded) => recorded.clone(),
+            None => self.demand.draw(&self.site, seed),
+        };
+        let world = World::new(self.site.clone(), seed);
+        let world = world.with_policy(policy).with_troubles(&self.troubles);
+        world.play_tallied(&load, self.counted.clone())
+    }
+}
+
+/// The site's shares, where the load names no others. Classes that are not named get none then.
+fn shares(reader: &mut Reader, file: &SiteFile) -> Vec<f64> {
+    let has_own = reader.sections().iter().any(|section| section == "shares");
+    if !has_own {
+        return file.shares.clone();
+    }
+    let mut section = Section::new(reader, "shares");
+    let classes = file.site.classes.iter();
+    let shares: Vec<f64> = classes
+        .map(|class| section.number_or(class.name.as_str(), 0.0..=1_000.0, 0.0))
+        .collect();
+    if shares.iter().sum::<f64>() <= 0.0 {
+        section.problem("", "", "one class must have a share above 0");
+    }
+    shares
+}
+
+fn surges(reader: &mut Reader, site: &Site) -> Vec<Surge> {
+    let classes: Vec<Name> = site.classes.iter().map(|one| one.name.clone()).collect();
+    let accounts: Vec<Name> = site.accounts.iter().map(|one| one.name.clone()).collect();
+    let mut surges = Vec::new();
+    for (section, _) in reader.named("surge") {
+        let mut section = Section::new(reader, &section);
+        let (from, until) = section.span();
+        let times = section.number("times", 0.0..=100.0);
+        let kind = if section.has("class") {
+            let class = section.index("class", &classes).unwrap_or(0);
+            SurgeKind::Class(class, times)
+        } else if section.has("account") {
+            match section.index("account", &accounts) {
+                Some(account) => SurgeKind::Account(account, times),
+                None => continue,
+            }
+        } else {
+            SurgeKind::Capacity(times)
+        };
+        surges.push(Surge { from, until, kind });
+    }
+    surges
+}
+
+fn troubles(reader: &mut Reader) -> Vec<Trouble> {
+    let mut troubles = Vec::new();
+    for (section, _) in reader.named("trouble") {
+        let mut section = Section::new(reader, &section);
+        let (from, until) = section.span();
+        let kind = if section.has("slow_factor") {
+            TroubleKind::Slow(section.number("slow_factor", 1.0..=100.0))
+        } else {
+            TroubleKind::Gone(section.number("gone_share", 0.0..=1.0))
+        };
+        troubles.push(Trouble { from, until, kind });
+    }
+    troubles
+}
--- a/components/model/src/site.rs
+++ b/components/model/src/site.rs
@@ -11,6 +11,9 @@
     pub slots: u32,
     /// What an upstream of it bears while it is cold; none: as much as at other times.
     pub cold: Option<ColdBound>,
+    /// Requests at work at once up to which an upstream of it keeps its pace; beyond, all that begins takes longer in
+    /// proportion. None: as many as it has slots.
+    pub bears: Option<u32>,
 }
 
 /// What an upstream bears while it is cold.
@@ -29,12 +32,23 @@
 pub struct Calls {
     /// Index of their class.
     pub class: usize,
-    /// How many, all at once.
+    /// How many.
     pub times: u32,
+    /// Whether each waits for the answer of the one before; otherwise all are made at once.
+    pub in_turn: bool,
     /// Share of the requests for which they are made.
     pub share: f64,
 }
 
+/// Runs that take much longer than usual. A second run of the same request takes the usual time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tail {
+    /// Share of the runs.
+    pub share: f64,
+    /// How much longer their own work takes.
+    pub factor: f64,
+}
+
 /// A kind of request.
 #[derive(Debug, Clone)]
 pub struct Class {
@@ -58,6 +72,8 @@
     pub work_us: f64,
     /// Deviation of the work in terms of its mean.
     pub spread: f64,
+    /// Runs that take much longer.
+    pub tail: Option<Tail>,
     /// Calls made for it.
     pub calls: Option<Calls>,
     /// Worth of an answer within the objective, and later.
@@ -105,6 +121,60 @@
     pub usable: f64,
     /// Time that a message takes within a hall and between two, in microseconds.
     pub way_us: (u64, u64),
+    /// How its callers behave.
+    pub callers: Callers,
+    /// Client accounts, by the index that arrivals have.
+    pub accounts: Vec<Account>,
+}
+
+/// What callers do that are told to come back.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Callers {
+    /// Tries of one caller.
+    pub tries: u32,
+    /// Whether a caller waits for a third of its remaining time when it is told a longer one; otherwise it gives up then.
+    pub waits_a_third: bool,
+    /// Time that a message takes between a caller and its node, in microseconds.
+    pub way_us: u64,
+}
+
+impl Default for Callers {
+    fn default() -> Callers {
+        Callers {
+            tries: 2,
+            waits_a_third: false,
+            way_us: 0,
+        }
+    }
+}
+
+/// A client account.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Account {
+    /// Its name.
+    pub name: Name,
+    /// Its usual share of the requests, in any unit.
+    pub weight: f64,
+}
+
+/// Something that happens to upstreams while a load is played.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Trouble {
+    /// When it begins.
+    pub from: Moment,
+    /// When it ends.
+    pub until: Moment,
+    /// What it is.
+    pub kind: TroubleKind,
+}
+
+/// What happens to upstreams.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum TroubleKind {
+    /// This share of the upstreams of each service and hall is gone. Their nodes go on.
+    Gone(f64),
+    /// Work that begins then takes so many times as long at all upstreams.
+    Slow(f64),
 }
 
 /// Before the index in the name of a VM.
--- a/components/model/src/upstream.rs
+++ b/components/model/src/upstream.rs
@@ -1,7 +1,7 @@
 //! An upstream: slots, work, and a pace that changes.
 
 use crate::message::RequestId;
-use crate::site::{Class, Pace};
+use crate::site::{Class, Pace, Trouble, TroubleKind};
 use names::{AttemptId, Moment, SECOND};
 use rand::rngs::SmallRng;
 use rand::Rng;
@@ -18,8 +18,12 @@
     pub(crate) deadline: Moment,
     /// Calls that have not been answered.
     pub(crate) waits_for: u32,
+    /// Calls that are made when the one before has been answered.
+    pub(crate) in_turn: u32,
     /// Calls made for it.
     pub(crate) calls: Vec<RequestId>,
+    /// When it took its slot.
+    pub(crate) started: Moment,
 }
 
 /// One upstream.
@@ -47,7 +51,7 @@
     }
 
     /// How long work takes that begins now, in hundredths of the usual.
-    pub(crate) fn percent(&mut self, now: Moment, pace: &Pace) -> u32 {
+    pub(crate) fn percent(&mut self, now: Moment, pace: &Pace, troubles: &[Trouble]) -> u32 {
         let phase = now.0 / pace.phase_us;
         if phase != self.phase {
             self.phase = phase;
@@ -56,12 +60,12 @@
         let slow = if self.is_slow { pace.slow_factor } else { 1.0 };
         let is_cold = now.since(self.up_at) < pace.cold_us;
         let cold = if is_cold { pace.cold_factor } else { 1.0 };
-        (USUAL_PERCENT * slow * cold) as u32
+        (USUAL_PERCENT * slow * cold * slowness(now, troubles)) as u32
     }
 
-    /// How long the own work on a request takes that begins now, in microseconds.
-    pub(crate) fn work_us(&mut self, now: Moment, class: &Class, pace: &Pace) -> u64 {
-        let percent = f64::from(self.percent(now, pace));
+    /// How long the own work on a request takes that begins now at the pace `percent`, in microseconds.
+    pub(crate) fn work_us(&mut self, class: &Class, percent: u32) -> u64 {
+        let percent = f64::from(percent);
         let variance = (1.0 + class.spread * class.spread).ln();
         let mean = class.work_us.ln() - variance / 2.0;
         let drawn = match LogNormal::new(mean, variance.sqrt()) {
@@ -90,7 +94,15 @@
     pub(crate) fn fall(&mut self, up_at: Moment) -> Vec<AttemptId> {
         self.up_at = up_at;
         self.starts.clear();
-        self.runs.keys().copied().collect()
+        // In one order: what a map gives differs from run to run, and so did reports of one seed.
+        let mut lost: Vec<AttemptId> = self.runs.keys().copied().collect();
+        lost.sort_unstable();
+        lost
+    }
+
+    /// Whether a run takes much longer than usual.
+    pub(crate) fn is_long(&mut self, share: f64) -> bool {
+        self.rng.random_bool(share)
     }
 
     /// Whether calls are made for a request.
@@ -98,3 +110,12 @@
         self.rng.random_bool(share)
     }
 }
+
+/// How much longer work takes because of what happens to all upstreams.
+fn slowness(now: Moment, troubles: &[Trouble]) -> f64 {
+    let factors = troubles.iter().map(|trouble| match trouble.kind {
+        TroubleKind::Slow(factor) if (trouble.from..trouble.until).contains(&now) => factor,
+        TroubleKind::Slow(_) | TroubleKind::Gone(_) => 1.0,
+    });
+    factors.product()
+}
--- a/components/model/src/world.rs
+++ b/components/model/src/world.rs
@@ -1,19 +1,26 @@
 //! The event loop, and the carrying out of what the duties decide.
 
+mod caller_side;
 mod entry_side;
 mod home_side;
+mod refusals;
+mod trouble;
 
 use crate::caller::{Caller, Told};
+use crate::connection::Connection;
 use crate::load::Load;
 use crate::message::{Happening, Message, RequestId};
+use crate::policy::Policy;
 use crate::report::Report;
-use crate::site::Site;
+use crate::site::{Site, Trouble};
+use crate::tally::Tally;
 use crate::upstream::Upstream;
 use entry::{Call, Entry, RetryRate, Rule};
 use home::{Bears, Config, Home};
 use names::{AttemptId, BootId, Moment, MILLISECOND};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use returning::Returning;
 use std::collections::{BTreeMap, HashMap};
 use std::ops::Range;
 
@@ -40,19 +47,44 @@
     class: usize,
     vm: usize,
     asker: Asker,
+    /// Since when its objective runs.
     began: Moment,
     deadline: Moment,
+    /// The try of a caller that it is.
+    tried: Option<Try>,
+    /// The caller for which it is made, if need be through others.
+    root: usize,
+    /// Runs of it that are at work.
+    running: u32,
+    /// Whether a run of it has taken much longer than usual.
+    was_long: bool,
     /// Level of the call: 0 for a caller's request.
     level: u32,
     priority: u8,
     call: Call<bool>,
 }
 
+/// What a caller asks for, as the node tells requests apart: class and content.
+type Content = (usize, u64);
+
+/// One try of a caller, as its node sees it.
+#[derive(Debug, Clone, Copy)]
+struct Try {
+    request: Content,
+    /// When the caller first tried.
+    first: Moment,
+    /// Whether this is a later try.
+    is_return: bool,
+    /// When the caller gives up.
+    deadline: Moment,
+}
+
 /// An attempt that a home duty has taken in.
 #[derive(Debug, Clone, Copy)]
 struct Job {
     req: RequestId,
     from: usize,
+    arrived: Moment,
     deadline: Moment,
     priority: u8,
     level: u32,
@@ -64,24 +96,39 @@
     home: Home<bool>,
     jobs: HashMap<AttemptId, Job>,
     upstream: Upstream,
+    /// Callers that this node refused.
+    returning: Returning<Content>,
 }
 
 /// Nodes, upstreams and callers on one clock.
 pub struct World {
     site: Site,
+    policy: Policy,
+    troubles: Vec<Trouble>,
     now: Moment,
     seq: u64,
     queue: BTreeMap<(Moment, u64), Happening>,
     nodes: Vec<Node>,
     callers: Vec<Caller>,
     requests: Vec<Request>,
+    connections: HashMap<usize, Connection<RequestId, Told>>,
     runs: usize,
     wasted: usize,
     offers: usize,
     falls: Vec<Moment>,
+    refused_beside_free: RefusedBesideFree,
     rng: SmallRng,
 }
 
+/// Refusals as busy at an upstream with a free slot at which a run of usual length would have ended before the deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RefusedBesideFree {
+    /// When the offer came.
+    pub offered: usize,
+    /// After it had waited in the queue.
+    pub queued: usize,
+}
+
 impl World {
     /// A site on which nothing has happened yet.
     pub fn new(site: Site, seed: u64) -> World {
@@ -91,20 +138,42 @@
             .collect();
         World {
             site,
+            policy: Policy::default(),
+            troubles: Vec::new(),
             now: Moment(0),
             seq: 0,
             queue: BTreeMap::new(),
             nodes,
             callers: Vec::new(),
             requests: Vec::new(),
+            connections: HashMap::new(),
             runs: 0,
             wasted: 0,
             offers: 0,
             falls: Vec::new(),
+            refused_beside_free: RefusedBesideFree::default(),
             rng,
         }
     }
 
+    /// The same site under another policy than the default.
+    pub fn with_policy(mut self, policy: Policy) -> World {
+        self.policy = policy;
+        self
+    }
+
+    /// The same site, at which something happens to upstreams.
+    pub fn with_troubles(mut self, troubles: &[Trouble]) -> World {
+        self.troubles = troubles.to_vec();
+        self
+    }
+
+    /// Plays a load to its end, and tells what became of the callers that came within `window`.
+    pub fn play_tallied(mut self, load: &Load, window: Range<Moment>) -> Tally {
+        self.run(load);
+        Tally::of(&self.site, &self.callers, window, self.refused_beside_free)
+    }
+
     /// Plays a load to its end, and tells what became of the requests that came within `window`.
     pub fn play(mut self, load: &Load, window: Range<Moment>) -> Report {
         self.run(load);
@@ -124,15 +193,21 @@
         for arrival in &load.arrivals {
             let caller = self.callers.len();
             self.callers.push(Caller::new(*arrival));
-            self.at(arrival.at, Happening::Arrives { caller });
+            let way_us = self.site.callers.way_us;
+            self.at(arrival.at + way_us, Happening::Arrives { caller });
         }
+        self.plan_troubles();
         for vm in 0..self.nodes.len() {
             let up_at = self.site.vms[vm].up_at;
             self.at(up_at + vm as u64 % TICK_US, Happening::Tick { vm });
         }
         let last = load.arrivals.last().map_or(Moment(0), |last| last.at);
         let longest = self.site.classes.iter().map(|class| class.deadline_us);
-        let end = last + longest.max().unwrap_or(0);
+        let own = load
+            .arrivals
+            .iter()
+            .filter_map(|arrival| arrival.deadline_us);
+        let end = last + longest.chain(own).max().unwrap_or(0);
         while let Some(((at, _), happening)) = self.queue.pop_first() {
             if at > end {
                 break;
@@ -160,6 +235,7 @@
             Happening::RanOut { vm, id } => self.ran_out(vm, id),
             Happening::Looked { vm } => self.looked(vm),
             Happening::Back { vm } => self.back(vm),
+            Happening::Gone { vm, until } => self.gone(vm, until),
             Happening::Tick { vm } => self.tick(vm),
         }
     }
@@ -168,6 +244,7 @@
         match message {
             Message::Offer { from, req, offer } => self.offered(to, from, req, &offer),
             Message::Cancel(id) => self.cancelled(to, id),
+            Message::Straggles { req, id } => self.step(req, entry::Event::Straggles(id)),
             Message::Ended {
                 from,
                 req,
@@ -197,22 +274,6 @@
         };
         self.at(self.now + way_us, Happening::Delivered { to, message });
     }
-
-    fn arrives(&mut self, caller: usize) {
-        let arrival = self.callers[caller].arrival;
-        let class = &self.site.classes[arrival.class];
-        self.callers[caller].tries();
-        let deadline = self.callers[caller].deadline(class);
-        let deadline = deadline.min(self.now + class.timeout_us);
-        self.begin(arrival.class, arrival.vm, Asker::Caller(caller), deadline);
-    }
-
-    fn caller_told(&mut self, caller: usize, told: Told) {
-        let class = &self.site.classes[self.callers[caller].arrival.class];
-        if let Some(at) = self.callers[caller].told(self.now, class, told) {
-            self.at(at, Happening::Arrives { caller });
-        }
-    }
 }
 
 fn node(site: &Site, vm: usize, rng: &mut SmallRng) -> Node {
@@ -242,6 +303,7 @@
         entry,
         home,
         jobs: HashMap::new(),
+        returning: Returning::default(),
         upstream: Upstream::new(spec.up_at, SmallRng::seed_from_u64(rng.random())),
     }
 }
--- a/components/model/src/world/entry_side.rs
+++ b/components/model/src/world/entry_side.rs
@@ -1,6 +1,6 @@
 //! Requests at their entry nodes.
 
-use super::{Asker, Request, World};
+use super::{Asker, Request, Try, World};
 use crate::caller::Told;
 use crate::message::{Happening, Message, RequestId};
 use crate::site::{vm_name, vm_of};
@@ -19,12 +19,20 @@
 
 impl World {
     /// A request begins at a node.
-    pub(super) fn begin(&mut self, class: usize, vm: usize, asker: Asker, deadline: Moment) {
-        let (level, priority) = match asker {
-            Asker::Caller(_) => (0, self.site.classes[class].priority),
+    pub(super) fn begin(
+        &mut self,
+        class: usize,
+        vm: usize,
+        asker: Asker,
+        deadline: Moment,
+        tried: Option<Try>,
+    ) {
+        let (level, priority, root) = match asker {
+            Asker::Caller(caller) => (0, self.site.classes[class].priority, caller),
             Asker::Run { vm, id } => {
                 let parent = self.nodes[vm].jobs[&id];
-                (parent.level + 1, parent.priority + INNER_PRIORITY)
+                let root = self.requests[parent.req].root;
+                (parent.level + 1, parent.priority + INNER_PRIORITY, root)
             }
         };
         let spec = &self.site.classes[class];
@@ -47,8 +55,12 @@
             class,
             vm,
             asker,
-            began: self.now,
+            began: tried.map_or(self.now, |tried| tried.first),
             deadline,
+            tried,
+            root,
+            running: 0,
+            was_long: false,
             level,
             priority,
             call,
@@ -125,6 +137,7 @@
     ) {
         self.offers += 1;
         let request = &self.requests[req];
+        self.callers[request.root].cost.offers += 1;
         let class = &self.site.classes[request.class];
         let spent_us = self.now.since(request.began);
         let objective_us = (request.level == 0).then_some(class.objective_us);
@@ -139,17 +152,29 @@
             may_queue,
             repeat,
             suspicion: Suspicion::None,
-            returned: false,
-            report_straggler: false,
-            account: None,
+            returned: request.tried.is_some_and(|tried| tried.is_return),
+            report_straggler: self.policy.hedges() && class.repeatable && request.level == 0,
+            account: self.account_of(request),
         };
         let from = request.vm;
         self.send(from, vm_of(to), Message::Offer { from, req, offer });
     }
 
+    /// The account among which slots are shared, where the policy asks for that.
+    fn account_of(&self, request: &Request) -> Option<Name> {
+        if !self.policy.admission.fair_accounts {
+            return None;
+        }
+        let account = self.callers[request.root].arrival.account?;
+        Some(self.site.accounts[account].name.clone())
+    }
+
     fn finished(&mut self, req: RequestId, outcome: &Outcome<bool>) {
+        if matches!(outcome, Outcome::NotRun(_)) {
+            self.note(req);
+        }
         match self.requests[req].asker {
-            Asker::Caller(caller) => self.caller_told(caller, Told::of(outcome)),
+            Asker::Caller(caller) => self.caller_answered(req, caller, Told::of(outcome)),
             Asker::Run { vm, id } => {
                 let is_good = matches!(outcome, Outcome::Answered(true));
                 self.call_ended(vm, id, is_good);
--- a/components/model/src/world/home_side.rs
+++ b/components/model/src/world/home_side.rs
@@ -8,7 +8,7 @@
 use names::{AttemptId, MILLISECOND};
 
 /// Time that a look at an upstream's pace takes.
-const LOOK_US: u64 = MILLISECOND;
+pub(super) const LOOK_US: u64 = MILLISECOND;
 
 impl World {
     /// An offer reaches the node beside an upstream.
@@ -16,6 +16,7 @@
         let job = Job {
             req,
             from,
+            arrived: self.now,
             deadline: self.now + offer.remaining_us,
             priority: offer.priority,
             level: offer.level,
@@ -47,9 +48,10 @@
 
     pub(super) fn looked(&mut self, vm: usize) {
         let node = &mut self.nodes[vm];
+        let pace = &self.site.pace;
         let looked = Looked::Told {
-            percent: Some(node.upstream.percent(self.now, &self.site.pace)),
-            cold_us: Some(node.upstream.cold_us(self.now, &self.site.pace)),
+            percent: Some(node.upstream.percent(self.now, pace, &self.troubles)),
+            cold_us: Some(node.upstream.cold_us(self.now, pace)),
         };
         let actions = node.home.looked(self.now, looked);
         self.perform(vm, actions);
@@ -69,15 +71,17 @@
             self.end(vm, id, Verdict::Good);
             return;
         };
+        let at_once = if calls.in_turn { 1 } else { calls.times };
         if let Some(run) = upstream.runs.get_mut(&id) {
-            run.waits_for = calls.times;
+            run.waits_for = at_once;
+            run.in_turn = calls.times - at_once;
         }
-        for _ in 0..calls.times {
+        for _ in 0..at_once {
             if !self.nodes[vm].jobs.contains_key(&id) {
                 // The one before was refused at once, and its request failed by that.
                 return;
             }
-            self.begin(calls.class, vm, Asker::Run { vm, id }, deadline);
+            self.begin(calls.class, vm, Asker::Run { vm, id }, deadline, None);
         }
     }
 
@@ -90,6 +94,15 @@
             self.end(vm, id, Verdict::Error);
             return;
         }
+        if run.in_turn > 0 {
+            run.in_turn -= 1;
+            let deadline = run.deadline;
+            let class = self.requests[run.req].class;
+            if let Some(calls) = self.site.classes[class].calls {
+                self.begin(calls.class, vm, Asker::Run { vm, id }, deadline, None);
+            }
+            return;
+        }
         run.waits_for -= 1;
         if run.waits_for == 0 {
             self.end(vm, id, Verdict::Good);
@@ -103,7 +116,7 @@
     }
 
     /// An attempt ends; the calls made for it end with it.
-    fn end(&mut self, vm: usize, id: AttemptId, verdict: Verdict) {
+    pub(super) fn end(&mut self, vm: usize, id: AttemptId, verdict: Verdict) {
         let node = &mut self.nodes[vm];
         let Some(run) = node.upstream.runs.remove(&id) else {
             return;
@@ -111,7 +124,13 @@
         if verdict != Verdict::Good {
             self.wasted += 1;
         }
-        let percent = node.upstream.percent(self.now, &self.site.pace);
+        let request = &mut self.requests[run.req];
+        request.running -= 1;
+        let cost = &mut self.callers[request.root].cost;
+        cost.slot_us += self.now.since(run.started);
+        let percent = node
+            .upstream
+            .percent(self.now, &self.site.pace, &self.troubles);
         node.home.told_slowness(self.now, percent);
         let is_good = verdict == Verdict::Good;
         let answer = (verdict != Verdict::Cancelled).then_some(is_good);
@@ -131,29 +150,55 @@
         self.perform(vm, actions);
     }
 
-    fn perform(&mut self, vm: usize, actions: Vec<Action>) {
+    pub(super) fn perform(&mut self, vm: usize, actions: Vec<Action>) {
+        self.check_refusals(vm, &actions);
         for action in actions {
             match action {
                 Action::Start(id) => self.start(vm, id),
                 Action::Look => self.at(self.now + LOOK_US, Happening::Looked { vm }),
                 Action::Refuse(id, refusal) => self.tell_end(vm, id, Event::Refused(id, refusal)),
                 Action::Revoke(id) => self.tell_end(vm, id, Event::Revoked(id)),
-                Action::Straggles(_) => {}
+                Action::Straggles(id) => self.tell_straggler(vm, id),
             }
         }
     }
 
+    fn tell_straggler(&mut self, vm: usize, id: AttemptId) {
+        if let Some(Job { req, from, .. }) = self.nodes[vm].jobs.get(&id).copied() {
+            self.send(vm, from, Message::Straggles { req, id });
+        }
+    }
+
     fn start(&mut self, vm: usize, id: AttemptId) {
         self.runs += 1;
         let node = &mut self.nodes[vm];
         let Job { req, deadline, .. } = node.jobs[&id];
-        let class = &self.site.classes[self.requests[req].class];
-        let work_us = node.upstream.work_us(self.now, class, &self.site.pace);
+        let request = &mut self.requests[req];
+        let class = &self.site.classes[request.class];
+        let service = &self.site.services[class.service];
+        let upstream = &mut node.upstream;
+        let percent = upstream.percent(self.now, &self.site.pace, &self.troubles);
+        let mut work_us = upstream.work_us(class, percent);
+        let at_work = upstream.runs.len() as u64 + 1;
+        let bears = u64::from(service.bears.unwrap_or(service.slots));
+        work_us = work_us * at_work.max(bears) / bears;
+        if let Some(tail) = class.tail.filter(|_| !request.was_long) {
+            if upstream.is_long(tail.share) {
+                request.was_long = true;
+                work_us = (work_us as f64 * tail.factor) as u64;
+            }
+        }
+        let cost = &mut self.callers[request.root].cost;
+        cost.starts += 1;
+        cost.second_starts += usize::from(request.running > 0);
+        request.running += 1;
         let run = Run {
             req,
             deadline,
             waits_for: 0,
+            in_turn: 0,
             calls: Vec::new(),
+            started: self.now,
         };
         node.upstream.runs.insert(id, run);
         if self.falls_over(vm) {
--- a/components/model/tests/cold/site.rs
+++ b/components/model/tests/cold/site.rs
@@ -1,6 +1,6 @@
 //! Three halls whose upstreams have all just started: one service has few, and bears little while they are cold.
 
-use model::{Arrival, Calls, Class, ColdBound, Load, Pace, Service, Site, Vm};
+use model::{Arrival, Callers, Calls, Class, ColdBound, Load, Pace, Service, Site, Vm};
 use names::{Moment, Name, MILLISECOND, SECOND};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -29,6 +29,7 @@
                     falls_at: 38,
                     down_us: SECOND,
                 }),
+                bears: None,
             })
             .collect(),
         classes: classes(),
@@ -42,6 +43,8 @@
         },
         usable: 0.8,
         way_us: (MILLISECOND, 2 * MILLISECOND),
+        callers: Callers::default(),
+        accounts: Vec::new(),
     }
 }
 
@@ -77,7 +80,7 @@
                 at: within.start + rng.random_range(0..within.end.since(within.start)),
                 vm: near[rng.random_range(0..near.len())],
                 class,
-                left_us: None,
+                ..Arrival::default()
             });
         }
     }
@@ -139,9 +142,11 @@
         timeout_us: deadline_ms * MILLISECOND,
         work_us: (work_ms * MILLISECOND) as f64,
         spread: 0.3,
+        tail: None,
         calls: calls.map(|(class, times)| Calls {
             class,
             times,
+            in_turn: false,
             share: 0.7,
         }),
         worth: (worth, worth / 10.0),
--- a/components/model/tests/replay/site.rs
+++ b/components/model/tests/replay/site.rs
@@ -1,6 +1,6 @@
 //! A site of 295 VMs in five halls, whose callers' requests were recorded on its nodes.
 
-use model::{Calls, Class, Pace, Service, Site, Vm};
+use model::{Callers, Calls, Class, Pace, Service, Site, Vm};
 use names::{Moment, Name, MILLISECOND, SECOND};
 
 const SLOTS: u32 = 9;
@@ -15,6 +15,7 @@
                 name: Name::from(*name),
                 slots: SLOTS,
                 cold: None,
+                bears: None,
             })
             .collect(),
         classes: classes(),
@@ -32,6 +33,8 @@
         },
         usable: 0.8,
         way_us: (MILLISECOND, 2 * MILLISECOND),
+        callers: Callers::default(),
+        accounts: Vec::new(),
     }
 }
 
@@ -106,9 +109,11 @@
         timeout_us: timeout_ms * MILLISECOND,
         work_us: (work_ms * MILLISECOND) as f64,
         spread: 0.3,
+        tail: None,
         calls: calls.map(|class| Calls {
             class,
             times: 2,
+            in_turn: false,
             share: 0.7,
         }),
         worth: (worth, worth / 10.0),
