--- a/components/model/src/read_site.rs
+++ b/components/model/src/read_site.rs
@@ -42,7 +42,7 @@
             let mut section = Section::new(&mut reader, section);
             classes.push(class(&mut section, name, &names, &class_names));
             shares.push(section.number_or("share", 0.0..=1_000.0, 0.0));
-            connections.push(section.whole_or("connections", 0..=99, 0) as usize);
+            connections.push(pipelines(&mut section));
         }
         let mut callers = Section::new(&mut reader, "callers");
         let habits = Callers {
@@ -82,6 +82,16 @@
     }
 }
 
+/// Connections at a node on which requests of a class are pipelined. Nodes run those alone that may not be repeated.
+fn pipelines(section: &mut Section<'_>) -> usize {
+    let connections = section.whole_or("connections", 0..=99, 0);
+    if connections > 0 && !section.either("repeatable", "true", "false", false) {
+        let value = connections.to_string();
+        section.problem("connections", &value, "must be 0 where repeatable is false");
+    }
+    connections as usize
+}
+
 fn name_of(name: &str) -> Name {
     Name::from(name)
 }
--- a/components/model/src/reading.rs
+++ b/components/model/src/reading.rs
@@ -102,6 +102,11 @@
         (self.number(key, 0.0..=600.0) * SECOND as f64) as u64
     }
 
+    /// The same, or what it is when it isn't given.
+    pub(crate) fn seconds_or(&mut self, key: &str, default_s: f64) -> u64 {
+        (self.number_or(key, 0.0..=600.0, default_s) * SECOND as f64) as u64
+    }
+
     /// Beginning and end of something that has `from_s` and `for_s`.
     pub(crate) fn span(&mut self) -> (Moment, Moment) {
         let from = Moment(self.seconds("from_s"));
--- /dev/null
+++ b/components/model/tests/policies.rs
@@ -0,0 +1,117 @@
+//! What holds today on the loads of the model, for each policy that is a setting.
+
+use model::{names, Comparison, Played, Policy, Row, Scenario, Tally};
+use std::sync::LazyLock;
+
+const POLICIES: [&str; 2] = ["baseline", "from-first-try"];
+/// Refusals beside a free slot in a thousand refusals, at most.
+const MOST_BESIDE_FREE: f64 = 20.0;
+
+/// Every load under both policies, on one seed.
+static PLAYED: LazyLock<Vec<Comparison>> = LazyLock::new(|| {
+    let play = |name| {
+        let scenario = Scenario::open(name).expect("a load");
+        let policies = POLICIES.map(|name| Policy::named(name).expect("a policy"));
+        Comparison::of(&scenario, &policies, 1)
+    };
+    names().into_iter().map(play).collect()
+});
+
+fn rows(comparison: &Comparison) -> [Row; 2] {
+    let all = |played: &Played| played.tallies[0].all();
+    [all(&comparison.played[0]), all(&comparison.played[1])]
+}
+
+fn tallies() -> impl Iterator<Item = (String, &'static Tally)> {
+    PLAYED.iter().flat_map(|comparison| {
+        comparison.played.iter().map(|played| {
+            let name = format!("{}, {}", comparison.load, played.policy);
+            (name, &played.tallies[0])
+        })
+    })
+}
+
+/// Guards against a source of chance beside the seed, such as the order of a map: differences between policies would be
+/// noise.
+#[test]
+fn one_seed_gives_one_table() {
+    for load in ["five-upstreams", "half-gone"] {
+        let scenario = Scenario::open(load).expect("a load");
+        let policy = [Policy::named("from-first-try").expect("a policy")];
+        let table = || Comparison::of(&scenario, &policy, 1).to_string();
+        assert_eq!(table(), table());
+    }
+}
+
+/// Guards against second tries that take slots from requests that could be in time while a service is short of them.
+#[test]
+fn counting_from_the_first_try_answers_more_in_time_and_fewer_late() {
+    for comparison in PLAYED.iter() {
+        let [baseline, from_first_try] = rows(comparison);
+        let load = &comparison.load;
+        assert!(from_first_try.in_time > baseline.in_time, "{load}");
+        assert!(from_first_try.late < baseline.late, "{load}");
+        assert!(from_first_try.value() > baseline.value(), "{load}");
+    }
+}
+
+/// Guards against callers that are lost or counted twice in a table.
+#[test]
+fn every_caller_ends_once() {
+    for (name, tally) in tallies() {
+        for row in tally.classes.iter().chain(&tally.accounts) {
+            let ended = row.in_time + row.late + row.refused + row.failed;
+            assert_eq!(row.asked, ended, "{name}, {}", row.name);
+        }
+        let accounts: f64 = tally.accounts.iter().map(|row| row.asked).sum();
+        assert!(accounts == 0.0 || accounts == tally.all().asked, "{name}");
+    }
+}
+
+/// Guards against second starts of requests while an earlier start is at work, where no policy makes any.
+#[test]
+fn nothing_is_started_beside_itself() {
+    for (name, tally) in tallies() {
+        assert_eq!(tally.second_starts, 0, "{name}");
+    }
+}
+
+/// Guards against offers that are refused on arrival while a slot is free in which a run of usual length would end
+/// before the deadline.
+#[test]
+fn no_offer_is_refused_on_arrival_beside_a_slot_that_it_may_use() {
+    for (name, tally) in tallies() {
+        assert_eq!(tally.refused_beside_free.offered, 0, "{name}");
+    }
+}
+
+/// The same for attempts that waited in the queue.
+#[test]
+fn no_queued_attempt_is_refused_beside_a_slot_that_it_may_use() {
+    for (name, tally) in tallies() {
+        assert_eq!(tally.refused_beside_free.queued, 0, "{name}");
+    }
+}
+
+/// Guards against more of such refusals than there are today, while the two tests above fail.
+#[test]
+fn refusals_beside_a_free_slot_are_few() {
+    for (name, tally) in tallies() {
+        let beside = tally.refused_beside_free;
+        let row = tally.all();
+        let refused = row.refused + row.refused_again;
+        let beside = (beside.offered + beside.queued) as f64 * 1_000.0 / refused.max(1.0);
+        assert!(beside <= MOST_BESIDE_FREE, "{name}: {beside:.1} in 1000");
+    }
+}
+
+/// Guards against pictures without a bar for each policy.
+#[test]
+fn a_picture_has_a_bar_for_each_policy() {
+    let svg = PLAYED[0].svg();
+    assert!(svg.starts_with("<svg") && svg.trim_end().ends_with("</svg>"));
+    assert_eq!(svg.matches("<rect").count(), POLICIES.len());
+    for policy in POLICIES {
+        assert!(svg.contains(policy));
+    }
+}
