Returning callers: equal requests of several callers are told apart, and time spent behind others on a connection counts

Found in review. One entry a fingerprint was overwritten by the next caller of a popular request; a request that waits behind others on its connection had its deadline and its objective counted from when it was served, so that its next try was not recognised and upstreams were given more time than its caller had; pipelining went unseen where the request behind may not be repeated; a deadline beyond a minute no longer fills the table. Lines of offers say whether the caller was refused before and what is left of the objective.

--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -128,6 +128,8 @@
             to = %to,
             may_queue = offer.may_queue,
             repeat = offer.repeat,
+            returned = offer.returned,
+            objective_left_ms = offer.objective_us.map(|us| us / 1_000),
             outstanding = view.outstanding,
             load_age_ms = age_us / 1_000,
             in_flight = load.in_flight,
--- a/components/daemon/src/callers/reading.rs
+++ b/components/daemon/src/callers/reading.rs
@@ -174,7 +174,9 @@
         let parent_of = |id: &str| node.parent_of(id);
         let names = &node.cfg.headers;
         let connection = &mut self.connection;
-        request::read(names, parent_of, connection, self.caller, head, limits).await
+        let received = node.now();
+        let caller = self.caller;
+        request::read(names, parent_of, connection, caller, head, limits, received).await
     }
 
     /// Has a request served. One that may not be repeated starts once all before it are answered, since it would be
@@ -187,6 +189,7 @@
         open: OpenCall,
     ) -> Result<(), Ended> {
         let is_alone = !may_run_beside(self.node.in_force(), &call);
+        self.note_pipelining();
         if is_alone {
             self.until(Row::is_empty).await?;
         }
@@ -228,10 +231,14 @@
         Ok(())
     }
 
-    fn put(&self, place: Place) -> Result<(), Ended> {
+    /// A request that was read behind an unanswered one shows that callers of this node pipeline.
+    fn note_pipelining(&self) {
         if !self.row.is_empty() {
             self.node.activation.pipelined(self.node.now());
         }
+    }
+
+    fn put(&self, place: Place) -> Result<(), Ended> {
         self.row.join();
         // As many places as a row has, and one refusal behind them; else the writer has ended.
         self.places.try_send(place).map_err(|_| Ended::Gone)
--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -5,7 +5,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use http1::{request_framing, single, Connection, Fault, Header, RequestHead};
-use names::Name;
+use names::{Moment, Name};
 use settings::Headers;
 use std::net::IpAddr;
 use std::time::Duration;
@@ -74,6 +74,8 @@
     pub headers: Vec<Header>,
     /// The whole body.
     pub body: Vec<u8>,
+    /// When its head was read.
+    pub received: Moment,
     /// Remaining time that the caller gives, in milliseconds.
     pub deadline_ms: Option<u64>,
     /// How many services the call has passed.
@@ -130,6 +132,7 @@
     caller: IpAddr,
     mut head: RequestHead,
     limits: Limits,
+    received: Moment,
 ) -> Result<CallerRequest, BadRequest> {
     let account_key = take_account_key(names, &mut head.headers)?;
     let body = read_body(connection, &head, limits).await?;
@@ -165,6 +168,7 @@
         headers.push(("Host".to_string(), host.to_string()));
     }
     Ok(CallerRequest {
+        received,
         host: without_port(host).to_lowercase(),
         path: target.split(['?', '#']).next().unwrap_or("/").to_string(),
         target: target.to_string(),
--- a/components/daemon/src/callers/returned.rs
+++ b/components/daemon/src/callers/returned.rs
@@ -7,6 +7,10 @@
 use quarantine::Fingerprint;
 use wire::RelayOutcome;
 
+/// Longest time for which a refused request is remembered, in milliseconds, whatever its caller says: a caller with a
+/// long deadline must not fill the table.
+const MOST_DEADLINE_MS: u64 = 60_000;
+
 /// One try of a caller, where the objective runs from the first.
 #[derive(Debug, Clone, Copy)]
 pub struct Try {
@@ -19,13 +23,14 @@
     deadline: Moment,
 }
 
-/// Looks whether the caller of a request that came at `now` was refused before; none where that isn't asked for, or the
+/// Looks whether the caller of a request was refused before; none where that isn't asked for, or the
 /// caller names no deadline by which it could be recognised.
-pub fn recognise(node: &Node, call: &CallerRequest, now: Moment) -> Option<Try> {
+pub fn recognise(node: &Node, call: &CallerRequest) -> Option<Try> {
+    let now = node.now();
     if call.parent.is_some() || !is_on(node, now) {
         return None;
     }
-    let deadline = now + call.deadline_ms? * MILLISECOND;
+    let deadline = now + call.deadline_ms?.min(MOST_DEADLINE_MS) * MILLISECOND;
     let is_host = |name: &str| name.eq_ignore_ascii_case("host");
     let host = call.headers.iter().find(|(name, _)| is_host(name));
     let host = host.map_or("", |(_, value)| value.as_str());
@@ -36,7 +41,7 @@
     }
     Some(Try {
         request,
-        first: first.unwrap_or(now),
+        first: first.unwrap_or(call.received),
         is_return: first.is_some(),
         deadline,
     })
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -86,15 +86,14 @@
     if node.closing.get() {
         return closing(&call);
     }
-    let began = node.now();
     let Some(in_force) = in_force_soon(node).await else {
         return blank(&call);
     };
-    let waited_ms = node.now().since(began) / MILLISECOND;
+    let waited_ms = node.now().since(call.received) / MILLISECOND;
     call.deadline_ms = call.deadline_ms.map(|ms| ms.saturating_sub(waited_ms));
     let fixed = in_force.declarations.fixed_route(&call.host, &call.path);
     if let Some(route) = fixed.cloned() {
-        let tried = returned::recognise(node, &call, node.now());
+        let tried = returned::recognise(node, &call);
         let outcome = by_route(node, &in_force, &route, call, tried, hung_up).await;
         returned::note(node, tried, &outcome);
         return outcome;
--- a/components/returning/src/lib.rs
+++ b/components/returning/src/lib.rs
@@ -24,10 +24,20 @@
     deadline: Moment,
 }
 
+impl Refused {
+    /// Whether it was of the caller that gives up at `deadline`.
+    fn is_of(&self, deadline: Moment) -> bool {
+        deadline.0.abs_diff(self.deadline.0) <= DEADLINE_TOLERANCE_US
+    }
+}
+
 /// Requests that this node has refused and whose callers may come back. `K` identifies a request by its content.
 #[derive(Debug)]
 pub struct Returning<K> {
-    refused: HashMap<K, Refused>,
+    /// Several callers may have sent equal requests.
+    refused: HashMap<K, Vec<Refused>>,
+    /// Refused requests in all.
+    remembered: usize,
     /// When the earliest deadline passes, at which entries are dropped next.
     next_expiry: Moment,
 }
@@ -36,6 +46,7 @@
     fn default() -> Returning<K> {
         Returning {
             refused: HashMap::new(),
+            remembered: 0,
             next_expiry: Moment(u64::MAX),
         }
     }
@@ -45,35 +56,43 @@
     /// When the caller of this request first tried, if it was refused before. `deadline` is when the caller gives up.
     pub fn first_try(&self, now: Moment, request: &K, deadline: Moment) -> Option<Moment> {
         let refused = self.refused.get(request)?;
-        let is_alive = now < refused.deadline;
-        let is_same = deadline.0.abs_diff(refused.deadline.0) <= DEADLINE_TOLERANCE_US;
-        (is_alive && is_same).then_some(refused.first_try)
+        let mut alive = refused.iter().filter(|refused| now < refused.deadline);
+        let same = alive.find(|refused| refused.is_of(deadline));
+        same.map(|refused| refused.first_try)
     }
 
     /// Takes in that a request was refused whose caller first tried at `first_try` and gives up at `deadline`. Beyond
     /// [`MOST_REMEMBERED`] it is not remembered: its next try counts as a first one.
     pub fn refused(&mut self, now: Moment, request: K, first_try: Moment, deadline: Moment) {
         self.expire(now);
-        let is_known = self.refused.contains_key(&request);
-        if deadline <= now || self.refused.len() >= MOST_REMEMBERED && !is_known {
+        if deadline <= now {
+            return;
+        }
+        let known = self.refused.get_mut(&request);
+        let same = known.and_then(|known| known.iter_mut().find(|known| known.is_of(deadline)));
+        if let Some(same) = same {
+            same.first_try = first_try;
+            return;
+        }
+        if self.remembered >= MOST_REMEMBERED {
             return;
         }
+        self.remembered += 1;
         self.next_expiry = self.next_expiry.min(deadline);
-        let refused = Refused {
+        self.refused.entry(request).or_default().push(Refused {
             first_try,
             deadline,
-        };
-        self.refused.insert(request, refused);
+        });
     }
 
-    /// Number of requests that are remembered.
+    /// Number of refused requests that are remembered.
     pub fn len(&self) -> usize {
-        self.refused.len()
+        self.remembered
     }
 
     /// Whether none is remembered.
     pub fn is_empty(&self) -> bool {
-        self.refused.is_empty()
+        self.remembered == 0
     }
 
     /// Drops requests whose callers have given up.
@@ -81,8 +100,15 @@
         if now < self.next_expiry {
             return;
         }
-        self.refused.retain(|_, refused| now < refused.deadline);
-        let deadlines = self.refused.values().map(|refused| refused.deadline);
-        self.next_expiry = deadlines.min().unwrap_or(Moment(u64::MAX));
+        self.refused.retain(|_, refused| {
+            refused.retain(|refused| now < refused.deadline);
+            !refused.is_empty()
+        });
+        let all = || self.refused.values().flatten();
+        self.next_expiry = all()
+            .map(|refused| refused.deadline)
+            .min()
+            .unwrap_or(Moment(u64::MAX));
+        self.remembered = all().count();
     }
 }
--- a/components/returning/tests/returning.rs
+++ b/components/returning/tests/returning.rs
@@ -3,8 +3,7 @@
 use names::{Moment, MILLISECOND};
 use proptest::prelude::*;
 use returning::{Returning, DEADLINE_TOLERANCE_US, MOST_REMEMBERED};
-
-const OBJECTIVE_MS: u64 = 300;
+use std::collections::BTreeMap;
 
 fn at(ms: u64) -> Moment {
     Moment(ms * MILLISECOND)
@@ -35,6 +34,17 @@
     assert_eq!(other, None);
 }
 
+#[test]
+fn callers_that_were_refused_the_same_request_are_told_apart() {
+    // Guards against an entry that is overwritten by the next caller of a popular request.
+    let mut returning = Returning::default();
+    returning.refused(at(1_010), "GET /lobbies/7", at(1_000), at(1_800));
+    returning.refused(at(1_020), "GET /lobbies/7", at(1_010), at(2_000));
+    let first = |deadline_ms| returning.first_try(at(1_200), &"GET /lobbies/7", at(deadline_ms));
+    assert_eq!(first(1_800), Some(at(1_000)));
+    assert_eq!(first(2_000), Some(at(1_010)));
+}
+
 #[test]
 fn a_third_try_still_counts_from_the_first() {
     let mut returning = Returning::default();
@@ -76,33 +86,28 @@
 }
 
 /// Load pattern: a service is short of capacity for two seconds and refuses two in three of 300 requests a second, whose
-/// callers come back a quarter of a second later. All of these must be recognised, and none of the first tries.
+/// callers come back 100 to 300 ms after their first try. All of these must be recognised, and none of the first tries.
 #[test]
 fn in_a_shortage_every_second_try_is_recognised_and_no_first_one() {
     let mut returning = Returning::default();
-    let mut come_back: Vec<(u64, u64, u64, u64)> = Vec::new();
-    let (mut recognised, mut overdue) = (0, 0);
+    let mut come_back: BTreeMap<(u64, u64), (u64, u64)> = BTreeMap::new();
+    let mut recognised = 0;
     for n in 0..600u64 {
         let now = 1_000 + n * 10 / 3;
-        while let Some((_, id, first, deadline)) = come_back
-            .iter()
-            .position(|next| next.0 <= now)
-            .map(|i| come_back.remove(i))
-        {
+        while let Some(next) = come_back.first_entry().filter(|next| next.key().0 <= now) {
+            let ((_, id), (first, deadline)) = next.remove_entry();
             let known = returning.first_try(at(now), &id, at(deadline));
             assert_eq!(known, Some(at(first)), "request {id}");
             recognised += 1;
-            overdue += u64::from(now > first + OBJECTIVE_MS - 100);
         }
         let deadline = now + 680 + n * 37 % 120;
         assert_eq!(returning.first_try(at(now), &n, at(deadline)), None);
         if n % 3 != 0 {
             returning.refused(at(now + 20), n, at(now), at(deadline));
-            come_back.push((now + 270, n, now, deadline));
+            come_back.insert((now + 100 + n * 53 % 200, n), (now, deadline));
         }
     }
     assert!(recognised > 300, "{recognised}");
-    assert_eq!(overdue, recognised, "none of these can be in time any more");
 }
 
 proptest! {
