Home duty reports straggling runs; a call makes a second attempt beside its first

The home duty learns the 90th percentile of run times for each class (median over blocks of 20 runs, so that neither stragglers nor a burst of 22 slow answers raise it) and reports each watched run once, on ticks and by a timer that lives as long as the run. The entry duty starts the request once more in its hall under the conditions of docs/design/shortage.md; the first good answer wins and the other attempt is cancelled.

--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -21,8 +21,8 @@
     stored_for, unreachable,
 };
 pub use requests::{
-    barred, call_ended, caller_changed, cold, home, look_failed, no_route, offered, over_limit,
-    routed, Routed,
+    barred, call_ended, caller_changed, cold, hedged, home, look_failed, no_route, offered,
+    over_limit, routed, Routed,
 };
 pub use store::{
     copy_is_older, declarations_read, halls_evacuated, listed, platform_called, store_came_back,
--- a/components/audit/src/limit.rs
+++ b/components/audit/src/limit.rs
@@ -20,9 +20,10 @@
     Contained,
     CallerName,
     NotBelieved,
+    Hedged,
 }
 
-const KINDS: usize = 9;
+const KINDS: usize = 10;
 
 thread_local! {
     static LIMITERS: RefCell<([Limiter; KINDS], Option<Clock>)> =
--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -2,7 +2,7 @@
 
 use crate::limit::{allowed, Kind};
 use declarations::Route;
-use entry::View;
+use entry::{Hedge, View};
 use home::{Load, Offer, Reason, Refusal};
 use names::{AttemptId, Name};
 use registry::Named;
@@ -142,6 +142,29 @@
     }
 }
 
+/// A second attempt beside a straggling one was made or not, or one of the two brought the answer. `to` is where it
+/// went, or would have gone.
+pub fn hedged(id: &str, hedge: &Hedge) {
+    if allowed(Kind::Hedged) {
+        let second = hedge.second.map(|second| second.to_string());
+        let ms = |us: Option<u64>| us.map(|us| us / 1_000);
+        tracing::info!(
+            id,
+            decision = hedge.decision.as_str(),
+            reason = hedge.decision.reason(),
+            first = %hedge.first,
+            second = second.as_deref().unwrap_or("-"),
+            to = hedge.to.as_ref().map_or("-", Name::as_str),
+            since_offer_ms = hedge.since_offer_us / 1_000,
+            left_ms = hedge.left_us / 1_000,
+            expected_ms = ms(hedge.expected_us),
+            load_age_ms = ms(hedge.load_age_us),
+            since_busy_ms = ms(hedge.since_busy_us),
+            "second attempt"
+        );
+    }
+}
+
 /// The node beside an upstream decided about an attempt.
 /// `pace_age_us` is how old the upstream's word on its pace was; none when it never said.
 pub fn home(
--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -1,6 +1,7 @@
 //! Counters for the operators. Every name the node exports stands here.
 
 use crate::purpose::Purpose;
+use entry::HedgeDecision;
 use metrics::{counter, gauge, histogram};
 use names::{Name, SECOND};
 
@@ -30,6 +31,12 @@
     counter!("drumwheel_repeats_offered_total").increment(1);
 }
 
+/// A second attempt was made, or not and why, or one of two attempts brought the answer.
+pub fn hedged(decision: HedgeDecision) {
+    let (decision, reason) = (decision.as_str(), decision.reason());
+    counter!("drumwheel_hedges_total", "decision" => decision, "reason" => reason).increment(1);
+}
+
 /// A frame or event came too late to matter.
 pub fn late(kind: &'static str) {
     counter!("drumwheel_late_total", "kind" => kind).increment(1);
--- a/components/daemon/src/activation.rs
+++ b/components/daemon/src/activation.rs
@@ -1,5 +1,6 @@
 //! Whether functions whose mode is `auto` are on at this node.
 
+use crate::node::Node;
 use names::{Moment, SECOND};
 use settings::Mode;
 use std::cell::Cell;
@@ -34,3 +35,10 @@
         seen.is_some_and(|at| now.since(at) < PIPELINED_KEPT_US)
     }
 }
+
+/// Whether a function of this mode is on at a node now.
+pub fn is_on(node: &Node, now: Moment, mode: Mode) -> bool {
+    let in_force = node.in_force();
+    let has_accounts = in_force.is_some_and(|in_force| !in_force.declarations.accounts.is_empty());
+    node.activation.is_on(now, mode, has_accounts)
+}
--- a/components/daemon/src/callers/returned.rs
+++ b/components/daemon/src/callers/returned.rs
@@ -1,6 +1,7 @@
 //! Recognises callers that were refused and try again.
 
 use super::request::CallerRequest;
+use crate::activation;
 use crate::node::Node;
 use audit::stats;
 use names::{Moment, MILLISECOND};
@@ -54,8 +55,5 @@
 }
 
 fn is_on(node: &Node, now: Moment) -> bool {
-    let in_force = node.in_force();
-    let has_accounts = in_force.is_some_and(|in_force| !in_force.declarations.accounts.is_empty());
-    let mode = node.cfg.admission.from_first_try;
-    node.activation.is_on(now, mode, has_accounts)
+    activation::is_on(node, now, node.cfg.admission.from_first_try)
 }
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -1,5 +1,6 @@
 //! Carries out the decisions of the entry duty.
 
+use crate::activation;
 use crate::callers::Try;
 use crate::containment;
 use crate::home_driver;
@@ -7,7 +8,7 @@
 use crate::node::{Node, Waiter, Whole};
 use async_channel::{Receiver, Sender};
 use audit::stats::{self, Stage};
-use entry::{Action, Call, Candidate, Event, Outcome, Price, Treatment};
+use entry::{Action, Call, Candidate, Event, Origin, Outcome, Price, Treatment};
 use futures_util::future::{select, Either};
 use home::{Load, Offer, Suspicion};
 use keys::KeyHash;
@@ -150,6 +151,10 @@
             let mut entry = self.node.entry.borrow_mut();
             self.call.step(now, event, &mut entry)
         };
+        if let Some(hedge) = self.call.take_hedge() {
+            stats::hedged(hedge.decision);
+            audit::hedged(&self.req.id, &hedge);
+        }
         let mut outcome = None;
         for action in actions {
             match action {
@@ -190,7 +195,7 @@
             repeat,
             suspicion,
             returned: self.is_return,
-            report_straggler: false,
+            report_straggler: self.reports_straggler(),
             account: None,
         };
         let local = to == node.cfg.vm;
@@ -217,6 +222,16 @@
         }
     }
 
+    /// Whether the node beside the upstream is asked to tell when the run takes much longer than usual. Calls made by
+    /// upstreams are not hedged: the request that they are made for is.
+    fn reports_straggler(&self) -> bool {
+        let is_of_client = self.treatment.origin == Origin::Client;
+        let node = self.node;
+        is_of_client
+            && self.call.may_hedge()
+            && activation::is_on(node, node.now(), node.cfg.hedging.mode)
+    }
+
     /// What is left of the time within which an answer has its full worth.
     fn objective_us(&self) -> Option<u64> {
         let spent = self.node.now().since(self.began);
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -8,6 +8,7 @@
 use crate::look;
 use crate::node::{Job, Node, Whole};
 use crate::registration;
+use crate::straggling;
 use async_std::task;
 use audit::stats::{self, Stage};
 use budget::Act;
@@ -345,7 +346,8 @@
     }
 }
 
-fn with_home(node: &Rc<Node>, decide: impl FnOnce(&mut Home<Whole>) -> Vec<Action>) {
+/// Carries out what the home duty decides, if there is one.
+pub fn with_home(node: &Rc<Node>, decide: impl FnOnce(&mut Home<Whole>) -> Vec<Action>) {
     let actions = match node.home.borrow_mut().as_mut() {
         Some(home) => decide(home),
         None => Vec::new(),
@@ -443,7 +445,12 @@
     local::spawn(async move {
         let work = pin!(exchange::run(&node, id, &job));
         let cancelled = pin!(rx.recv());
-        match select(work, cancelled).await {
+        let watched = pin!(straggling::watch(&node, id));
+        let ended = match select(select(work, cancelled), watched).await {
+            Either::Left((ended, _)) => ended,
+            Either::Right(((), ended)) => ended.await,
+        };
+        match ended {
             Either::Left(((verdict, answer), _)) => finish(&node, id, verdict, answer),
             Either::Right(_) => finish(&node, id, Verdict::Cancelled, None),
         }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod reload;
 mod stop;
 mod store;
+mod straggling;
 mod watching;
 
 use async_std::net::TcpListener;
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -1,13 +1,16 @@
 //! The life of one request at its entry node.
 
+mod hedge;
 mod offers;
 mod repeats;
 
 use crate::choice::{Candidate, Rule};
 use crate::event::{Action, Event, Origin, Outcome, Treatment};
+use crate::hedging::Hedge;
 use crate::price::Price;
 use crate::shared::Entry;
 use crate::suspect::Suspect;
+use hedge::Second;
 use home::{AskReply, Reason, Refusal, Suspicion};
 use names::{AttemptId, Moment, Name};
 
@@ -56,6 +59,11 @@
     /// Where it may run, once an upstream has ended while it ran the request.
     suspect: Option<Suspect>,
     suspicion: Suspicion,
+    /// When the current attempt was offered.
+    offered_at: Moment,
+    second: Second,
+    /// What the last step decided of a second attempt.
+    hedge: Option<Hedge>,
 }
 
 impl<A: Clone> Call<A> {
@@ -88,6 +96,9 @@
             price: Price::default(),
             suspect: None,
             suspicion: Suspicion::None,
+            offered_at: Moment(0),
+            second: Second::None,
+            hedge: None,
         }
     }
 
@@ -135,6 +146,9 @@
             self.late += 1;
             return Vec::new();
         }
+        if self.second.is_beside() {
+            return self.step_both(now, event, entry);
+        }
         match event {
             Event::Begin => self.begin(now, entry),
             Event::Expired => self.expired(entry),
@@ -148,7 +162,7 @@
             Event::Lost(id) => self.lost(now, id, entry),
             Event::Told(id, reply) => self.told(now, id, reply, entry),
             Event::Silent(id) => self.silent(now, id, entry),
-            Event::Straggles(_) => Vec::new(),
+            Event::Straggles(id) => self.straggles(now, id, entry),
         }
     }
 
@@ -195,6 +209,7 @@
         let id = entry.next_attempt();
         entry.offered(&to);
         self.offers += 1;
+        self.offered_at = now;
         self.state = State::Waiting { id, to: to.clone() };
         let repeat = self.arrivals > 0 || self.treatment.origin == Origin::Repeat;
         vec![Action::Offer {
@@ -218,6 +233,9 @@
         };
         self.last_refusal = Some(refusal);
         self.contacted |= refusal.reason != Reason::Uncertain;
+        if refusal.reason == Reason::Busy {
+            entry.refused_busy(now, &self.service);
+        }
         match refusal.reason {
             Reason::Deadline => return self.give_up(Reason::Deadline, entry),
             Reason::KeyUsed => return self.finish(Outcome::Unknown(Reason::KeyUsed), entry),
@@ -267,6 +285,9 @@
             return Vec::new();
         };
         self.ran();
+        if !error {
+            self.note_winner(now, id);
+        }
         if !error || !self.may_retry(entry) {
             return self.finish(Outcome::Answered(answer), entry);
         }
@@ -322,21 +343,6 @@
         self.next(now, entry)
     }
 
-    /// A suspect that found no room goes on to the next VM in its order.
-    fn was_busy(&mut self, vm: Name) {
-        if let Some(suspect) = &mut self.suspect {
-            suspect.was_busy(vm, self.suspicion);
-        }
-    }
-
-    /// Makes no further offer to a VM.
-    fn close(&mut self, vm: Name) {
-        if let Some(suspect) = &mut self.suspect {
-            suspect.close(vm.clone());
-        }
-        self.closed.push(vm);
-    }
-
     /// A request that may not be repeated is asked after; another goes to the next upstream.
     fn lost(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Vec<Action<A>> {
         let Some(to) = self.current(id) else {
@@ -418,13 +424,6 @@
             .collect()
     }
 
-    fn retry_elsewhere(&mut self, now: Moment, vm: Name, entry: &mut Entry) -> Vec<Action<A>> {
-        if self.suspect.is_some() || self.closed.len() + 1 < self.candidates.len() {
-            self.close(vm);
-        }
-        self.next(now, entry)
-    }
-
     /// The outcome when there is no further offer: never "not run" when any attempt may have run.
     fn give_up(&mut self, reason: Reason, entry: &mut Entry) -> Vec<Action<A>> {
         if let Some(answer) = self.fallback.take() {
--- a/components/entry/src/call/offers.rs
+++ b/components/entry/src/call/offers.rs
@@ -2,6 +2,7 @@
 
 use super::Call;
 use crate::choice::{Candidate, Rule};
+use crate::event::Action;
 use crate::shared::Entry;
 use names::{Moment, Name};
 
@@ -53,4 +54,36 @@
         let open = self.open(may_queue, now, entry);
         entry.choose(now, &open, self.price, may_queue)
     }
+
+    /// A suspect that found no room goes on to the next VM in its order.
+    pub(super) fn was_busy(&mut self, vm: Name) {
+        if let Some(suspect) = &mut self.suspect {
+            suspect.was_busy(vm, self.suspicion);
+        }
+    }
+
+    /// Makes no further offer to a VM.
+    pub(super) fn close(&mut self, vm: Name) {
+        if let Some(suspect) = &mut self.suspect {
+            suspect.close(vm.clone());
+        }
+        self.closed.push(vm);
+    }
+
+    /// Makes no further offer to a VM where the request failed, as long as there are others.
+    pub(super) fn leave(&mut self, vm: Name) {
+        if self.suspect.is_some() || self.closed.len() + 1 < self.candidates.len() {
+            self.close(vm);
+        }
+    }
+
+    pub(super) fn retry_elsewhere(
+        &mut self,
+        now: Moment,
+        vm: Name,
+        entry: &mut Entry,
+    ) -> Vec<Action<A>> {
+        self.leave(vm);
+        self.next(now, entry)
+    }
 }
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -101,7 +101,7 @@
         drain.max(FULLNESS_KEPT_US as f64)
     }
 
-    fn is_suspect(&self, now: Moment) -> bool {
+    pub(crate) fn is_suspect(&self, now: Moment) -> bool {
         now < self.suspect_until
     }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod call;
 mod choice;
 mod event;
+mod hedging;
 mod price;
 mod retry;
 mod shared;
@@ -16,6 +17,7 @@
 pub use call::Call;
 pub use choice::{Candidate, Rule, View};
 pub use event::{Action, Event, Origin, Outcome, Treatment};
+pub use hedging::{Hedge, HedgeDecision, HedgeRefusal};
 pub use price::Price;
 pub use retry::{RetryBudget, RetryRate};
 pub use shared::Entry;
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -22,6 +22,8 @@
     budgets: HashMap<Name, RetryBudget>,
     /// Services that the upstream beside this node calls.
     below: HashSet<Name>,
+    /// When an offer of each service was last refused as busy.
+    busy: HashMap<Name, Moment>,
     retry_rate: RetryRate,
     rng: SmallRng,
 }
@@ -36,6 +38,7 @@
             views: HashMap::new(),
             budgets: HashMap::new(),
             below: HashSet::new(),
+            busy: HashMap::new(),
             retry_rate: RetryRate::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -99,6 +102,21 @@
         self.views.get(vm).is_some_and(|view| view.is_leaving(now))
     }
 
+    /// Whether the node beside the upstream is taken as not answering.
+    pub(crate) fn is_suspect(&self, now: Moment, vm: &Name) -> bool {
+        self.views.get(vm).is_some_and(|view| view.is_suspect(now))
+    }
+
+    /// Takes in that an offer was refused because the upstream was busy.
+    pub(crate) fn refused_busy(&mut self, now: Moment, service: &Name) {
+        self.busy.insert(service.clone(), now);
+    }
+
+    /// Time since an offer of the service was refused as busy, in microseconds; none when none was.
+    pub(crate) fn since_busy_us(&self, now: Moment, service: &Name) -> Option<u64> {
+        self.busy.get(service).map(|at| now.since(*at))
+    }
+
     pub(crate) fn next_attempt(&mut self) -> AttemptId {
         let seq = self.next_seq;
         self.next_seq += 1;
--- a/components/home/src/attempt.rs
+++ b/components/home/src/attempt.rs
@@ -46,6 +46,7 @@
     class: Class,
     may_queue: bool,
     is_overdue: bool,
+    reports_straggler: bool,
     state: S,
 }
 
@@ -96,6 +97,12 @@
         self.may_queue
     }
 
+    /// Whether the entry duty is told when the run takes much longer than usual. Never so for a request that may run
+    /// only once, or under which an upstream has ended.
+    pub fn reports_straggler(&self) -> bool {
+        self.reports_straggler
+    }
+
     /// The state's own data.
     pub fn state(&self) -> &S {
         &self.state
@@ -111,6 +118,7 @@
             class: self.class,
             may_queue: self.may_queue,
             is_overdue: self.is_overdue,
+            reports_straggler: self.reports_straggler,
             state,
         }
     }
@@ -135,6 +143,9 @@
             },
             may_queue: offer.may_queue,
             is_overdue: false,
+            reports_straggler: offer.report_straggler
+                && offer.repeatable
+                && offer.suspicion.is_none(),
             state: Offered,
         }
     }
--- a/components/home/src/config.rs
+++ b/components/home/src/config.rs
@@ -103,6 +103,8 @@
     pub refused_cold: u64,
     /// Starts on a word that was fresh already.
     pub looks_saved: u64,
+    /// Runs reported because they took much longer than usual.
+    pub straggled: u64,
     /// Completions dropped because the attempt was not running.
     pub late_completions: u64,
 }
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -13,6 +13,7 @@
 use crate::pace::Pace;
 use crate::queue::Queue;
 use crate::record::{Known, Record, Records};
+use crate::stragglers::Stragglers;
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -37,6 +38,7 @@
     records: Records<A>,
     leaving: bool,
     pace: Pace,
+    stragglers: Stragglers,
     cold: Cold,
     /// When the look at the upstream began that is under way.
     looking: Option<Moment>,
@@ -61,6 +63,7 @@
             queue: Queue::default(),
             leaving: false,
             pace: Pace::default(),
+            stragglers: Stragglers::default(),
             cold: Cold::default(),
             looking: None,
             unsettled: Vec::new(),
@@ -146,6 +149,8 @@
             let percent = attempt.state().percent;
             self.pace.ran(attempt.class(), service_us, percent);
         }
+        self.stragglers
+            .ended(&attempt, service_us, verdict, &self.pace);
         self.limit
             .completed(now, attempt.class(), service_us, verdict);
         let mut actions = Vec::new();
@@ -178,9 +183,22 @@
         self.expire(now, &mut actions);
         self.hand_back_slow(now, &mut actions);
         self.fill(now, &mut actions);
+        actions.extend(self.report_stragglers(now));
         actions
     }
 
+    /// Reports the runs that take much longer than usual, each once.
+    pub fn report_stragglers(&mut self, now: Moment) -> Vec<Action> {
+        let due = self.stragglers.take_due(now);
+        self.counters.straggled += due.len() as u64;
+        due.into_iter().map(Action::Straggles).collect()
+    }
+
+    /// When the run of an attempt is to be reported as a straggler, as far as is known now; none when it is not to be.
+    pub fn straggles_at(&self, id: AttemptId) -> Option<Moment> {
+        self.stragglers.due(id)
+    }
+
     /// Stops taking new work and hands back what is queued. What runs goes on.
     pub fn leave(&mut self, now: Moment) -> Vec<Action> {
         self.leaving = true;
@@ -241,6 +259,7 @@
     fn start(&mut self, attempt: Attempt<Started>, actions: &mut Vec<Action>) {
         self.counters.started += 1;
         self.cold.started(attempt.state().at);
+        self.stragglers.started(&attempt);
         let id = attempt.id();
         actions.push(Action::Start(id));
         let before = self.running.insert(id, attempt);
@@ -389,6 +408,7 @@
         self.cfg.slots = slots.max(1);
         self.limit = Limit::new(self.cfg.slots);
         self.pace = Pace::default();
+        self.stragglers.forget_run_times();
         self.cold.replaced(earlier);
         self.down_since = None;
         let mut actions = Vec::new();
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -15,6 +15,8 @@
 mod pace;
 mod queue;
 mod record;
+mod run_times;
+mod stragglers;
 
 pub use attempt::{Attempt, Offered, Queued, Started};
 pub use cold::{Bears, Cold, Earlier, Room, COLD_WINDOW_US};
@@ -26,3 +28,5 @@
 pub use message::{AskReply, Load, Offer, Reason, Refusal, Suspicion};
 pub use pace::Pace;
 pub use record::{Known, Record, Records};
+pub use run_times::RunTimes;
+pub use stragglers::Stragglers;
--- a/components/home/src/pace.rs
+++ b/components/home/src/pace.rs
@@ -245,7 +245,8 @@
         self.usual.max(USUAL_PERCENT)
     }
 
-    fn is_slow_word(&self, percent: u32) -> bool {
+    /// Whether a word of the upstream means that it is in a slow phase.
+    pub(crate) fn is_slow_word(&self, percent: u32) -> bool {
         f64::from(percent) >= SLOW_FACTOR * f64::from(self.usual())
     }
 }
