--- a/components/entry/tests/attempts/main.rs
+++ b/components/entry/tests/attempts/main.rs
@@ -1,5 +1,6 @@
 //! Entry and home duties under lost, late, doubled and reordered messages.
 
 mod fuzz;
+mod hedges;
 mod regressions;
 mod world;
--- a/components/home/src/stragglers.rs
+++ b/components/home/src/stragglers.rs
@@ -91,8 +91,9 @@
 
     /// When the run of an attempt is to be reported; none when it is not to be, or its class is not known yet.
     ///
-    /// Not before the 90th percentile of its class, and not before the last moment at which a second run of usual length
-    /// can still end within the objective.
+    /// Not before the 90th percentile of its class, and not before the last moment at which a second run that takes as
+    /// long can still end within the objective. The delays are held against each other in the table of
+    /// `components/entry/tests/hedge_delay`.
     pub fn due(&self, id: AttemptId) -> Option<Moment> {
         self.due_of(self.watched.get(&id)?)
     }
@@ -124,13 +125,11 @@
     }
 
     fn due_of(&self, watched: &Watched) -> Option<Moment> {
-        let run_times = self.run_times.get(&watched.class)?;
-        let scaled = |us: u64| us * watched.percent / USUAL_PERCENT;
-        let beyond_usual = watched.began + scaled(run_times.p90_us()?);
-        let second_us = run_times.usual_us()? + WAY_US;
+        let p90_us = self.p90_us(watched.class)?;
+        let beyond_usual = watched.began + p90_us * watched.percent / USUAL_PERCENT;
         let latest = watched
             .objective
-            .map(|objective| Moment(objective.0.saturating_sub(second_us)));
+            .map(|objective| Moment(objective.0.saturating_sub(p90_us + WAY_US)));
         Some(latest.map_or(beyond_usual, |latest| latest.max(beyond_usual)))
     }
 }
