--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -22,7 +22,7 @@
 };
 pub use requests::{
     barred, call_ended, caller_changed, cold, hedged, home, look_failed, no_route, offered,
-    over_limit, routed, Routed,
+    over_limit, routed, straggles, Routed,
 };
 pub use store::{
     copy_is_older, declarations_read, halls_evacuated, listed, platform_called, store_came_back,
--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -142,6 +142,22 @@
     }
 }
 
+/// A run takes longer than the 90th percentile of runs like it, and its entry duty is told.
+pub fn straggles(id: &str, attempt: AttemptId, ran_us: u64, usual_us: u64, load: &Load) {
+    if allowed(Kind::Hedged) {
+        tracing::info!(
+            id,
+            attempt = %attempt,
+            ran_ms = ran_us / 1_000,
+            p90_ms = usual_us / 1_000,
+            in_flight = load.in_flight,
+            limit = load.limit,
+            slow_percent = load.slow_percent,
+            "run straggles"
+        );
+    }
+}
+
 /// A second attempt beside a straggling one was made or not, or one of the two brought the answer. `to` is where it
 /// went, or would have gone.
 pub fn hedged(id: &str, hedge: &Hedge) {
--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -31,6 +31,11 @@
     counter!("drumwheel_repeats_offered_total").increment(1);
 }
 
+/// A run was reported because it took much longer than usual.
+pub fn straggled() {
+    counter!("drumwheel_stragglers_total").increment(1);
+}
+
 /// A second attempt was made, or not and why, or one of two attempts brought the answer.
 pub fn hedged(decision: HedgeDecision) {
     let (decision, reason) = (decision.as_str(), decision.reason());
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -364,15 +364,7 @@
             start(node, id);
         }
         Action::Look => look::start(node),
-        Action::Straggles(id) => {
-            audit_home(node, id, "straggles", None);
-            let jobs = node.jobs.borrow();
-            let reply = jobs.get(&id).map(|job| job.reply.clone());
-            drop(jobs);
-            if let Some(reply) = reply {
-                reply.send(node, Frame::Straggles { id });
-            }
-        }
+        Action::Straggles(id) => straggling::tell(node, id),
         Action::Refuse(id, refusal) => {
             stats::attempt_refused(refusal.reason.as_str());
             audit_home(node, id, "refused", Some(refusal.reason));
--- a/components/daemon/src/straggling.rs
+++ b/components/daemon/src/straggling.rs
@@ -7,9 +7,11 @@
 use crate::home_driver;
 use crate::node::Node;
 use async_std::task;
+use audit::stats;
 use names::AttemptId;
 use std::rc::Rc;
 use std::time::Duration;
+use wire::Frame;
 
 /// Waits until the run of an attempt straggles and reports it; returns at once if it isn't to be reported.
 pub async fn watch(node: &Rc<Node>, id: AttemptId) {
@@ -27,3 +29,23 @@
         }
     }
 }
+
+/// Tells the entry duty of an attempt that its run straggles.
+pub fn tell(node: &Rc<Node>, id: AttemptId) {
+    let waiting = {
+        let jobs = node.jobs.borrow();
+        jobs.get(&id)
+            .map(|job| (job.reply.clone(), job.req.id.clone()))
+    };
+    let Some((reply, caller_id)) = waiting else {
+        return;
+    };
+    let now = node.now();
+    let home = node.home.borrow();
+    let run_times = home.as_ref().and_then(|home| home.run_times(now, id));
+    drop(home);
+    let (ran_us, usual_us) = run_times.unwrap_or_default();
+    audit::straggles(&caller_id, id, ran_us, usual_us, &node.load());
+    stats::straggled();
+    reply.send(node, Frame::Straggles { id });
+}
--- a/components/entry/tests/hedge_delay/main.rs
+++ b/components/entry/tests/hedge_delay/main.rs
@@ -51,7 +51,7 @@
     let mut rows = Vec::new();
     writeln!(
         table,
-        "{:<18} {:<10} {:>6} {:>7} {:>5} {:>7} {:>6} {:>5} {:>7} {:>8}  {}",
+        "{:<18} {:<10} {:>6} {:>7} {:>5} {:>7} {:>6} {:>5} {:>7} {:>8}  not made",
         "load",
         "delay",
         "asked",
@@ -62,7 +62,6 @@
         "won",
         "p97 ms",
         "slot ms",
-        "not made"
     )
     .expect("a string");
     for load in loads() {
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -199,6 +199,13 @@
         self.stragglers.due(id)
     }
 
+    /// How long the run of an attempt has taken, and the 90th percentile of runs like it, in microseconds.
+    pub fn run_times(&self, now: Moment, id: AttemptId) -> Option<(u64, u64)> {
+        let attempt = self.running.get(&id)?;
+        let usual_us = self.stragglers.usual_us(attempt)?;
+        Some((now.since(attempt.state().at), usual_us))
+    }
+
     /// Stops taking new work and hands back what is queued. What runs goes on.
     pub fn leave(&mut self, now: Moment) -> Vec<Action> {
         self.leaving = true;
--- a/components/home/src/stragglers.rs
+++ b/components/home/src/stragglers.rs
@@ -114,6 +114,13 @@
         due
     }
 
+    /// How long a run may take that is not to be reported, in microseconds: the 90th percentile of its class at the pace at
+    /// which it began; none while that is not known.
+    pub fn usual_us(&self, attempt: &Attempt<Started>) -> Option<u64> {
+        let percent = u64::from(attempt.state().percent).max(USUAL_PERCENT);
+        Some(self.p90_us(attempt.class())? * percent / USUAL_PERCENT)
+    }
+
     /// The 90th percentile of the run times of a class at the usual pace, in microseconds; none while too few are known.
     pub fn p90_us(&self, class: Class) -> Option<u64> {
         self.run_times.get(&class)?.p90_us()
