Record the decisions of home duties without accounts on drawn sequences

The digests come from the queue before accounts take turns in it, so that the change can be shown to leave deployments without accounts as they are.

--- /dev/null
+++ b/components/home/tests/decisions.rs
@@ -0,0 +1,197 @@
+//! Decisions of home duties whose offers name no account, on drawn sequences.
+//!
+//! The digests were recorded with the queue as it was before accounts took turns in it. They guard against any change of
+//! order, of refusals or of returning times where no accounts are shared among.
+
+use home::{Action, Bears, Config, Earlier, Home, Looked, Offer, Suspicion, Verdict};
+use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::fmt::Write;
+
+const STEPS: u64 = 6_000;
+const SEEDS: u64 = 6;
+
+/// A home duty under drawn events, and what it decided.
+struct Drive {
+    home: Home<u64>,
+    slots: u32,
+    rng: SmallRng,
+    now: Moment,
+    running: Vec<AttemptId>,
+    is_looking: bool,
+    next: u64,
+    digest: u64,
+    counted: [usize; 3],
+    longest_queue: u32,
+}
+
+impl Drive {
+    fn new(seed: u64, cfg: Config, bears: Bears) -> Drive {
+        let slots = cfg.slots;
+        let mut home = Home::new(BootId(1), cfg);
+        home.set_bears(bears);
+        Drive {
+            home,
+            slots,
+            rng: SmallRng::seed_from_u64(seed),
+            now: Moment(10 * SECOND),
+            running: Vec::new(),
+            is_looking: false,
+            next: 0,
+            digest: 0xcbf2_9ce4_8422_2325,
+            counted: [0; 3],
+            longest_queue: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + self.rng.random_range(0..4 * MILLISECOND);
+        let now = self.now;
+        let actions = match self.rng.random_range(0..1000) {
+            0..500 => {
+                let offer = self.draw();
+                self.home.offer(now, &offer)
+            }
+            500..800 => self.complete(),
+            800..880 => self.home.tick(now),
+            880..960 if self.is_looking => {
+                self.is_looking = false;
+                let looked = match self.rng.random_range(0..8) {
+                    0 => Looked::Nothing,
+                    1 => Looked::NoBudget,
+                    2 => Looked::percent(500),
+                    _ => Looked::percent(100),
+                };
+                self.home.looked(now, looked)
+            }
+            960..980 => {
+                let id = id(self.rng.random_range(0..=self.next));
+                if self.home.is_queued(id) && self.rng.random() {
+                    self.home.cancel(now, id);
+                }
+                Vec::new()
+            }
+            980..995 => {
+                let percent = [100, 100, 150, 400][self.rng.random_range(0..4)];
+                self.home.told_slowness(now, percent);
+                Vec::new()
+            }
+            995 => self.home.leave(now),
+            996 => self.home.replaced(now, self.slots, Earlier::Unknowing),
+            _ => {
+                self.home.stay();
+                self.home.tick(now)
+            }
+        };
+        for action in actions {
+            self.take_in(&action);
+        }
+        self.longest_queue = self.longest_queue.max(self.home.load(now).queued);
+    }
+
+    fn draw(&mut self) -> Offer {
+        let rng = &mut self.rng;
+        self.next += 1;
+        Offer {
+            id: id(self.next),
+            service: "s".into(),
+            remaining_us: rng.random_range(20..3_000) * MILLISECOND,
+            objective_us: rng
+                .random_bool(0.7)
+                .then_some(rng.random_range(0..2_000) * MILLISECOND),
+            priority: rng.random_range(0..3),
+            level: rng.random_range(0..3),
+            repeatable: rng.random(),
+            may_queue: rng.random_bool(0.8),
+            repeat: false,
+            suspicion: Suspicion::None,
+            returned: rng.random_bool(0.2),
+            report_straggler: false,
+            account: None,
+        }
+    }
+
+    fn complete(&mut self) -> Vec<Action> {
+        if self.running.is_empty() {
+            return Vec::new();
+        }
+        let at = self.rng.random_range(0..self.running.len());
+        let id = self.running.remove(at);
+        let verdict = match self.rng.random_range(0..200) {
+            0 => Verdict::NotSent,
+            1..5 => Verdict::Shed,
+            5..10 => Verdict::Error,
+            _ => Verdict::Good,
+        };
+        self.home.completed(self.now, id, verdict, None)
+    }
+
+    fn take_in(&mut self, action: &Action) {
+        match action {
+            Action::Start(id) => {
+                self.running.push(*id);
+                self.counted[0] += 1;
+            }
+            Action::Refuse(..) => self.counted[1] += 1,
+            Action::Revoke(_) => self.counted[2] += 1,
+            Action::Look => self.is_looking = true,
+            Action::Straggles(_) => return,
+        }
+        for byte in format!("{action:?}").bytes() {
+            self.digest = (self.digest ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
+fn id(seq: u64) -> AttemptId {
+    AttemptId {
+        boot: BootId(9),
+        seq,
+    }
+}
+
+#[test]
+fn without_accounts_each_decision_is_the_recorded_one() {
+    let plain = Config {
+        slots: 4,
+        adaptive: false,
+        ..Config::default()
+    };
+    let adaptive = Config {
+        adaptive: true,
+        ..plain.clone()
+    };
+    let looking = Config {
+        looks: true,
+        ..plain.clone()
+    };
+    let cold = Bears::Most {
+        starts: 60,
+        cold_us: 3 * SECOND,
+    };
+    let kinds = [
+        ("plain", plain.clone(), Bears::Any),
+        ("adaptive", adaptive, Bears::Any),
+        ("looking", looking, Bears::Any),
+        ("cold", plain.clone(), cold),
+        ("crowded", Config { slots: 1, ..plain }, Bears::Any),
+    ];
+    let mut table = String::from("kind seed: started refused revoked longest-queue digest\n");
+    for (kind, cfg, bears) in kinds {
+        for seed in 0..SEEDS {
+            let mut drive = Drive::new(seed, cfg.clone(), bears);
+            for _ in 0..STEPS {
+                drive.step();
+            }
+            let [started, refused, revoked] = drive.counted;
+            let (longest, digest) = (drive.longest_queue, drive.digest);
+            writeln!(
+                table,
+                "{kind} {seed}: {started} {refused} {revoked} {longest} {digest:016x}"
+            )
+            .expect("a string takes all text");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
