Share slots and the home queue fairly among accounts

Within one rank and level, accounts that hold fewer slots go first, and those that hold equally many take turns by deficit round robin. What stands before a newcomer is counted in that order, so that an account is not refused because another has filled the queue; when it is full, the account with the most attempts gives way. The lines of home decisions name the account where slots are shared.

--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -3,7 +3,7 @@
 use crate::limit::{allowed, Kind};
 use declarations::Route;
 use entry::View;
-use home::{Load, Offer, Reason, Refusal};
+use home::{AccountLoad, Load, Offer, Reason, Refusal};
 use names::{AttemptId, Name};
 use registry::Named;
 use wire::{RelayOutcome, Request};
@@ -143,7 +143,8 @@
 }
 
 /// The node beside an upstream decided about an attempt.
-/// `pace_age_us` is how old the upstream's word on its pace was; none when it never said.
+/// `pace_age_us` is how old the upstream's word on its pace was; none when it never said. `account` is whose share the
+/// attempt runs in; none where slots are not shared among accounts.
 pub fn home(
     id: &str,
     attempt: AttemptId,
@@ -151,8 +152,10 @@
     reason: Option<Reason>,
     load: Load,
     pace_age_us: Option<u64>,
+    account: Option<(&Name, AccountLoad)>,
 ) {
     if allowed(Kind::Home) {
+        let account_load = account.map(|(_, load)| load);
         tracing::info!(
             id,
             attempt = %attempt,
@@ -166,6 +169,9 @@
             pace_age_ms = pace_age_us.map(|age_us| age_us / 1_000),
             held_ms = load.held_us / 1_000,
             cold_wait_ms = load.cold_wait_us / 1_000,
+            account = account.map(|(name, _)| name.as_str()),
+            account_running = account_load.map(|load| load.running),
+            account_queued = account_load.map(|load| load.queued),
             "attempt decided"
         );
     }
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -3,6 +3,7 @@
 use crate::boot_record;
 use crate::containment;
 use crate::exchange;
+use crate::jobs::account_of;
 use crate::links::Reply;
 use crate::local;
 use crate::look;
@@ -42,6 +43,10 @@
     reply: Reply,
 ) {
     let now = node.now();
+    let offer = Offer {
+        account: account_of(node, &req),
+        ..offer
+    };
     if let Some(refusal) = containment::barred(node, &offer, &req) {
         refuse_at_door(node, offer.id, refusal, &reply);
         return;
@@ -415,7 +420,10 @@
     let load = home
         .as_ref()
         .map_or_else(Load::default, |home| home.load(now));
-    audit::home(caller_id, id, decision, reason, load, pace_age_us);
+    let account = jobs.get(&id).and_then(|job| account_of(node, &job.req));
+    let account_load = home.as_ref().map(|home| home.account_load(&account));
+    let account = account.as_ref().zip(account_load);
+    audit::home(caller_id, id, decision, reason, load, pace_age_us, account);
 }
 
 fn end_job(node: &Rc<Node>, id: AttemptId, frame: Frame) {
--- a/components/daemon/src/jobs.rs
+++ b/components/daemon/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Requests in progress: those that the home duty has taken in, and attempts that the entry duty waits for.
 
 use crate::links::Reply;
-use crate::node::Whole;
+use crate::node::{Node, Whole};
 use async_channel::Sender;
 use entry::Event;
 use keys::KeyHash;
@@ -39,6 +39,12 @@
     pub cancel: Option<Sender<()>>,
 }
 
+/// In whose share the request runs; none where slots are not shared among accounts.
+pub fn account_of(node: &Node, req: &Request) -> Option<Name> {
+    let is_fair = node.cfg.admission.fair_accounts;
+    req.account.clone().filter(|_| is_fair)
+}
+
 /// A request that the upstream beside this node is serving, as a call made for it sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Parent {
--- a/components/home/src/attempt.rs
+++ b/components/home/src/attempt.rs
@@ -3,7 +3,7 @@
 
 use crate::limit::Class;
 use crate::Offer;
-use names::{AttemptId, Moment, MILLISECOND};
+use names::{AttemptId, Moment, Name, MILLISECOND};
 
 /// Part of the objective that an attempt waits for a slot: a service that is short of slots serves more
 /// requests in time if it refuses early. Measured against 0.12, 0.4, and all that a run leaves: 0.02 to
@@ -46,6 +46,7 @@
     class: Class,
     may_queue: bool,
     is_overdue: bool,
+    account: Option<Name>,
     state: S,
 }
 
@@ -91,6 +92,11 @@
         self.is_overdue
     }
 
+    /// The client account in whose share it runs.
+    pub fn account(&self) -> &Option<Name> {
+        &self.account
+    }
+
     /// Whether it may wait for a slot.
     pub fn may_queue(&self) -> bool {
         self.may_queue
@@ -111,6 +117,7 @@
             class: self.class,
             may_queue: self.may_queue,
             is_overdue: self.is_overdue,
+            account: self.account,
             state,
         }
     }
@@ -135,6 +142,7 @@
             },
             may_queue: offer.may_queue,
             is_overdue: false,
+            account: offer.account.clone(),
             state: Offered,
         }
     }
--- a/components/home/src/config.rs
+++ b/components/home/src/config.rs
@@ -80,6 +80,15 @@
     Revoke(AttemptId),
 }
 
+/// What one account has at a home duty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct AccountLoad {
+    /// Attempts running.
+    pub running: u32,
+    /// Attempts queued.
+    pub queued: u32,
+}
+
 /// Events counted for the operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Counters {
@@ -101,6 +110,8 @@
     pub looks: u64,
     /// Attempts refused because the upstream is cold and bears no more for now.
     pub refused_cold: u64,
+    /// Queued attempts refused in favour of another account's of their rank.
+    pub refused_for_account: u64,
     /// Starts on a word that was fresh already.
     pub looks_saved: u64,
     /// Completions dropped because the attempt was not running.
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -1,5 +1,6 @@
 //! The home duty's state machine.
 
+mod accounts;
 mod admission;
 mod chances;
 mod holding;
@@ -141,6 +142,7 @@
             self.counters.late_completions += 1;
             return Vec::new();
         };
+        self.queue.ended(&attempt);
         let service_us = now.since(attempt.state().at);
         if verdict == Verdict::Good {
             let percent = attempt.state().percent;
@@ -242,6 +244,8 @@
         self.counters.started += 1;
         self.cold.started(attempt.state().at);
         let id = attempt.id();
+        let cost = self.pace.cost(attempt.class());
+        self.queue.started(&attempt, cost);
         actions.push(Action::Start(id));
         let before = self.running.insert(id, attempt);
         assert!(before.is_none(), "attempt {id} started a second time");
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -48,8 +48,7 @@
             return actions;
         }
         let allowed = self.allowed(now, offer.level, limit);
-        let is_first =
-            self.queue.is_empty() || !matters && self.queue.ahead_of(Rank::of(&attempt)) == 0;
+        let is_first = self.queue.is_empty() || !matters && self.queue.ahead_of(&attempt) == 0;
         let is_free = self.running.len() < allowed as usize && is_first && room == Room::Free;
         if is_free && !self.lets_wait(now, attempt.class()) {
             self.counters.looks_saved += 1;
@@ -63,7 +62,7 @@
             self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
             return actions;
         }
-        self.make_room(now, Rank::of(&attempt), &mut actions);
+        self.make_room(now, &attempt, &mut actions);
         self.counters.queued += 1;
         self.queue.put(attempt.queue(now));
         actions
@@ -91,7 +90,7 @@
         limit: u32,
     ) -> bool {
         let service = self.limit.service_us(running);
-        let ahead = self.queue.ahead_of(Rank::of(attempt));
+        let ahead = self.queue.ahead_of(attempt);
         let wait = (ahead + 1) as f64 * service / limit as f64;
         if self.cold.wait_us(now, ahead) > 0 {
             // Another upstream may bear it now. What waits here until more is borne comes late, and so do the calls
@@ -101,24 +100,30 @@
         let patience = attempt.latest_start().since(now) as f64;
         let remaining = attempt.deadline().since(now) as f64;
         let in_time = wait + service <= remaining && wait <= patience;
-        let has_room =
-            self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT || ahead < self.queue.len();
-        in_time && has_room
+        in_time && (!self.is_full() || self.queue.gives_way(attempt).is_some())
     }
 
-    /// When the queue is full, refuses the last of a lower rank.
-    pub(super) fn make_room(&mut self, now: Moment, rank: Rank, actions: &mut Vec<Action>) {
-        if self.queue.len() < self.cfg.slots as usize * QUEUE_PER_SLOT {
+    fn is_full(&self) -> bool {
+        self.queue.len() >= self.cfg.slots as usize * QUEUE_PER_SLOT
+    }
+
+    /// When the queue is full, refuses the attempt that gives way to a new one.
+    pub(super) fn make_room<S>(
+        &mut self,
+        now: Moment,
+        attempt: &Attempt<S>,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.is_full() {
             return;
         }
-        let Some(last) = self.queue.last() else {
+        let Some(last) = self.queue.gives_way(attempt) else {
             return;
         };
-        if Rank::of(last) <= rank {
-            return;
-        }
         let id = last.id();
+        let is_for_account = Rank::of(last) == Rank::of(attempt);
         self.queue.take(id);
+        self.counters.refused_for_account += u64::from(is_for_account);
         self.refuse_ended(now, id, Reason::Busy, actions);
     }
 
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -10,6 +10,7 @@
 mod delay;
 mod depth;
 mod duty;
+mod fair;
 mod limit;
 mod message;
 mod pace;
@@ -18,7 +19,7 @@
 
 pub use attempt::{Attempt, Offered, Queued, Started};
 pub use cold::{Bears, Cold, Earlier, Room, COLD_WINDOW_US};
-pub use config::{Action, Config, Counters, Looked};
+pub use config::{AccountLoad, Action, Config, Counters, Looked};
 pub use delay::Delay;
 pub use depth::Depth;
 pub use duty::Home;
--- a/components/home/src/pace.rs
+++ b/components/home/src/pace.rs
@@ -5,6 +5,7 @@
 //! while a slow phase lasts that will soon pass. Phases that don't pass (a cold start, a neighbour that
 //! stays busy) become the usual pace.
 
+use crate::fair::Cost;
 use crate::limit::Class;
 use names::{Moment, MILLISECOND, SECOND};
 use std::collections::HashMap;
@@ -163,6 +164,16 @@
         self.services_us.get(&class).copied()
     }
 
+    /// What a start of this class costs its account.
+    pub(crate) fn cost(&self, class: Class) -> Cost {
+        let known = || self.services_us.values().copied();
+        Cost {
+            usual_us: self.service_us(class),
+            shortest_us: known().reduce(f64::min).unwrap_or(0.0),
+            longest_us: known().reduce(f64::max).unwrap_or(0.0),
+        }
+    }
+
     /// How long work takes that begins now and takes `usual_us` at the usual pace, in microseconds.
     pub fn scaled_us(&self, now: Moment, usual_us: f64) -> f64 {
         let percent = match self.word(now) {
--- a/components/home/src/queue.rs
+++ b/components/home/src/queue.rs
@@ -1,6 +1,7 @@
-//! The queue of a home duty, ordered by priority, level and deadline.
+//! The queue of a home duty, ordered by priority, level, account and deadline.
 
-use crate::attempt::{Attempt, Queued};
+use crate::attempt::{Attempt, Queued, Started};
+use crate::fair::{Account, Cost, Counts, Lane};
 use names::{AttemptId, Moment};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
@@ -22,25 +23,35 @@
     }
 }
 
-/// Order in the queue: by rank, then deeper levels first, then earlier deadlines.
-type Place = (Rank, Reverse<u32>, Moment, AttemptId);
+/// Order of the lanes: by rank, then deeper levels first. Within a lane accounts take turns.
+type LaneKey = (Rank, Reverse<u32>);
 
-/// Attempts that wait for a slot.
+/// Where an attempt waits.
+#[derive(Debug)]
+struct Place {
+    lane: LaneKey,
+    account: Account,
+    deadline: Moment,
+}
+
+/// Attempts that wait for a slot, and what decides whose turn it is.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
-    attempts: BTreeMap<Place, Attempt<Queued>>,
+    lanes: BTreeMap<LaneKey, Lane>,
     places: HashMap<AttemptId, Place>,
+    held: Counts,
+    waiting: Counts,
 }
 
 impl Queue {
     /// Number of attempts that wait.
     pub(crate) fn len(&self) -> usize {
-        self.attempts.len()
+        self.places.len()
     }
 
     /// Whether none waits.
     pub(crate) fn is_empty(&self) -> bool {
-        self.attempts.is_empty()
+        self.places.is_empty()
     }
 
     /// Whether the attempt waits.
@@ -48,55 +59,129 @@
         self.places.contains_key(&id)
     }
 
+    /// How many attempts of each account wait.
+    pub(crate) fn waiting(&self) -> &Counts {
+        &self.waiting
+    }
+
+    /// How many slots each account holds.
+    pub(crate) fn held(&self) -> &Counts {
+        &self.held
+    }
+
+    /// Number of lines of accounts that are kept, at most one for each attempt that runs or waits.
+    pub(crate) fn lines(&self) -> usize {
+        self.lanes.values().map(Lane::lines).sum()
+    }
+
     /// Lets an attempt wait.
     pub(crate) fn put(&mut self, attempt: Attempt<Queued>) {
-        let place = (
-            Rank::of(&attempt),
-            Reverse(attempt.class().level),
-            attempt.deadline(),
-            attempt.id(),
-        );
+        let place = Place {
+            lane: lane_of(&attempt),
+            account: attempt.account().clone(),
+            deadline: attempt.deadline(),
+        };
+        self.waiting.add(&place.account);
+        let lane = self.lanes.entry(place.lane).or_default();
         self.places.insert(attempt.id(), place);
-        self.attempts.insert(place, attempt);
+        lane.put(attempt);
     }
 
-    /// Takes an attempt out, if it waits.
+    /// Takes an attempt out, if it waits, that is not going to start.
     pub(crate) fn take(&mut self, id: AttemptId) -> Option<Attempt<Queued>> {
         let place = self.places.remove(&id)?;
-        self.attempts.remove(&place)
+        self.waiting.sub(&place.account);
+        let lane = self.lanes.get_mut(&place.lane)?;
+        let attempt = lane.take(&place.account, (place.deadline, id));
+        self.tidy(place.lane);
+        attempt
     }
 
-    /// Takes out the first attempt that `fits`.
+    /// Takes out the first attempt that `fits`, to start it: [`Queue::started`] has to follow.
     pub(crate) fn take_first(
         &mut self,
         fits: impl Fn(&Attempt<Queued>) -> bool,
     ) -> Option<Attempt<Queued>> {
-        let id = self.attempts.values().find(|attempt| fits(attempt))?.id();
-        self.take(id)
+        let held = &self.held;
+        let mut lanes = self.lanes.values_mut();
+        let attempt = lanes.find_map(|lane| lane.take_first(held, &fits))?;
+        self.places.remove(&attempt.id());
+        self.waiting.sub(attempt.account());
+        Some(attempt)
+    }
+
+    /// Takes in that an attempt, which need not have waited, has got a slot.
+    pub(crate) fn started(&mut self, attempt: &Attempt<Started>, cost: Cost) {
+        self.held.add(attempt.account());
+        let lane = self.lanes.entry(lane_of(attempt)).or_default();
+        lane.started(attempt.account(), cost);
+    }
+
+    /// Takes in that an attempt has given its slot back.
+    pub(crate) fn ended(&mut self, attempt: &Attempt<Started>) {
+        self.held.sub(attempt.account());
+        let key = lane_of(attempt);
+        if let Some(lane) = self.lanes.get_mut(&key) {
+            lane.ended(attempt.account());
+        }
+        self.tidy(key);
     }
 
     /// Whether any attempt is so.
     pub(crate) fn any(&self, is_so: impl Fn(&Attempt<Queued>) -> bool) -> bool {
-        self.attempts.values().any(is_so)
+        self.attempts().any(is_so)
     }
 
-    /// The attempt served last.
-    pub(crate) fn last(&self) -> Option<&Attempt<Queued>> {
-        self.attempts.values().next_back()
+    /// Number of attempts served before a new one: all of higher ranks, those of its account in its rank, and of other
+    /// accounts there only the deeper ones and those whose turn comes first.
+    pub(crate) fn ahead_of<S>(&self, attempt: &Attempt<S>) -> usize {
+        let (rank, level) = lane_of(attempt);
+        let account = attempt.account();
+        let lanes = self.lanes.iter();
+        lanes
+            .take_while(|((other, _), _)| *other <= rank)
+            .map(|((other, other_level), lane)| {
+                if *other < rank || *other_level < level {
+                    return lane.len();
+                }
+                let own = lane.waiting_of(account);
+                if *other_level == level {
+                    own + lane.others_ahead(&self.held, account)
+                } else {
+                    own
+                }
+            })
+            .sum()
     }
 
-    /// Number of attempts served before a new one of this rank.
-    pub(crate) fn ahead_of(&self, rank: Rank) -> usize {
-        self.attempts
-            .keys()
-            .take_while(|(other, ..)| *other <= rank)
-            .count()
+    /// The attempt that gives its place to a new one when the queue is full: the last one of the account with the most
+    /// attempts in the lowest rank, unless that rank is above the new attempt's, or no other account has more there than
+    /// the new attempt's would have.
+    pub(crate) fn gives_way<S>(&self, attempt: &Attempt<S>) -> Option<&Attempt<Queued>> {
+        let own = Rank::of(attempt);
+        let lowest = Rank::of(self.attempts().next_back()?);
+        if lowest < own {
+            return None;
+        }
+        let mut most: BTreeMap<&Account, (usize, &Attempt<Queued>)> = BTreeMap::new();
+        for last in self.attempts().filter(|it| Rank::of(*it) == lowest) {
+            let (count, latest) = most.entry(last.account()).or_insert((0, last));
+            *count += 1;
+            *latest = last;
+        }
+        let key = |(count, last): &(usize, &Attempt<Queued>)| {
+            (*count, lane_of(last), last.deadline(), last.id())
+        };
+        let (count, last) = most.values().copied().max_by_key(key)?;
+        let would_have = most
+            .get(attempt.account())
+            .map_or(1, |(count, _)| count + 1);
+        (lowest > own || count > would_have).then_some(last)
     }
 
     /// The attempts that have waited too long, each with whether its deadline has passed.
     pub(crate) fn late(&self, now: Moment) -> Vec<(AttemptId, bool)> {
-        self.attempts
-            .values()
+        self.attempts()
             .filter(|attempt| attempt.latest_start() <= now)
             .map(|attempt| (attempt.id(), attempt.deadline() <= now))
             .collect()
@@ -104,6 +189,21 @@
 
     /// All that wait.
     pub(crate) fn ids(&self) -> Vec<AttemptId> {
-        self.attempts.values().map(|attempt| attempt.id()).collect()
+        self.attempts().map(|attempt| attempt.id()).collect()
+    }
+
+    /// What waits, rank by rank, level by level and account by account.
+    fn attempts(&self) -> impl DoubleEndedIterator<Item = &Attempt<Queued>> {
+        self.lanes.values().flat_map(Lane::attempts)
     }
+
+    fn tidy(&mut self, key: LaneKey) {
+        if self.lanes.get(&key).is_some_and(Lane::is_empty) {
+            self.lanes.remove(&key);
+        }
+    }
+}
+
+fn lane_of<S>(attempt: &Attempt<S>) -> LaneKey {
+    (Rank::of(attempt), Reverse(attempt.class().level))
 }
