--- /dev/null
+++ b/components/home/tests/fair.rs
@@ -0,0 +1,8 @@
+//! Slots and queues of services short of capacity, shared among accounts.
+
+#[path = "fair/loads.rs"]
+mod loads;
+#[path = "fair/order.rs"]
+mod order;
+#[path = "fair/world.rs"]
+mod world;
