--- a/components/home/src/fair.rs
+++ b/components/home/src/fair.rs
@@ -161,7 +161,7 @@
             .lines
             .iter()
             .filter_map(|(account, line)| {
-                Some((self.place_of(held, account, line), account, first(line)?))
+                Some(((held.of(account), line.turn), account, first(line)?))
             })
             .min_by_key(|(place, ..)| *place)?;
         let account = account.clone();
@@ -175,6 +175,7 @@
         let place = self.places;
         let line = self.line(account);
         line.running += 1;
+        // An account that was passed over does not get the turns that it missed.
         let round = line.turn.round.max(now);
         let owed_us = cost.start_us() - line.credit_us;
         let turns = (owed_us / cost.turn_us()).ceil().max(1.0);
@@ -203,32 +204,20 @@
         // The costs of its own attempts that wait are not looked into: it is taken to stand last among equals.
         let turn = match own {
             None => self.newest(),
-            Some(line) if waiting == 0 => self.due_turn(line.turn),
+            Some(line) if waiting == 0 => line.turn,
             Some(_) => Turn::LAST,
         };
         let others = self.lines.iter().filter(|(other, _)| *other != account);
         others
             .map(|(other, line)| {
                 let held = held.of(other) as usize;
-                let is_next = held <= level && self.due_turn(line.turn) < turn;
+                let is_next = held <= level && line.turn < turn;
                 let ahead = level.saturating_sub(held) + usize::from(is_next);
                 line.attempts.len().min(ahead)
             })
             .sum()
     }
 
-    /// An account that was passed over goes first in the present round, but does not get the turns that it missed.
-    fn due_turn(&self, turn: Turn) -> Turn {
-        Turn {
-            round: turn.round.max(self.round),
-            ..turn
-        }
-    }
-
-    fn place_of(&self, held: &Counts, account: &Account, line: &Line) -> (u32, Turn) {
-        (held.of(account), self.due_turn(line.turn))
-    }
-
     /// The turn of an account that comes anew: at the end of the present round.
     fn newest(&self) -> Turn {
         Turn {
--- a/components/home/tests/fair.rs
+++ b/components/home/tests/fair.rs
@@ -2,6 +2,8 @@
 
 #[path = "fair/loads.rs"]
 mod loads;
+#[path = "fair/one_queue.rs"]
+mod one_queue;
 #[path = "fair/order.rs"]
 mod order;
 #[path = "fair/world.rs"]
--- a/components/home/tests/fair/order.rs
+++ b/components/home/tests/fair/order.rs
@@ -161,6 +161,56 @@
     assert_eq!(started(&actions), [10]);
 }
 
+#[test]
+fn slots_held_by_calls_count_for_outer_requests_too() {
+    // Guards against an account that holds all slots by calls of another level or rank, where its turns are others.
+    let (mut home, now) = usual();
+    for seq in 0..2 {
+        let mut call = offer(seq, "busy");
+        call.level = 1;
+        home.offer(now, &call);
+    }
+    home.offer(now, &offer(2, "busy"));
+    home.offer(now, &offer(10, "quiet"));
+    let actions = home.completed(now, id(0), Verdict::Good, None);
+    assert_eq!(started(&actions), [10]);
+}
+
+#[test]
+fn an_account_that_was_passed_over_does_not_get_the_turns_that_it_missed() {
+    // One run of "a" lasts while the others take turns at the other slot.
+    let (mut home, mut now) = usual();
+    let mut next = 0;
+    let mut add = |home: &mut Home<u64>, now, account| {
+        next += 1;
+        home.offer(now, &offer(next, account));
+        next
+    };
+    let mut accounts = BTreeMap::new();
+    for account in ["a", "b", "c", "d", "a", "a", "a", "a", "b", "c", "d"] {
+        accounts.insert(add(&mut home, now, account), account);
+    }
+    let mut running = std::collections::VecDeque::from([1, 2]);
+    let mut order = Vec::new();
+    for turn in 0..30 {
+        now = now + RUN_US;
+        let is_passed_over = turn < 20;
+        let ends = running.remove(usize::from(is_passed_over));
+        let ended = ends.expect("two run");
+        let actions = home.completed(now, id(ended), Verdict::Good, None);
+        let [seq] = started(&actions)[..] else {
+            panic!("{actions:?}");
+        };
+        running.push_back(seq);
+        let account = accounts[&seq];
+        order.push(account);
+        accounts.insert(add(&mut home, now, account), account);
+    }
+    let count = |account| order[20..].iter().filter(|it| **it == account).count();
+    assert!(!order[..20].contains(&"a"), "{order:?}");
+    assert!((2..=4).contains(&count("a")), "{order:?}");
+}
+
 #[test]
 fn a_quiet_account_is_not_refused_because_a_busy_one_has_filled_the_queue() {
     // Ten runs of 0.1 s wait for two slots; a place behind them would exceed 0.4 s.
