--- /dev/null
+++ b/components/explain/tests/accounts.rs
@@ -0,0 +1,65 @@
+//! The share of an account in a home node's lines, from the line as a node writes it to the steps of a request.
+
+use home::{AccountLoad, Load, Reason};
+use names::{AttemptId, BootId, Name};
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+
+/// Keeps what is written.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("no writer panics").write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn decided(id: &str, reason: Option<Reason>, account: Option<(&Name, AccountLoad)>) {
+    let attempt = AttemptId {
+        boot: BootId(9),
+        seq: 1,
+    };
+    let load = Load {
+        in_flight: 12,
+        queued: 31,
+        limit: 12,
+        ..Load::default()
+    };
+    let decision = reason.map_or("queued", |_| "refused");
+    audit::home(id, attempt, decision, reason, load, None, account);
+}
+
+#[test]
+fn the_steps_of_a_request_show_what_its_account_runs_and_has_waiting() {
+    // Guards against a refusal in favour of another account that can't be told from one for lack of slots.
+    let lines = Lines::default();
+    let writer = lines.clone();
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .without_time()
+        .with_writer(move || writer.clone())
+        .finish();
+    tracing::subscriber::with_default(subscriber, || {
+        let busy = Name::from("clinic");
+        let account_load = AccountLoad {
+            running: 5,
+            queued: 27,
+        };
+        decided("r1", Some(Reason::Busy), Some((&busy, account_load)));
+        decided("r2", None, None);
+    });
+    let written = lines.0.lock().expect("no writer panics").clone();
+    let text = String::from_utf8(written).expect("lines are text");
+    let steps = |id| {
+        let lines = text.lines().map(|line| ("node.log", line));
+        explain::to_text(&explain::steps(id, lines))
+    };
+    insta::assert_snapshot!(format!("{}{}", steps("r1"), steps("r2")));
+}
