--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -101,9 +101,7 @@
         if self.running.contains_key(&id) {
             return AskReply::Started;
         }
-        if self.queue.take(id).is_some() {
-            self.counters.revoked += 1;
-            self.records.end(now, id, Record::NotRun);
+        if self.revoke(now, id) {
             return AskReply::Revoked;
         }
         match self.records.look_up(id) {
@@ -122,12 +120,7 @@
 
     /// Cancels an attempt. Returns whether it is running; one that is queued is dropped.
     pub fn cancel(&mut self, now: Moment, id: AttemptId) -> bool {
-        if self.queue.take(id).is_some() {
-            self.counters.revoked += 1;
-            self.records.end(now, id, Record::NotRun);
-            return false;
-        }
-        self.running.contains_key(&id)
+        !self.revoke(now, id) && self.running.contains_key(&id)
     }
 
     /// Takes in the end of a running attempt. `answer` is the whole answer, if there was one.
@@ -339,11 +332,19 @@
 
     fn hand_back_all(&mut self, now: Moment, actions: &mut Vec<Action>) {
         for id in self.queue.ids() {
-            self.queue.take(id);
+            self.revoke(now, id);
+            actions.push(Action::Revoke(id));
+        }
+    }
+
+    /// Takes an attempt out of the queue that will not run. Returns whether it waited.
+    fn revoke(&mut self, now: Moment, id: AttemptId) -> bool {
+        let waited = self.queue.take(id).is_some();
+        if waited {
             self.counters.revoked += 1;
             self.records.end(now, id, Record::NotRun);
-            actions.push(Action::Revoke(id));
         }
+        waited
     }
 
     /// Records that an attempt was not run, then says so: in this order.
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -37,20 +37,16 @@
             self.queue.put(attempt.queue(now));
             return actions;
         }
-        if self.is_hopeless(now, &attempt) {
-            // Another upstream may be faster now.
-            self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
-            return actions;
-        }
-        if !offer.may_queue && self.is_held(now, attempt.class()) {
-            // Another upstream is asked next; if all are as slow, the request comes back to queue.
+        let is_held = !offer.may_queue && self.is_held(now, class);
+        if is_held || self.is_hopeless(now, &attempt) {
+            // Another upstream is asked next, which may be faster now; if all are as slow, the request comes back to queue.
             self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
             return actions;
         }
         let allowed = self.allowed(now, offer.level, limit);
         let is_first = self.queue.is_empty() || !matters && self.queue.ahead_of(&attempt) == 0;
         let is_free = self.running.len() < allowed as usize && is_first && room == Room::Free;
-        if is_free && !self.lets_wait(now, attempt.class()) {
+        if is_free && !self.lets_wait(now, class) {
             self.counters.looks_saved += 1;
             let percent = self.pace.word(now);
             self.start(attempt.start(now, percent), &mut actions);
