--- a/components/home/tests/fair/loads.rs
+++ b/components/home/tests/fair/loads.rs
@@ -100,18 +100,24 @@
     account < LARGE
 }
 
-/// A load in both orders: the table of both, and what became of it in turns.
+fn short_work(outcome: &Outcome) -> f64 {
+    let short = outcome.of(|_, priority| priority == SHORT.priority);
+    short.part()
+}
+
+/// A load in both orders: the table of both, and what became of it in turns. Guards against turns that cost short work of
+/// higher priority its place before long work.
 fn both_orders(load: &Load) -> (String, Outcome) {
     let mut table = String::from(
-        "order: asked, in time, late, refused | others: mean, worst tenth, worst | small ones: worst tenth | busy one\n",
+        "order: asked, in time, late, refused | others: mean, worst tenth, worst | small ones: worst tenth | busy one | short work\n",
     );
-    let mut outcomes = [Way::OneQueue, Way::Turns].map(|way| {
+    let [one_queue, turns] = [Way::OneQueue, Way::Turns].map(|way| {
         let outcome = play(load, way);
         let all = outcome.of(|_, _| true);
         let others = outcome.parts(is_other);
         writeln!(
             table,
-            "{way:?}: {}, {:.3}, {:.3}, {:.3} | {:.3}, {:.3}, {:.3} | {:.3} | {:.3}",
+            "{way:?}: {}, {:.3}, {:.3}, {:.3} | {:.3}, {:.3}, {:.3} | {:.3} | {:.3} | {:.3}",
             all.asked,
             all.part(),
             all.late as f64 / all.asked as f64,
@@ -121,11 +127,17 @@
             others[0],
             worst_tenth(&outcome.parts(is_small)),
             outcome.of(|account, _| account == BUSY).part(),
+            short_work(&outcome),
         )
         .expect("a string takes all text");
         outcome
     });
-    (table, std::mem::take(&mut outcomes[1]))
+    let (before, after) = (short_work(&one_queue), short_work(&turns));
+    assert!(
+        after >= before - 0.01,
+        "short work {before:.3}, in turns {after:.3}"
+    );
+    (table, turns)
 }
 
 /// Guards against an account that is served less than half as often as all together.
