--- a/components/home/src/attempt.rs
+++ b/components/home/src/attempt.rs
@@ -3,7 +3,7 @@
 
 use crate::limit::Class;
 use crate::Offer;
-use names::{AttemptId, Moment, MILLISECOND};
+use names::{AttemptId, Moment, Name, MILLISECOND};
 
 /// Part of the objective that an attempt waits for a slot: a service that is short of slots serves more
 /// requests in time if it refuses early. Measured against 0.12, 0.4, and all that a run leaves: 0.02 to
@@ -47,6 +47,7 @@
     may_queue: bool,
     is_overdue: bool,
     reports_straggler: bool,
+    account: Option<Name>,
     state: S,
 }
 
@@ -92,6 +93,11 @@
         self.is_overdue
     }
 
+    /// The client account in whose share it runs.
+    pub fn account(&self) -> &Option<Name> {
+        &self.account
+    }
+
     /// Whether it may wait for a slot.
     pub fn may_queue(&self) -> bool {
         self.may_queue
@@ -119,6 +125,7 @@
             may_queue: self.may_queue,
             is_overdue: self.is_overdue,
             reports_straggler: self.reports_straggler,
+            account: self.account,
             state,
         }
     }
@@ -146,6 +153,7 @@
             reports_straggler: offer.report_straggler
                 && offer.repeatable
                 && offer.suspicion.is_none(),
+            account: offer.account.clone(),
             state: Offered,
         }
     }
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -1,5 +1,6 @@
 //! The home duty's state machine.
 
+mod accounts;
 mod admission;
 mod chances;
 mod holding;
@@ -103,9 +104,7 @@
         if self.running.contains_key(&id) {
             return AskReply::Started;
         }
-        if self.queue.take(id).is_some() {
-            self.counters.revoked += 1;
-            self.records.end(now, id, Record::NotRun);
+        if self.revoke(now, id) {
             return AskReply::Revoked;
         }
         match self.records.look_up(id) {
@@ -124,12 +123,7 @@
 
     /// Cancels an attempt. Returns whether it is running; one that is queued is dropped.
     pub fn cancel(&mut self, now: Moment, id: AttemptId) -> bool {
-        if self.queue.take(id).is_some() {
-            self.counters.revoked += 1;
-            self.records.end(now, id, Record::NotRun);
-            return false;
-        }
-        self.running.contains_key(&id)
+        !self.revoke(now, id) && self.running.contains_key(&id)
     }
 
     /// Takes in the end of a running attempt. `answer` is the whole answer, if there was one.
@@ -144,6 +138,7 @@
             self.counters.late_completions += 1;
             return Vec::new();
         };
+        self.queue.ended(&attempt);
         let service_us = now.since(attempt.state().at);
         if verdict == Verdict::Good {
             let percent = attempt.state().percent;
@@ -268,6 +263,8 @@
         self.cold.started(attempt.state().at);
         self.stragglers.started(&attempt);
         let id = attempt.id();
+        let cost = self.pace.cost(attempt.class());
+        self.queue.started(&attempt, cost);
         actions.push(Action::Start(id));
         let before = self.running.insert(id, attempt);
         assert!(before.is_none(), "attempt {id} started a second time");
@@ -361,11 +358,19 @@
 
     fn hand_back_all(&mut self, now: Moment, actions: &mut Vec<Action>) {
         for id in self.queue.ids() {
-            self.queue.take(id);
+            self.revoke(now, id);
+            actions.push(Action::Revoke(id));
+        }
+    }
+
+    /// Takes an attempt out of the queue that will not run. Returns whether it waited.
+    fn revoke(&mut self, now: Moment, id: AttemptId) -> bool {
+        let waited = self.queue.take(id).is_some();
+        if waited {
             self.counters.revoked += 1;
             self.records.end(now, id, Record::NotRun);
-            actions.push(Action::Revoke(id));
         }
+        waited
     }
 
     /// Records that an attempt was not run, then says so: in this order.
