--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -8,9 +8,7 @@
 mod returned;
 mod row;
 mod serve;
-mod waiting;
 
 pub use admission::run_loans;
 pub use connection::run;
 pub use returned::Try;
-pub use waiting::Waiting;
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -48,13 +48,6 @@
 /// Upstreams that may see a request of a policy that lets it run once: one that turns it away unrun may
 /// be followed by another.
 const LEAST_ARRIVALS: u32 = 2;
-/// Callers of a node that has no configuration yet wait for one until this long after its start, in
-/// microseconds: the store answers within 0.05 to 0.14 s. When all of 295 VMs had lost power, half of the
-/// requests of the first half second were told to come back.
-const BLANK_WAIT_US: u64 = 250 * MILLISECOND;
-/// While the declarations are being read, callers wait for them for so great a part of their time at most: what is left
-/// is still enough for most runs.
-const READ_WAIT_PART: u64 = 4;
 /// Told to callers that came to a node without declarations, in milliseconds: a node that starts with all others and 1,500
 /// routes on a tenth of a core had them 0.3 s after it had read them.
 const BLANK_RETRY_MS: u64 = 300;
@@ -158,9 +151,8 @@
 /// The revision in force. A node that has just started has one in a moment: callers who come before that wait
 /// for it, and longer while it is being read.
 async fn in_force_soon(node: &Rc<Node>, call: &CallerRequest) -> Option<Arc<InForce>> {
-    let until = node.started + BLANK_WAIT_US;
-    let deadline_us = call.deadline_ms.unwrap_or(0).saturating_mul(MILLISECOND);
-    let while_read = node.now() + deadline_us / READ_WAIT_PART;
+    let arrived = node.now();
+    let time_us = call.deadline_ms.unwrap_or(0).saturating_mul(MILLISECOND);
     let mut place = None;
     loop {
         let in_force = node.in_force();
@@ -168,13 +160,12 @@
             return in_force;
         }
         let now = node.now();
-        if now >= until {
-            if now >= while_read || !watching::is_read(node) {
-                return None;
-            }
-            if place.is_none() {
-                place = Some(node.blank_waiters.enter(call.bytes())?);
-            }
+        let first_read = *node.first_read.borrow();
+        if now >= first_read.caller_waits_until(arrived, time_us, watching::is_read(node)) {
+            return None;
+        }
+        if first_read.needs_place(now) && place.is_none() {
+            place = Some(node.blank_waiters.enter(call.bytes())?);
         }
         task::sleep(BLANK_LOOK).await;
     }
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -2,7 +2,6 @@
 
 use crate::activation::Activation;
 use crate::caller_name::CallerName;
-use crate::callers::Waiting;
 use crate::containment::Containment;
 pub use crate::jobs::{Job, Parent, Waiter};
 use crate::links::{Link, Reply};
@@ -33,7 +32,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use upstream::Pool;
-use watch::{FirstRead, Timing, Watch};
+use watch::{FirstRead, Timing, Waiting, Watch};
 use wire::{Answer, RelayOutcome};
 
 /// Keys that a node remembers at most.
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -13,6 +13,7 @@
 use async_std::task;
 use audit::stats;
 use names::{Name, MILLISECOND};
+use quota::Quotas;
 use rand::seq::IndexedRandom;
 use rand::Rng;
 use registry::{Digests, Merged, Record, State, Versions};
@@ -247,6 +248,10 @@
         tell_all(&node, &registration, &own);
     }
     local::spawn(flush_arrivals(node.clone(), registration.clone()));
+    // First those without which no request of a limited account is let through.
+    for vm in Quotas::collectors(&links::Peers(node.clone())) {
+        links::dial(&node, &vm);
+    }
     let mut look = 0;
     loop {
         let apart: Vec<_> = {
--- a/components/quota/src/quotas.rs
+++ b/components/quota/src/quotas.rs
@@ -28,7 +28,8 @@
 const CONNECT_US: u64 = 1_500 * MILLISECOND;
 /// After this time, in microseconds, connections to half of the hall are enough: its collectors may have ended.
 const COLLECTORS_WAIT_US: u64 = 300 * MILLISECOND;
-/// Callers of a node that has just started wait for its first loan so long at most, in microseconds.
+/// Callers of a node that has just started wait for its first loan so long at most, in microseconds, and not beyond
+/// [`CONNECT_US`].
 const FIRST_LOAN_WAIT_US: u64 = 300 * MILLISECOND;
 /// Time between two looks for it.
 const FIRST_LOAN_LOOK: Duration = Duration::from_millis(10);
@@ -84,6 +85,8 @@
     collector: RefCell<Collector>,
     /// Whether anything was lent so far.
     has_lent: Cell<bool>,
+    /// When a token was first asked for.
+    first_asked: Cell<Option<Moment>>,
     /// When each node was last known as one that stays.
     counted: RefCell<HashMap<Name, Moment>>,
     /// Until when a collector has no token of an account.
@@ -100,6 +103,7 @@
             lender: RefCell::new(Lender::new(started + JOIN_US)),
             collector: RefCell::new(Collector::new(bounds)),
             has_lent: Cell::new(false),
+            first_asked: Cell::new(None),
             counted: RefCell::default(),
             short: RefCell::default(),
             waiting: RefCell::default(),
@@ -156,8 +160,7 @@
         let hall = peers.hall();
         let reaches_half = 2 * peers.near().len() >= hall.len();
         let may_have_ended = now >= self.started + COLLECTORS_WAIT_US;
-        let mut collectors = ranked(peers, hall).into_iter().take(COLLECTORS);
-        collectors.all(|vm| vm == peers.me() || peers.is_up(&vm))
+        Self::collectors(peers).iter().all(|vm| peers.is_up(vm))
             || reaches_half && may_have_ended
             || now >= self.started + CONNECT_US
     }
@@ -169,7 +172,8 @@
 
     /// Takes a token for a request.
     pub async fn take(&self, peers: &impl Peers, account: &Account) -> Admission {
-        while !self.has_lent.get() && peers.now() < self.started + FIRST_LOAN_WAIT_US {
+        let until = self.first_loan_by(peers.now());
+        while !self.has_lent.get() && peers.now() < until {
             task::sleep(FIRST_LOAN_LOOK).await;
         }
         let asked = self.lender.borrow().asked(&account.name);
@@ -194,6 +198,21 @@
         }
     }
 
+    /// Until when callers wait for the first loan. A node brings its declarations into force before it connects to its
+    /// hall, so the time runs from the first token that is asked for.
+    fn first_loan_by(&self, now: Moment) -> Moment {
+        let first_asked = self.first_asked.get().unwrap_or(now);
+        self.first_asked.set(Some(first_asked));
+        let latest = self.started + CONNECT_US;
+        latest.min(first_asked + FIRST_LOAN_WAIT_US)
+    }
+
+    /// The nodes to which this one would lend if it were connected to its whole hall.
+    pub fn collectors(peers: &impl Peers) -> Vec<Name> {
+        let collectors = ranked(peers, peers.hall()).into_iter().take(COLLECTORS);
+        collectors.filter(|vm| *vm != peers.me()).collect()
+    }
+
     /// Gives a token back whose request has not run and never will.
     pub fn give_back(&self, peers: &impl Peers, token: Token) {
         let Token { account, from } = token;
--- /dev/null
+++ b/components/quota/tests/first_loan.rs
@@ -0,0 +1,94 @@
+//! Callers of limited accounts at a node that has just started.
+//!
+//! The load: all nodes start at once with a large set. Their declarations were in force after the 0.3 s from the start in which
+//! callers waited for the first loan, so that all were refused as `limit-unknown` until it came.
+
+use accounts::{Account, Limit};
+use async_std::task::block_on;
+use names::{Moment, Name, MILLISECOND, SECOND};
+use quota::{Admission, Bounds, Message, Peers, Quotas};
+use std::cell::Cell;
+
+/// A node that reaches nobody; time goes on with each look at the clock.
+struct Alone(Cell<Moment>);
+
+impl Peers for Alone {
+    fn now(&self) -> Moment {
+        let now = self.0.get() + 20 * MILLISECOND;
+        self.0.set(now);
+        now
+    }
+
+    fn me(&self) -> Name {
+        Name::from("vm-0")
+    }
+
+    fn nodes(&self) -> Vec<Name> {
+        vec![self.me()]
+    }
+
+    fn hall(&self) -> Vec<Name> {
+        ["vm-1", "vm-2", "vm-3"].map(Name::from).to_vec()
+    }
+
+    fn near(&self) -> Vec<Name> {
+        Vec::new()
+    }
+
+    fn is_up(&self, _: &Name) -> bool {
+        false
+    }
+
+    fn send(&self, _: &Name, _: Message) {}
+}
+
+/// How long a caller waited that came so long after the start, in microseconds.
+fn waited_us(quotas: &Quotas, peers: &Alone) -> u64 {
+    let account = Account {
+        name: Name::from("clinic"),
+        priority: 0,
+        limit: Some(Limit {
+            requests_per_s: 10,
+            burst: 1,
+        }),
+    };
+    let before = peers.0.get();
+    let admission = block_on(quotas.take(peers, &account));
+    assert_eq!(admission, Admission::Unanswered);
+    peers.0.get().since(before)
+}
+
+fn started() -> Quotas {
+    let bounds = Bounds {
+        overshoot: 0.1,
+        slack: 20.0,
+        window_s: 5.0,
+    };
+    Quotas::new(bounds, Moment(0))
+}
+
+#[test]
+fn callers_of_a_node_whose_declarations_came_late_wait_for_the_first_loan() {
+    let (quotas, peers) = (started(), Alone(Cell::new(Moment(600 * MILLISECOND))));
+    let first = waited_us(&quotas, &peers);
+    assert!(first >= 300 * MILLISECOND, "{first}");
+    let next = waited_us(&quotas, &peers);
+    assert!(
+        next < 100 * MILLISECOND,
+        "all wait for the same loan: {next}"
+    );
+}
+
+#[test]
+fn callers_of_a_node_that_runs_for_long_do_not_wait() {
+    let (quotas, peers) = (started(), Alone(Cell::new(Moment(10 * SECOND))));
+    let waited = waited_us(&quotas, &peers);
+    assert!(waited < 100 * MILLISECOND, "{waited}");
+}
+
+#[test]
+fn nobody_waits_beyond_the_time_in_which_a_node_connects() {
+    let (quotas, peers) = (started(), Alone(Cell::new(Moment(1_400 * MILLISECOND))));
+    let waited = waited_us(&quotas, &peers);
+    assert!(waited < 200 * MILLISECOND, "{waited}");
+}
--- a/components/watch/src/first_read.rs
+++ b/components/watch/src/first_read.rs
@@ -16,6 +16,14 @@
 /// of four that start at the same time some may not.
 pub const CONTACT_DIALS: usize = 4;
 
+/// Callers of a node that has no declarations yet wait for them until this long after its start, in
+/// microseconds: the store answers within 0.05 to 0.14 s. When all of 295 VMs had lost power, half of the
+/// requests of the first half second were told to come back.
+pub const BLANK_WAIT_US: u64 = 250 * MILLISECOND;
+/// While the declarations are being read, callers wait for them for so great a part of their time at most: what is left
+/// is still enough for most runs.
+const READ_WAIT_PART: u64 = 4;
+
 /// Which work beside the first read is allowed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Allowed {
@@ -64,4 +72,20 @@
             Allowed::Contacts
         }
     }
+
+    /// Until when a caller waits for declarations that came at `arrived` and has so much time; `is_coming`: whether they are
+    /// being read.
+    pub fn caller_waits_until(&self, arrived: Moment, time_us: u64, is_coming: bool) -> Moment {
+        let until = self.started + BLANK_WAIT_US;
+        if is_coming {
+            until.max(arrived + time_us / READ_WAIT_PART)
+        } else {
+            until
+        }
+    }
+
+    /// Whether a caller that still waits does so beyond the time after the start, and needs a place of its own.
+    pub fn needs_place(&self, now: Moment) -> bool {
+        now >= self.started + BLANK_WAIT_US
+    }
 }
--- a/components/watch/src/lib.rs
+++ b/components/watch/src/lib.rs
@@ -10,10 +10,12 @@
 mod first_read;
 mod freshness;
 mod timing;
+mod waiting;
 mod word;
 
 pub use duty::{Advice, Watch, WANTED};
-pub use first_read::{Allowed, FirstRead, ANSWER_US, CONTACT_DIALS, READ_US};
+pub use first_read::{Allowed, FirstRead, ANSWER_US, BLANK_WAIT_US, CONTACT_DIALS, READ_US};
 pub use freshness::Freshness;
 pub use timing::Timing;
+pub use waiting::{Waiting, WaitingPlace, MOST_WAITING, MOST_WAITING_BYTES};
 pub use word::Word;
--- a/components/daemon/src/callers/waiting.rs
+++ b/components/watch/src/waiting.rs
@@ -3,9 +3,9 @@
 use std::cell::Cell;
 
 /// Callers that wait at the same time at most. At 300 requests a second a node takes in so many within 1.7 s.
-const MOST_WAITING: usize = 512;
+pub const MOST_WAITING: usize = 512;
 /// Bytes of their requests, at most: what rows of answers may hold as well.
-const MOST_WAITING_BYTES: usize = 4 * 1024 * 1024;
+pub const MOST_WAITING_BYTES: usize = 4 * 1024 * 1024;
 
 /// What all of them hold together.
 #[derive(Debug, Default)]
--- a/components/watch/tests/watch/first_read.rs
+++ b/components/watch/tests/watch/first_read.rs
@@ -4,7 +4,10 @@
 //! were in force later by as much as that took.
 
 use names::{Moment, MILLISECOND};
-use watch::{Allowed, FirstRead, ANSWER_US, READ_US};
+use watch::{
+    Allowed, FirstRead, Waiting, ANSWER_US, BLANK_WAIT_US, MOST_WAITING, MOST_WAITING_BYTES,
+    READ_US,
+};
 
 const STARTED: Moment = Moment(7);
 
@@ -50,3 +53,31 @@
     }
     assert_eq!(READ_US, 1_000 * MILLISECOND, "the page names this time");
 }
+
+#[test]
+fn callers_wait_a_quarter_of_their_time_only_while_declarations_are_being_read() {
+    let read = first_read();
+    let blank = STARTED + BLANK_WAIT_US;
+    let arrived = STARTED + 200 * MILLISECOND;
+    let time_us = 1_200 * MILLISECOND;
+    assert_eq!(read.caller_waits_until(arrived, time_us, false), blank);
+    let quarter = arrived + 300 * MILLISECOND;
+    assert_eq!(read.caller_waits_until(arrived, time_us, true), quarter);
+    // One that tells no deadline, or a short one, waits as long as before.
+    for time_us in [0, 100 * MILLISECOND] {
+        assert_eq!(read.caller_waits_until(arrived, time_us, true), blank);
+    }
+}
+
+#[test]
+fn callers_that_wait_hold_bounded_memory_and_leave_their_places() {
+    let waiting = Waiting::default();
+    let places: Vec<_> = (0..MOST_WAITING).map(|_| waiting.enter(1)).collect();
+    assert!(places.iter().all(Option::is_some));
+    assert!(waiting.enter(1).is_none(), "too many callers");
+    drop(places);
+    let large = waiting.enter(MOST_WAITING_BYTES).expect("room again");
+    assert!(waiting.enter(1).is_none(), "too many bytes");
+    drop(large);
+    assert!(waiting.enter(1).is_some());
+}
