--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use watch::Allowed;
 use wire::Frame;
 
 /// Mean time between two comparisons with a peer chosen at random.
@@ -127,7 +128,8 @@
 
 /// Asks a peer for what is newer there, unless it is on its way or the store is about to give it.
 fn ask(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
-    if watching::waits_for_first_read(node) {
+    if watching::allowed(node) == Allowed::Nothing {
+        // Asked again, the store would send the same once more over the same link.
         return;
     }
     let mine = node.summary();
@@ -143,7 +145,8 @@
     let standing = Standing {
         revision: mine.revision,
         store_asked: node.watch.borrow().is_watching(),
-        can_read: node.registration.is_some(),
+        // A store that has not answered the first read is not asked beside it.
+        can_read: node.registration.is_some() && !watching::is_first_read(node),
     };
     let now = node.now();
     let told = node
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -46,8 +46,6 @@
     pub evacuations: RefCell<Evacuations>,
     /// Answers of the store with declarations that are being taken in.
     pub taking_in: Cell<u32>,
-    /// Answers of the store with records that are waited for.
-    pub listing: Cell<u32>,
     /// Records that arrive at the start and are told in one line.
     pub arrivals: RefCell<Arrivals>,
     /// Whether the others have not been told of this node's record because its declarations are being read.
@@ -86,7 +84,6 @@
             eras: RefCell::new(Eras::new(boot.0)),
             evacuations: RefCell::default(),
             taking_in: Cell::new(0),
-            listing: Cell::new(0),
             arrivals: RefCell::default(),
             untold: Cell::new(false),
             has_learned: Cell::new(false),
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -7,7 +7,6 @@
 
 use super::{health, offer, peers, Registration, Source};
 use crate::containment;
-use crate::counted::Counted;
 use crate::local;
 use crate::node::Node;
 use crate::store;
@@ -188,9 +187,7 @@
 ) -> Result<()> {
     let kind = registration.adapter.records();
     let list = registration.adapter.store().list(kind, reading);
-    let waiting = Counted::begin(&registration.listing);
     let listing = called(node, Purpose::Fleet, list).await?;
-    drop(waiting);
     audit::listed(listing.objects.len(), listing.at);
     for object in &listing.objects {
         let record = match decode(object) {
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -124,23 +124,21 @@
     node.first_read.borrow().allowed(node.now(), is_read)
 }
 
-/// Whether what other nodes have is left to the first read: the store's answer with the declarations arrives. Asked again,
-/// it would send the same once more over the same link.
-pub fn waits_for_first_read(node: &Node) -> bool {
+/// Whether this node has no declarations and its first read of them has not ended.
+pub fn is_first_read(node: &Node) -> bool {
     let is_over = node.first_read.borrow().is_over(node.now());
-    !is_over && node.in_force().is_none() && is_read(node)
+    node.registration.is_some() && node.in_force().is_none() && !is_over
 }
 
-/// Whether the store's answer with the declarations arrives or is checked just now. Records of nodes arrive in answers of
-/// their own.
+/// Whether the store's answer with the declarations arrives or is checked just now.
 pub fn is_read(node: &Node) -> bool {
     let Some(registration) = &node.registration else {
         return false;
     };
-    let store = registration.adapter.store();
+    let (kind, _) = registration.adapter.declarations();
     let rollout = node.rollout.borrow();
     registration.taking_in.get() > 0
-        || store.receiving() > registration.listing.get()
+        || registration.adapter.store().receives(kind)
         || rollout.newest() > rollout.revision()
 }
 
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -92,6 +92,8 @@
     fn calls(&self) -> u64;
     /// Answers of which a part has come, and the end has not.
     fn receiving(&self) -> u32;
+    /// Whether one of them is about objects of a kind.
+    fn receives(&self, kind: &str) -> bool;
 }
 
 /// What an upstream tells the node beside it.
