A node that starts where halls are evacuated asks two nodes for them while its declarations are read

Otherwise declarations could be in force before it had met anybody who knows which halls are evacuated.

--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -33,6 +33,9 @@
 
 /// Time between two looks whether the first declarations are in force.
 const START_LOOK: Duration = Duration::from_millis(10);
+/// Nodes of the hall that are asked which halls are evacuated while the declarations are being read: two, as one may have
+/// just started itself.
+const EVACUATION_DIALS: usize = 2;
 /// Records that arrive so long after the start are told in one line, in microseconds: nodes that start together tell one
 /// another of their starts and of their upstreams in this time.
 const ARRIVALS_US: u64 = 2_000 * MILLISECOND;
@@ -276,27 +279,34 @@
     }
 }
 
-/// Before declarations are in force: nobody is dialled while the store gives them; a few nodes of the hall once it has not
-/// answered.
+/// Before declarations are in force: nobody is dialled while the store gives them, but for those who tell which halls are
+/// evacuated; a few nodes of the hall once it has not answered.
 async fn dial_contacts(node: &Rc<Node>, registration: &Registration) {
     loop {
-        match watching::allowed(node) {
+        let count = match watching::allowed(node) {
             Allowed::Everything => return,
-            Allowed::Nothing => {}
-            Allowed::Contacts => {
-                let fleet = registration.fleet.borrow();
-                let mut near = registry::contacts(&fleet, &node.cfg.hall);
-                drop(fleet);
-                near.retain(|vm| !links::has_failed(node, vm));
-                for vm in near.iter().take(CONTACT_DIALS) {
-                    links::dial(node, vm);
-                }
+            Allowed::Nothing if lacks_evacuations(node, registration) => EVACUATION_DIALS,
+            Allowed::Nothing => 0,
+            Allowed::Contacts => CONTACT_DIALS,
+        };
+        if count > 0 {
+            let fleet = registration.fleet.borrow();
+            let mut near = registry::contacts(&fleet, &node.cfg.hall);
+            drop(fleet);
+            near.retain(|vm| !links::has_failed(node, vm));
+            for vm in near.iter().take(count) {
+                links::dial(node, vm);
             }
         }
         task::sleep(START_LOOK).await;
     }
 }
 
+/// Whether operators evacuate halls and this node has not heard which. It should know once its declarations are in force.
+fn lacks_evacuations(node: &Node, registration: &Registration) -> bool {
+    node.cfg.evacuated_within_ms > 0 && registration.evacuations.borrow().known().is_none()
+}
+
 /// Writes how many records arrived at the start, once the first flood of them is over.
 async fn flush_arrivals(node: Rc<Node>, registration: Rc<Registration>) {
     let until = node.started + ARRIVALS_US;
