--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -32,7 +32,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use upstream::Pool;
-use watch::{Timing, Watch};
+use watch::{FirstRead, Timing, Waiting, Watch};
 use wire::{Answer, RelayOutcome};
 
 /// Keys that a node remembers at most.
@@ -123,6 +123,10 @@
     pub view: RefCell<View>,
     /// Whether this node asks the platform for news.
     pub watch: RefCell<Watch>,
+    /// The first read of the declarations, before which other work waits.
+    pub first_read: RefCell<FirstRead>,
+    /// Callers that wait for the first declarations.
+    pub blank_waiters: Waiting,
     /// Platform's object API.
     pub platform: Rc<Client>,
     /// The registered fleet; none where the platform lists the VMs.
@@ -206,6 +210,8 @@
             moved: RefCell::default(),
             view: RefCell::default(),
             watch: RefCell::new(watch(&cfg, clock.now(), boot)),
+            first_read: RefCell::new(FirstRead::new(clock.now())),
+            blank_waiters: Waiting::default(),
             platform: Rc::new(Client::new(cfg.platform.clone())),
             registration,
             containment: Containment::new(clock.now()),
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -206,6 +206,7 @@
         }
         peers::taken(node, registration, record, Source::Store);
     }
+    node.fleet_changed();
     Ok(())
 }
 
--- /dev/null
+++ b/components/watch/tests/watch/first_read.rs
@@ -0,0 +1,83 @@
+//! What a node that has just started may do before its declarations are in force.
+//!
+//! The load: all nodes of a fleet start at once. When each of them opened connections to its whole hall first, declarations
+//! were in force later by as much as that took.
+
+use names::{Moment, MILLISECOND};
+use watch::{
+    Allowed, FirstRead, Waiting, ANSWER_US, BLANK_WAIT_US, MOST_WAITING, MOST_WAITING_BYTES,
+    READ_US,
+};
+
+const STARTED: Moment = Moment(7);
+
+fn first_read() -> FirstRead {
+    FirstRead::new(STARTED)
+}
+
+#[test]
+fn nothing_else_is_done_while_the_store_gives_the_declarations() {
+    let read = first_read();
+    assert_eq!(read.allowed(STARTED, false), Allowed::Nothing);
+    for at in [0, ANSWER_US, READ_US - 1] {
+        assert_eq!(read.allowed(STARTED + at, true), Allowed::Nothing, "{at}");
+    }
+}
+
+#[test]
+fn contacts_are_dialled_once_the_store_has_not_answered_in_time() {
+    let read = first_read();
+    let before = STARTED + (ANSWER_US - 1);
+    assert_eq!(read.allowed(before, false), Allowed::Nothing);
+    assert_eq!(read.allowed(STARTED + ANSWER_US, false), Allowed::Contacts);
+    // Its answer comes after all.
+    assert_eq!(
+        read.allowed(STARTED + 2 * ANSWER_US, true),
+        Allowed::Nothing
+    );
+}
+
+#[test]
+fn a_store_that_fails_or_holds_no_declarations_delays_nothing_further() {
+    let mut read = first_read();
+    read.ended();
+    assert_eq!(read.allowed(STARTED + 1, false), Allowed::Everything);
+}
+
+#[test]
+fn a_store_that_is_silent_or_answers_without_end_does_not_keep_a_node_apart() {
+    let read = first_read();
+    for is_coming in [false, true] {
+        let allowed = read.allowed(STARTED + READ_US, is_coming);
+        assert_eq!(allowed, Allowed::Everything);
+    }
+    assert_eq!(READ_US, 1_000 * MILLISECOND, "the page names this time");
+}
+
+#[test]
+fn callers_wait_a_quarter_of_their_time_only_while_declarations_are_being_read() {
+    let read = first_read();
+    let blank = STARTED + BLANK_WAIT_US;
+    let arrived = STARTED + 200 * MILLISECOND;
+    let time_us = 1_200 * MILLISECOND;
+    assert_eq!(read.caller_waits_until(arrived, time_us, false), blank);
+    let quarter = arrived + 300 * MILLISECOND;
+    assert_eq!(read.caller_waits_until(arrived, time_us, true), quarter);
+    // One that tells no deadline, or a short one, waits as long as before.
+    for time_us in [0, 100 * MILLISECOND] {
+        assert_eq!(read.caller_waits_until(arrived, time_us, true), blank);
+    }
+}
+
+#[test]
+fn callers_that_wait_hold_bounded_memory_and_leave_their_places() {
+    let waiting = Waiting::default();
+    let places: Vec<_> = (0..MOST_WAITING).map(|_| waiting.enter(1)).collect();
+    assert!(places.iter().all(Option::is_some));
+    assert!(waiting.enter(1).is_none(), "too many callers");
+    drop(places);
+    let large = waiting.enter(MOST_WAITING_BYTES).expect("room again");
+    assert!(waiting.enter(1).is_none(), "too many bytes");
+    drop(large);
+    assert!(waiting.enter(1).is_some());
+}
