A slot that comes free goes to an attempt whose wait has just ended, and long runs hardly raise the usual run time

Two tests of the model were red. The usual run time of a class followed runs of seven times its length, and requests that could be answered in time were refused as hopeless: one run counts with twice the usual time at most now.

--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -275,8 +275,16 @@
     }
 
     /// Starts queued attempts while slots are free.
+    ///
+    /// Slots are given out before waits are ended: a slot that comes free between two ticks is not to find the attempt
+    /// refused whose wait ended since the last one.
     fn fill(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        self.refuse_dead(now, actions);
+        self.start_queued(now, actions);
         self.expire(now, actions);
+    }
+
+    fn start_queued(&mut self, now: Moment, actions: &mut Vec<Action>) {
         if self.down_since.is_some() {
             self.hand_back_all(now, actions);
             return;
@@ -334,15 +342,20 @@
         }
     }
 
+    /// Refuses what has waited as long as it may.
     fn expire(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        for (id, past_deadline) in self.queue.late(now) {
+        self.refuse_dead(now, actions);
+        for id in self.queue.late(now) {
             self.queue.take(id);
-            let reason = if past_deadline {
-                Reason::Deadline
-            } else {
-                Reason::Busy
-            };
-            self.refuse_ended(now, id, reason, actions);
+            self.refuse_ended(now, id, Reason::Busy, actions);
+        }
+    }
+
+    /// Refuses what is past its deadline.
+    fn refuse_dead(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        for id in self.queue.dead(now) {
+            self.queue.take(id);
+            self.refuse_ended(now, id, Reason::Deadline, actions);
         }
     }
 
--- a/components/home/src/pace.rs
+++ b/components/home/src/pace.rs
@@ -43,6 +43,10 @@
 const BLIND_US: (u64, u64) = (SECOND / 4, 4 * SECOND);
 /// Weight of a new run in the usual service time of its class.
 const SERVICE_WEIGHT: f64 = 0.1;
+/// A run counts in the usual service time of its class with this many times that time at most. Where 3% of the runs take
+/// seven times as long, each of them would otherwise raise the usual time by more than half, and requests that can be
+/// answered in time would be refused as hopeless.
+const MOST_RUN_FACTOR: f64 = 2.0;
 /// Classes whose service times are told apart at most.
 const MOST_CLASSES: usize = 64;
 
@@ -156,6 +160,7 @@
             return;
         }
         let service = self.services_us.entry(class).or_insert(at_usual);
+        let at_usual = at_usual.min(*service * MOST_RUN_FACTOR);
         *service += (at_usual - *service) * SERVICE_WEIGHT;
     }
 
--- a/components/home/src/queue.rs
+++ b/components/home/src/queue.rs
@@ -196,12 +196,19 @@
         (lowest > own || count > would_have).then_some(last)
     }
 
-    /// The attempts that have waited too long, each with whether its deadline has passed.
-    pub(crate) fn late(&self, now: Moment) -> Vec<(AttemptId, bool)> {
-        self.attempts()
-            .filter(|attempt| attempt.latest_start() <= now)
-            .map(|attempt| (attempt.id(), attempt.deadline() <= now))
-            .collect()
+    /// The attempts that have waited as long as they may.
+    pub(crate) fn late(&self, now: Moment) -> Vec<AttemptId> {
+        self.ids_where(|attempt| attempt.latest_start() <= now)
+    }
+
+    /// The attempts whose deadline has passed.
+    pub(crate) fn dead(&self, now: Moment) -> Vec<AttemptId> {
+        self.ids_where(|attempt| attempt.deadline() <= now)
+    }
+
+    fn ids_where(&self, is_so: impl Fn(&Attempt<Queued>) -> bool) -> Vec<AttemptId> {
+        let found = self.attempts().filter(|attempt| is_so(attempt));
+        found.map(|attempt| attempt.id()).collect()
     }
 
     /// All that wait.
