--- a/components/entry/src/call/hedge.rs
+++ b/components/entry/src/call/hedge.rs
@@ -250,8 +250,10 @@
             }
             Event::Ended { id, order } => {
                 // The other attempt is the one more run that such a request may have.
-                if self.one_broken(id, entry).is_some() {
+                if let Some(vm) = self.failed(id, Failure::Ran, entry) {
+                    self.maybe_ran = true;
                     self.suspect = Some(Suspect::new(order));
+                    self.close(vm);
                 }
                 Vec::new()
             }
--- a/components/entry/tests/suspect.rs
+++ b/components/entry/tests/suspect.rs
@@ -183,3 +183,29 @@
     let (_, to, suspicion) = offered(&call.step(NOW, Event::NotSent(id), &mut entry));
     assert_eq!((to.as_str(), suspicion), ("e", Suspicion::Alone));
 }
+
+/// Guards against a suspect that is offered again to the upstream that it ended: that upstream was not closed in the
+/// order of the suspect when it ended under one of two attempts.
+#[test]
+fn a_request_that_ended_an_upstream_under_one_of_two_attempts_goes_to_neither_again() {
+    for second_ends in [false, true] {
+        let mut entry = entry();
+        let mut call = call(true);
+        let (first, first_to, _) = offered(&call.step(NOW, Event::Begin, &mut entry));
+        let (second, second_to, _) =
+            offered(&call.step(NOW + 60_000, Event::Straggles(first), &mut entry));
+        let (ends, goes_on) = if second_ends {
+            (second, first)
+        } else {
+            (first, second)
+        };
+        let other = VMS.iter().find(|vm| **vm != first_to && **vm != second_to);
+        let other = *other.expect("a third upstream");
+        let order = order(&[&first_to, &second_to, other]);
+        let event = Event::Ended { id: ends, order };
+        assert!(call.step(NOW + 61_000, event, &mut entry).is_empty());
+        let busy = Event::Refused(goes_on, refusal(Reason::Busy));
+        let (_, to, suspicion) = offered(&call.step(NOW + 62_000, busy, &mut entry));
+        assert_eq!((to.as_str(), suspicion), (other, Suspicion::Alone));
+    }
+}
