--- a/components/entry/tests/attempts/hedges.rs
+++ b/components/entry/tests/attempts/hedges.rs
@@ -25,6 +25,7 @@
                 1 => Verdict::Broken,
                 2 => Verdict::Shed,
                 3 => Verdict::NotSent,
+                4 => Verdict::Ended,
                 _ => Verdict::Good,
             };
             world.finish(pick, rng.random_range(0..4), verdict);
@@ -40,7 +41,7 @@
     }
 }
 
-/// Guards against a second start of what may run once, an untrue "not run", an answer of another request, repeats beyond
+/// Guards against a second start of what may run once, an untrue "not run", a second offer to an upstream that the request ended, an answer of another request, repeats beyond
 /// the budget and callers that are told nothing, where second attempts are frequent.
 #[test]
 fn with_many_second_attempts_callers_hear_the_truth_and_the_budget_holds() {
--- a/components/entry/tests/attempts/world/delivery.rs
+++ b/components/entry/tests/attempts/world/delivery.rs
@@ -1,6 +1,6 @@
 //! What the nodes of the world do with each message and each action.
 
-use super::{index, Body, CallId, Message, World, DEADLINE_US, LEVELS};
+use super::{index, vm, Body, CallId, Message, World, DEADLINE_US, LEVELS};
 use entry::{Action, Event, HedgeDecision};
 use home::{AskReply, Offer};
 use names::AttemptId;
@@ -60,6 +60,10 @@
             Body::Revoked(id) => (id, Event::Revoked(id)),
             Body::Answered(id, answer, error) => (id, Event::Answered { id, answer, error }),
             Body::Broken(id) => (id, Event::Broken(id)),
+            Body::Ended(id) => {
+                let order = (0..self.homes.len()).map(vm).collect();
+                (id, Event::Ended { id, order })
+            }
             Body::Told(id, reply) => (id, Event::Told(id, reply)),
             Body::Straggles(id) => (id, Event::Straggles(id)),
             other => panic!("{other:?} is no reply"),
@@ -103,7 +107,15 @@
             return;
         };
         let is_straggler = matches!(event, Event::Straggles(_));
+        let ended = match &event {
+            Event::Ended { id, .. } => node.attempts.get(id).map(|(_, home, _)| *home),
+            _ => None,
+        };
+        let late = call.late();
         let actions = call.step(now, event, &mut node.duty);
+        if let Some(home) = ended.filter(|_| call.late() == late) {
+            self.oracle.ended.insert((id, home));
+        }
         let offers = |action: &Action<CallId>| matches!(action, Action::Offer { .. });
         let hedged = call.take_hedge().map(|hedge| hedge.decision);
         assert!(
@@ -133,6 +145,10 @@
                 suspicion,
             } => {
                 let home = index(&to);
+                assert!(
+                    !self.oracle.ended.contains(&(call, home)),
+                    "call {call} was offered again to an upstream that it ended"
+                );
                 let boot = self.homes[home].boot;
                 self.calls_of.insert(id, call);
                 self.entries[entry].attempts.insert(id, (call, home, boot));
--- a/components/entry/tests/attempts/world/mod.rs
+++ b/components/entry/tests/attempts/world/mod.rs
@@ -28,6 +28,8 @@
     Revoked(AttemptId),
     Answered(AttemptId, CallId, bool),
     Broken(AttemptId),
+    /// The upstream ended while it ran the attempt.
+    Ended(AttemptId),
     Told(AttemptId, AskReply<CallId>),
     Straggles(AttemptId),
 }
@@ -77,6 +79,8 @@
     pub hedges: u32,
     /// Second attempts that brought the answer.
     pub won_by_second: u32,
+    /// Upstreams that ended under a call, as far as the call knows.
+    pub ended: HashSet<(CallId, usize)>,
     /// What each caller was told.
     pub told: HashMap<CallId, Outcome<CallId>>,
     /// Calls whose caller hung up or whose entry node died.
@@ -249,6 +253,8 @@
             .completed(self.now, id, verdict, whole.then_some(call));
         if whole {
             self.reply(home, Body::Answered(id, call, verdict == Verdict::Error));
+        } else if verdict == Verdict::Ended {
+            self.reply(home, Body::Ended(id));
         } else if !not_run {
             self.reply(home, Body::Broken(id));
         }
@@ -456,6 +462,7 @@
             | Body::Revoked(id)
             | Body::Answered(id, _, _)
             | Body::Broken(id)
+            | Body::Ended(id)
             | Body::Straggles(id)
             | Body::Told(id, _) => *id,
             other => panic!("{other:?} is no reply"),
