--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -13,6 +13,7 @@
 use home::{Load, Offer, Suspicion};
 use keys::KeyHash;
 use names::{AttemptId, Moment, Name};
+use quarantine::Standing;
 use std::future::Future;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -147,6 +148,11 @@
 
     fn step(&mut self, event: Event<Whole>) -> Option<Outcome<Whole>> {
         let now = self.node.now();
+        let is_straggler = matches!(event, Event::Straggles(_));
+        // An upstream may have ended under a copy since the call began.
+        if is_straggler && containment::standing(self.node, &self.req) != Standing::Free {
+            self.call.forbid_hedge();
+        }
         let actions = {
             let mut entry = self.node.entry.borrow_mut();
             self.call.step(now, event, &mut entry)
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -62,6 +62,8 @@
     /// When the current attempt was offered.
     offered_at: Moment,
     second: Second,
+    /// Whether the request came under suspicion elsewhere while it ran.
+    hedge_forbidden: bool,
     /// What the last step decided of a second attempt.
     hedge: Option<Hedge>,
 }
@@ -98,6 +100,7 @@
             suspicion: Suspicion::None,
             offered_at: Moment(0),
             second: Second::None,
+            hedge_forbidden: false,
             hedge: None,
         }
     }
--- a/components/entry/src/call/hedge.rs
+++ b/components/entry/src/call/hedge.rs
@@ -71,11 +71,17 @@
     pub fn may_hedge(&self) -> bool {
         self.treatment.repeatable
             && self.suspect.is_none()
+            && !self.hedge_forbidden
             && self.second == Second::None
             && self.runs + 1 < self.treatment.attempts
             && self.arrivals + 1 < self.treatment.arrivals
     }
 
+    /// Forbids a second attempt: an upstream ended under another copy of the request since the call began.
+    pub fn forbid_hedge(&mut self) {
+        self.hedge_forbidden = true;
+    }
+
     /// Takes out the decision about a second attempt that was made in the last step.
     pub fn take_hedge(&mut self) -> Option<Hedge> {
         self.hedge.take()
--- a/components/entry/src/hedging.rs
+++ b/components/entry/src/hedging.rs
@@ -18,7 +18,7 @@
 /// Why no second attempt was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HedgeRefusal {
-    /// The request may not run once more, or an upstream ended while it ran the request.
+    /// The request may not run once more, or an upstream ended while it ran the request or a copy of it.
     NotAllowed,
     /// The service is short of slots.
     Short,
--- a/components/entry/tests/hedge.rs
+++ b/components/entry/tests/hedge.rs
@@ -233,6 +233,16 @@
     assert_eq!(site.straggle(), Err(HedgeRefusal::NotAllowed));
 }
 
+/// Guards against a second upstream for a request that came under suspicion while it ran: an upstream ended under a copy.
+#[test]
+fn a_request_that_came_under_suspicion_while_it_ran_gets_no_second_attempt() {
+    let mut site = Site::of(treatment(), &NEAR, entry(3));
+    assert!(site.call.may_hedge());
+    site.call.forbid_hedge();
+    assert!(!site.call.may_hedge());
+    assert_eq!(site.straggle(), Err(HedgeRefusal::NotAllowed));
+}
+
 /// The load: a service is short of slots and refuses as busy. Guards against second attempts that take slots from
 /// requests that have had none.
 #[test]
