Second attempts: only refusals of offers that might queue say that a service is short

Offers that only ask for a free slot at once are refused in services that are not short too, and a second attempt is such an offer. Refusals of offers that might queue now count also when they arrive after their call has left the attempt.

--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -94,8 +94,11 @@
         tx,
         attempts: Vec::new(),
     };
-    let outcome = running.run(rx, plan.deadline, pin!(hung_up)).await;
+    let outcome = running.run(&rx, plan.deadline, pin!(hung_up)).await;
     running.forget();
+    while let Ok(event) = rx.try_recv() {
+        running.step(event);
+    }
     if matches!(&outcome, Some(Outcome::Answered(answer)) if !answer.is_error()) {
         containment::answered(node, &running.req);
     }
@@ -108,7 +111,7 @@
 impl Running<'_> {
     async fn run(
         &mut self,
-        rx: Receiver<Event<Whole>>,
+        rx: &Receiver<Event<Whole>>,
         deadline: Moment,
         mut hung_up: Pin<&mut impl Future<Output = ()>>,
     ) -> Option<Outcome<Whole>> {
@@ -270,6 +273,10 @@
 
 /// Hands an event to the call that waits for the attempt; counts it as late when there is none.
 pub fn deliver(node: &Rc<Node>, id: AttemptId, event: Event<Whole>) {
+    let refusal = match &event {
+        Event::Refused(_, refusal) => Some(*refusal),
+        _ => None,
+    };
     let waiters = node.waiters.borrow();
     if let Some(waiter) = waiters.get(&id) {
         let took_us = node.now().since(waiter.offered);
@@ -280,5 +287,9 @@
         .is_some_and(|waiter| waiter.tx.try_send(event).is_ok());
     if !delivered {
         stats::late("event");
+        if let Some(refusal) = refusal {
+            let mut entry = node.entry.borrow_mut();
+            entry.refused_late(node.now(), id, &refusal);
+        }
     }
 }
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -146,8 +146,7 @@
     /// Takes in an event and returns what has to be done.
     pub fn step(&mut self, now: Moment, event: Event<A>, entry: &mut Entry) -> Vec<Action<A>> {
         if self.is_done() {
-            self.late += 1;
-            return Vec::new();
+            return self.late_event(now, event, entry);
         }
         if self.second.is_beside() {
             return self.step_both(now, event, entry);
@@ -232,11 +231,12 @@
         entry: &mut Entry,
     ) -> Vec<Action<A>> {
         let Some(vm) = self.end(id, entry) else {
+            entry.refused_late(now, id, &refusal);
             return Vec::new();
         };
         self.last_refusal = Some(refusal);
         self.contacted |= refusal.reason != Reason::Uncertain;
-        if refusal.reason == Reason::Busy {
+        if refusal.reason == Reason::Busy && self.might_queue() {
             entry.refused_busy(now, &self.service);
         }
         match refusal.reason {
@@ -391,7 +391,7 @@
         if !self.may_retry(entry) {
             return Vec::new();
         }
-        self.end(id, entry);
+        self.leave_attempt(id, entry);
         self.runs += 1;
         self.arrivals += 1;
         self.maybe_ran = true;
@@ -404,7 +404,7 @@
         let Some((id, to)) = self.active() else {
             return self.give_up(Reason::Deadline, entry);
         };
-        self.end(id, entry);
+        self.leave_attempt(id, entry);
         self.arrived();
         self.maybe_ran = true;
         let mut actions = vec![Action::Cancel { id, to }];
@@ -415,7 +415,7 @@
     fn hung_up(&mut self, entry: &mut Entry) -> Vec<Action<A>> {
         let active = self.active();
         if let Some((id, _)) = &active {
-            self.end(*id, entry);
+            self.leave_attempt(*id, entry);
             // Its upstream may have seen the repeat.
             self.repeat_paid = false;
         }
--- a/components/entry/src/call/hedge.rs
+++ b/components/entry/src/call/hedge.rs
@@ -273,13 +273,18 @@
             Reason::Shed => Failure::Shed,
             _ => Failure::NotRun,
         };
+        // A second attempt only asks for a free slot at once.
+        let might_queue = self.might_queue() && self.current(id).is_some();
         let Some(vm) = self.failed(id, failure, entry) else {
+            entry.refused_late(now, id, &refusal);
             return;
         };
         self.contacted |= refusal.reason != Reason::Uncertain;
         match refusal.reason {
             Reason::Busy => {
-                entry.refused_busy(now, &self.service);
+                if might_queue {
+                    entry.refused_busy(now, &self.service);
+                }
                 self.refused_by.push(vm);
             }
             Reason::Leaving => {
@@ -315,6 +320,7 @@
                 Failure::NotRun => self.refund(entry),
                 Failure::Shed | Failure::Ran => self.arrived(),
             }
+            self.asked_to_queue = false;
             // The second attempt has been paid for, and it is not known yet whether it reaches an upstream.
             self.repeat_paid = true;
             self.state = State::Waiting {
--- a/components/entry/src/call/offers.rs
+++ b/components/entry/src/call/offers.rs
@@ -2,9 +2,10 @@
 
 use super::Call;
 use crate::choice::{Candidate, Rule};
-use crate::event::Action;
+use crate::event::{Action, Event};
 use crate::shared::Entry;
-use names::{Moment, Name};
+use home::Suspicion;
+use names::{AttemptId, Moment, Name};
 
 /// Offers that ask for a free slot at once, before one that may queue.
 const IMMEDIATE_OFFERS: u32 = 2;
@@ -62,6 +63,33 @@
         }
     }
 
+    /// Whether the current offer might queue. One that asks to run alone is also refused as busy because of another
+    /// suspect, which says nothing of slots.
+    pub(super) fn might_queue(&self) -> bool {
+        self.asked_to_queue && self.suspicion != Suspicion::Alone
+    }
+
+    /// Ends the current attempt without word of how it ended; its refusal may still arrive.
+    pub(super) fn leave_attempt(&mut self, id: AttemptId, entry: &mut Entry) {
+        if self.might_queue() {
+            entry.left_queued(id, &self.service);
+        }
+        self.end(id, entry);
+    }
+
+    /// Takes in an event that arrives after the outcome.
+    pub(super) fn late_event(
+        &mut self,
+        now: Moment,
+        event: Event<A>,
+        entry: &mut Entry,
+    ) -> Vec<Action<A>> {
+        if let Event::Refused(id, refusal) = event {
+            entry.refused_late(now, id, &refusal);
+        }
+        self.dropped()
+    }
+
     /// Makes no further offer to a VM.
     pub(super) fn close(&mut self, vm: Name) {
         if let Some(suspect) = &mut self.suspect {
--- a/components/entry/src/hedging.rs
+++ b/components/entry/src/hedging.rs
@@ -73,6 +73,7 @@
     pub expected_us: Option<u64>,
     /// Age of what was known of the chosen upstream, in microseconds.
     pub load_age_us: Option<u64>,
-    /// Time since the last refusal as busy of this service, in microseconds; none when there was none.
+    /// Time since the last refusal as busy of an offer of this service that might queue, in microseconds; none when
+    /// there was none.
     pub since_busy_us: Option<u64>,
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod price;
 mod retry;
 mod shared;
+mod shortage;
 mod split;
 mod suspect;
 
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -3,7 +3,8 @@
 use crate::choice::{choose, Candidate, Rule, View};
 use crate::price::Price;
 use crate::retry::{RetryBudget, RetryRate};
-use home::Load;
+use crate::shortage::Shortage;
+use home::{Load, Refusal};
 use names::{AttemptId, BootId, Moment, Name, SECOND};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -22,8 +23,7 @@
     budgets: HashMap<Name, RetryBudget>,
     /// Services that the upstream beside this node calls.
     below: HashSet<Name>,
-    /// When an offer of each service was last refused as busy.
-    busy: HashMap<Name, Moment>,
+    shortage: Shortage,
     retry_rate: RetryRate,
     rng: SmallRng,
 }
@@ -38,7 +38,7 @@
             views: HashMap::new(),
             budgets: HashMap::new(),
             below: HashSet::new(),
-            busy: HashMap::new(),
+            shortage: Shortage::default(),
             retry_rate: RetryRate::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -107,14 +107,25 @@
         self.views.get(vm).is_some_and(|view| view.is_suspect(now))
     }
 
-    /// Takes in that an offer was refused because the upstream was busy.
+    /// Takes in that an offer that might queue was refused because the upstream was busy.
     pub(crate) fn refused_busy(&mut self, now: Moment, service: &Name) {
-        self.busy.insert(service.clone(), now);
+        self.shortage.refused(now, service);
     }
 
-    /// Time since an offer of the service was refused as busy, in microseconds; none when none was.
+    /// Takes in that a call has left an attempt that might queue, without word of its end.
+    pub(crate) fn left_queued(&mut self, id: AttemptId, service: &Name) {
+        self.shortage.left(id, service);
+    }
+
+    /// Takes in a refusal that arrives after its call has left the attempt. Returns whether it says that the service
+    /// is short of slots.
+    pub fn refused_late(&mut self, now: Moment, id: AttemptId, refusal: &Refusal) -> bool {
+        self.shortage.refused_late(now, id, refusal)
+    }
+
+    /// Time since an offer of the service that might queue was refused as busy, in microseconds; none when none was.
     pub(crate) fn since_busy_us(&self, now: Moment, service: &Name) -> Option<u64> {
-        self.busy.get(service).map(|at| now.since(*at))
+        self.shortage.since_us(now, service)
     }
 
     pub(crate) fn next_attempt(&mut self) -> AttemptId {
--- a/components/entry/tests/hedge_delay/replay.rs
+++ b/components/entry/tests/hedge_delay/replay.rs
@@ -284,9 +284,6 @@
         let Request {
             class, call, node, ..
         } = &mut self.requests[request];
-        if call.is_done() {
-            return;
-        }
         let is_counted = request >= FIRST_COUNTED;
         let objective_us = class.objective_ms * MILLISECOND;
         let actions = call.step(now, event, &mut self.entries[*node]);
