Second attempts: expected time of a run where upstreams report little or nothing, and the way back

A service time of 0, the default of a load, counted as a run of no length, and a mean over mixed classes as the length of each. Neither took off the time that an answer needs to come back.

--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -8,7 +8,7 @@
 use crate::node::{Node, Waiter, Whole};
 use async_channel::{Receiver, Sender};
 use audit::stats::{self, Stage};
-use entry::{Action, Call, Candidate, Event, Origin, Outcome, Price, Treatment};
+use entry::{Action, Call, Candidate, Event, Origin, Outcome, Price, Treatment, WAY_BACK_US};
 use futures_util::future::{select, Either};
 use home::{Load, Offer, Suspicion};
 use keys::KeyHash;
@@ -195,7 +195,7 @@
         let offer = Offer {
             id,
             service: self.req.service.clone(),
-            remaining_us: left.saturating_sub(home_driver::WAY_BACK_US),
+            remaining_us: left.saturating_sub(WAY_BACK_US),
             objective_us: self.objective_us(),
             priority: self.treatment.priority,
             level: self.req.level,
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -485,7 +485,3 @@
         }
     }
 }
-
-/// Time an entry node leaves for the way back, so that a refusal at the deadline still arrives in
-/// time: two crossings and some slack, in microseconds.
-pub const WAY_BACK_US: u64 = 3 * MILLISECOND;
--- a/components/entry/src/call/hedge.rs
+++ b/components/entry/src/call/hedge.rs
@@ -10,10 +10,10 @@
 use super::{Call, State};
 use crate::choice::Candidate;
 use crate::event::{Action, Event};
-use crate::hedging::{Hedge, HedgeDecision, HedgeRefusal};
+use crate::hedging::{Hedge, HedgeDecision, HedgeRefusal, WAY_BACK_US};
 use crate::shared::Entry;
 use crate::suspect::Suspect;
-use home::{Reason, Refusal, Suspicion};
+use home::{Load, Reason, Refusal, Suspicion};
 use names::{AttemptId, Moment, Name, SECOND};
 
 /// A service counts as short for so long after a refusal as busy where no objective is known, in microseconds.
@@ -66,6 +66,18 @@
     Ran,
 }
 
+/// How long a second run is expected to take, in microseconds.
+///
+/// The home duty reports a run that has taken longer than usual, so the time since its offer is an upper bound. What an
+/// upstream reports is a mean over all its classes, which short requests lower, so it counts down to half of that time
+/// only. Zero means that the upstream has reported none.
+fn expected_us(since_offer_us: u64, load: Option<Load>) -> u64 {
+    let reported_us = load.map(|load| load.service_us).filter(|us| *us > 0);
+    reported_us.map_or(since_offer_us, |us| {
+        us.clamp(since_offer_us / 2, since_offer_us)
+    })
+}
+
 impl<A: Clone> Call<A> {
     /// Whether a straggling attempt of this call may get a second one as far as the call itself goes.
     pub fn may_hedge(&self) -> bool {
@@ -139,14 +151,11 @@
         let to = self.pick_second(now, first, entry);
         let to = to.ok_or(HedgeRefusal::NoUpstream)?;
         let view = entry.view(&to);
-        // The home duty reports a run that has taken longer than usual, so the time since its offer is a bound.
-        let since_offer_us = hedge.since_offer_us;
-        let reported_us = view.load.map(|load| load.service_us);
-        let expected_us = reported_us.map_or(since_offer_us, |us| us.min(since_offer_us));
+        let expected_us = expected_us(hedge.since_offer_us, view.load);
         hedge.to = Some(to.clone());
         hedge.expected_us = Some(expected_us);
         hedge.load_age_us = view.load.map(|_| now.since(view.reported));
-        if expected_us >= hedge.left_us {
+        if expected_us + WAY_BACK_US > hedge.left_us {
             return Err(HedgeRefusal::TooLate);
         }
         if !entry.spend_retry(&self.service) {
--- a/components/entry/src/hedging.rs
+++ b/components/entry/src/hedging.rs
@@ -1,6 +1,10 @@
 //! What was decided of second attempts, for logs and counters.
 
-use names::{AttemptId, Name};
+use names::{AttemptId, Name, MILLISECOND};
+
+/// Time an entry node leaves for the way back, so that a refusal at the deadline still arrives in
+/// time: two crossings and some slack, in microseconds.
+pub const WAY_BACK_US: u64 = 3 * MILLISECOND;
 
 /// What was decided of a second attempt, or came of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -18,7 +18,7 @@
 pub use call::Call;
 pub use choice::{Candidate, Rule, View};
 pub use event::{Action, Event, Origin, Outcome, Treatment};
-pub use hedging::{Hedge, HedgeDecision, HedgeRefusal};
+pub use hedging::{Hedge, HedgeDecision, HedgeRefusal, WAY_BACK_US};
 pub use price::Price;
 pub use retry::{RetryBudget, RetryRate};
 pub use shared::Entry;
--- a/components/entry/tests/hedge.rs
+++ b/components/entry/tests/hedge.rs
@@ -2,7 +2,7 @@
 
 use entry::{
     Action, Call, Candidate, Entry, Event, HedgeDecision, HedgeRefusal, Origin, Outcome, Price,
-    Rule, Treatment,
+    Rule, Treatment, WAY_BACK_US,
 };
 use home::{Load, Reason, Refusal, Suspicion};
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND, SECOND};
@@ -409,6 +409,52 @@
     assert_eq!(site.straggle(), Err(HedgeRefusal::TooLate));
 }
 
+/// What is decided `left_ms` before the deadline where the other upstreams report this service time.
+fn decided_with(service_us: u64, left_ms: u64) -> Result<(), HedgeRefusal> {
+    let mut site = Site::new();
+    site.now = START + DEADLINE_US - left_ms * MILLISECOND;
+    for vm in NEAR {
+        let load = Load {
+            in_flight: 0,
+            service_us,
+            ..full()
+        };
+        site.report(vm, load);
+    }
+    site.straggle().map(|_| ())
+}
+
+/// Guards against an expected time of nothing where an upstream has reported no service time.
+#[test]
+fn a_service_time_of_zero_is_unknown_and_the_time_since_the_offer_counts() {
+    // 400 ms have passed and 200 ms are left.
+    assert_eq!(decided_with(0, 200), Err(HedgeRefusal::TooLate));
+}
+
+/// Guards against an expected time that short requests of other classes have lowered: the mean at an upstream is one over
+/// all classes.
+#[test]
+fn a_second_run_is_expected_to_take_at_least_half_of_the_time_since_the_offer() {
+    // 420 ms have passed: 210 ms are expected at least, beside the way back.
+    assert_eq!(decided_with(MILLISECOND, 180), Err(HedgeRefusal::TooLate));
+    assert_eq!(decided_with(MILLISECOND, 260), Ok(()));
+    // A reported time that is longer holds up to the time since the offer.
+    assert_eq!(
+        decided_with(300 * MILLISECOND, 260),
+        Err(HedgeRefusal::TooLate)
+    );
+    assert_eq!(decided_with(900 * MILLISECOND, 400), Ok(()));
+}
+
+/// Guards against a second answer that arrives just after the deadline.
+#[test]
+fn the_way_back_is_taken_off_the_time_that_is_left() {
+    // 400 ms have passed: 200 ms are expected, and exactly as much is left without the way back.
+    let way_ms = WAY_BACK_US / MILLISECOND;
+    assert_eq!(decided_with(1, 201), Err(HedgeRefusal::TooLate));
+    assert_eq!(decided_with(1, 200 + way_ms), Ok(()));
+}
+
 /// Guards against second attempts beyond the fleet's bound on repeats.
 #[test]
 fn without_a_repeat_in_the_budget_no_second_attempt_is_made() {
