After a hand-back and a break, the retry went to the upstream that broke

The upstream that handed the request back stayed closed, with one attempt as with two. It is opened again when the request fails at the last other one, unless it is known to leave.

--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -42,6 +42,8 @@
     state: State,
     refused_by: Vec<Name>,
     closed: Vec<Name>,
+    /// Upstreams that handed the request back unrun.
+    revoked_by: Vec<Name>,
     offers: u32,
     queue_offers: u32,
     asked_to_queue: bool,
@@ -84,6 +86,7 @@
             state: State::Idle,
             refused_by: Vec::new(),
             closed: Vec::new(),
+            revoked_by: Vec::new(),
             offers: 0,
             queue_offers: 0,
             asked_to_queue: false,
@@ -269,10 +272,7 @@
         let Some(vm) = self.end(id, entry) else {
             return Vec::new();
         };
-        self.close(vm);
-        if self.closed.len() >= self.candidates.len() {
-            self.closed.clear();
-        }
+        self.close_revoked(vm);
         self.next(now, entry)
     }
 
--- a/components/entry/src/call/hedge.rs
+++ b/components/entry/src/call/hedge.rs
@@ -220,7 +220,7 @@
             Event::Answered { id, answer, error } if error => {
                 if let Some(vm) = self.failed(id, Failure::Ran, entry) {
                     self.fallback = Some(answer);
-                    self.leave(vm);
+                    self.leave(now, vm, entry);
                 }
                 Vec::new()
             }
@@ -235,7 +235,7 @@
             }
             Event::Revoked(id) => {
                 if let Some(vm) = self.failed(id, Failure::NotRun, entry) {
-                    self.close(vm);
+                    self.close_revoked(vm);
                 }
                 Vec::new()
             }
@@ -247,17 +247,17 @@
                 Vec::new()
             }
             Event::Broken(id) | Event::Gone(id) => {
-                self.one_broken(id, entry);
+                self.one_broken(now, id, entry);
                 Vec::new()
             }
             Event::Lost(id) => {
-                if let Some(vm) = self.one_broken(id, entry) {
+                if let Some(vm) = self.one_broken(now, id, entry) {
                     entry.suspect(now, &vm);
                 }
                 Vec::new()
             }
             Event::Silent(id) => {
-                let Some(vm) = self.one_broken(id, entry) else {
+                let Some(vm) = self.one_broken(now, id, entry) else {
                     return Vec::new();
                 };
                 entry.suspect(now, &vm);
@@ -304,10 +304,10 @@
         }
     }
 
-    fn one_broken(&mut self, id: AttemptId, entry: &mut Entry) -> Option<Name> {
+    fn one_broken(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Option<Name> {
         let vm = self.failed(id, Failure::Ran, entry)?;
         self.maybe_ran = true;
-        self.leave(vm.clone());
+        self.leave(now, vm.clone(), entry);
         Some(vm)
     }
 
--- a/components/entry/src/call/offers.rs
+++ b/components/entry/src/call/offers.rs
@@ -98,20 +98,41 @@
         self.closed.push(vm);
     }
 
-    /// Makes no further offer to a VM where the request failed, as long as there are others.
-    pub(super) fn leave(&mut self, vm: Name) {
-        if self.suspect.is_some() || self.closed.len() + 1 < self.candidates.len() {
+    /// Makes no further offer to a VM that handed the request back unrun, as long as there are others.
+    pub(super) fn close_revoked(&mut self, vm: Name) {
+        self.revoked_by.push(vm.clone());
+        self.close(vm);
+        if self.closed.len() >= self.candidates.len() {
+            self.closed.clear();
+        }
+    }
+
+    /// Makes no further offer to a VM where the request failed, as long as there are others. One that handed the request
+    /// back unrun and stays is better than one where it failed.
+    pub(super) fn leave(&mut self, now: Moment, vm: Name, entry: &Entry) {
+        let is_last = self.closed.len() + 1 >= self.candidates.len();
+        if self.suspect.is_some() || !is_last || self.reopen_revoked(now, &vm, entry) {
             self.close(vm);
         }
     }
 
+    /// Returns whether any VM other than `failed` may be offered the request again.
+    fn reopen_revoked(&mut self, now: Moment, failed: &Name, entry: &Entry) -> bool {
+        let revoked_by = std::mem::take(&mut self.revoked_by);
+        let may_reopen =
+            |vm: &Name| vm != failed && revoked_by.contains(vm) && !entry.is_leaving(now, vm);
+        let before = self.closed.len();
+        self.closed.retain(|vm| !may_reopen(vm));
+        self.closed.len() < before
+    }
+
     pub(super) fn retry_elsewhere(
         &mut self,
         now: Moment,
         vm: Name,
         entry: &mut Entry,
     ) -> Vec<Action<A>> {
-        self.leave(vm);
+        self.leave(now, vm, entry);
         self.next(now, entry)
     }
 }
--- a/components/entry/tests/hedge.rs
+++ b/components/entry/tests/hedge.rs
@@ -332,7 +332,7 @@
         let later = START + SECOND;
         assert!(!site.entry.refused_late(later, id, &refusal(Reason::Busy)));
         // A suspicion against the silent node has no part in this.
-        NEAR.map(|vm| site.entry.trust(&Name::from(vm)));
+        trust_all(&mut site);
         assert_short_for_one_objective(site);
         // The event may also reach the call itself.
         let mut site = Site::of(treatment(), &NEAR, entry(3));
@@ -340,11 +340,18 @@
         other.step(START, leave(id), &mut site.entry);
         let busy = Event::Refused(id, refusal(Reason::Busy));
         other.step(START, busy, &mut site.entry);
-        NEAR.map(|vm| site.entry.trust(&Name::from(vm)));
+        trust_all(&mut site);
         assert_short_for_one_objective(site);
     }
 }
 
+/// Ends all suspicion against nodes.
+fn trust_all(site: &mut Site) {
+    for vm in NEAR {
+        site.entry.trust(&Name::from(vm));
+    }
+}
+
 /// Guards against late refusals that say nothing of slots, and offers that might not queue, being taken for a shortage.
 #[test]
 fn only_a_late_refusal_as_busy_of_an_offer_that_might_queue_counts() {
@@ -576,6 +583,39 @@
     assert!(!site.has_budget(), "it may have arrived");
 }
 
+/// Guards against a retry at the upstream that broke while another only handed the request back unrun.
+#[test]
+fn after_one_upstream_handed_it_back_and_the_other_broke_a_request_goes_to_the_first() {
+    for is_hedged in [true, false] {
+        let mut site = Site::of(treatment(), &["a", "b"], entry(3));
+        let (first, first_to) = site.first.clone();
+        let mut actions = Vec::new();
+        if is_hedged {
+            actions.extend(site.step(Event::Straggles(first)));
+        }
+        actions.extend(site.step(Event::Revoked(first)));
+        let (second, second_to, ..) = offer(&actions).expect("a second offer");
+        assert_ne!(first_to, second_to);
+        let actions = site.step(Event::Broken(second));
+        let (_, to, ..) = offer(&actions).expect("a retry");
+        assert_eq!(to, first_to, "hedged: {is_hedged}");
+    }
+}
+
+/// Guards against giving up a request because the only other upstream handed it back as it leaves.
+#[test]
+fn after_one_upstream_handed_it_back_to_leave_and_the_other_broke_a_request_goes_to_the_one_that_stays(
+) {
+    let mut site = Site::of(treatment(), &["a", "b"], entry(3));
+    let (first, first_to) = site.first.clone();
+    let (second, second_to, ..) = site.straggle().expect("a second attempt");
+    site.entry.leaving(site.now, &first_to, true);
+    site.step(Event::Revoked(first));
+    let actions = site.step(Event::Broken(second));
+    let (_, to, ..) = offer(&actions).expect("a retry");
+    assert_eq!(to, second_to);
+}
+
 /// Guards against paying twice: the second attempt's repeat is used for the next offer if it reached no upstream.
 #[test]
 fn a_second_attempt_that_went_on_alone_and_was_refused_goes_elsewhere_for_the_same_price() {
