Reports of stragglers: a full queue closed the peer's connection, and they counted as durations of offers

The frame is optional: it is dropped when the queue is full and counted in drumwheel_frames_dropped_total. Reports that end no attempt stay out of the histogram of offers.

--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -42,6 +42,11 @@
     counter!("drumwheel_hedges_total", "decision" => decision, "reason" => reason).increment(1);
 }
 
+/// A frame was dropped because the queue of its connection was full.
+pub fn frame_dropped(kind: &'static str) {
+    counter!("drumwheel_frames_dropped_total", "kind" => kind).increment(1);
+}
+
 /// A frame or event came too late to matter.
 pub fn late(kind: &'static str) {
     counter!("drumwheel_late_total", "kind" => kind).increment(1);
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -278,7 +278,7 @@
         _ => None,
     };
     let waiters = node.waiters.borrow();
-    if let Some(waiter) = waiters.get(&id) {
+    if let Some(waiter) = waiters.get(&id).filter(|_| !event.is_report()) {
         let took_us = node.now().since(waiter.offered);
         stats::took(Stage::Offer, &waiter.service, event.as_str(), took_us);
     }
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -117,6 +117,19 @@
             }
         }
     }
+
+    /// Sends a frame without which nothing is wrong. When a peer's queue is full the frame is dropped, and its
+    /// connection stays open.
+    pub fn send_optional(&self, node: &Rc<Node>, frame: Frame) {
+        match self {
+            Reply::Own => self.send(node, frame),
+            Reply::Peer(out) => {
+                if !push(node, out, &frame) {
+                    stats::frame_dropped(frame.kind());
+                }
+            }
+        }
+    }
 }
 
 /// Offers an attempt to another node.
--- a/components/daemon/src/straggling.rs
+++ b/components/daemon/src/straggling.rs
@@ -47,5 +47,5 @@
     let (ran_us, usual_us) = run_times.unwrap_or_default();
     audit::straggles(&caller_id, id, ran_us, usual_us, &node.load());
     stats::straggled();
-    reply.send(node, Frame::Straggles { id });
+    reply.send_optional(node, Frame::Straggles { id });
 }
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -75,6 +75,11 @@
 }
 
 impl<A> Event<A> {
+    /// Whether the event is a report on an attempt that goes on, and no outcome of it.
+    pub fn is_report(&self) -> bool {
+        matches!(self, Event::Straggles(_))
+    }
+
     /// A fixed lower-case name, used as a metric label.
     pub fn as_str(&self) -> &'static str {
         match self {
