--- a/components/entry/tests/attempts/world/mod.rs
+++ b/components/entry/tests/attempts/world/mod.rs
@@ -72,8 +72,8 @@
     /// Attempts that an upstream turned away.
     pub shed: HashSet<AttemptId>,
     /// Of these, those of which a home duty that was asked could only say that they did not run: the entry duty takes
-    /// them for ones that no upstream has seen, and the next offer is free. Known hole of the budget, without second
-    /// attempts as well.
+    /// them for ones that no upstream has seen, and the next offer is free. The budget is known not to cover these, also
+    /// without second attempts.
     pub shed_untold: u32,
     /// Second attempts made.
     pub hedges: u32,
@@ -423,7 +423,7 @@
         };
         let mut duty = Home::new(boot, cfg);
         if self.earned.is_some() {
-            self.teach(&mut duty);
+            self.learn_usual_runs(&mut duty);
         }
         HomeNode {
             boot,
--- a/components/entry/tests/attempts/world/repeats.rs
+++ b/components/entry/tests/attempts/world/repeats.rs
@@ -26,7 +26,7 @@
     }
 
     /// Lets a home duty see as many usual runs as it needs to know a straggler.
-    pub(super) fn teach(&mut self, duty: &mut Home<CallId>) {
+    pub(super) fn learn_usual_runs(&mut self, duty: &mut Home<CallId>) {
         let boot = self.boot();
         for seq in 0..KNOWN_RUNS * u64::from(LEVELS) {
             let id = AttemptId { boot, seq };
--- a/components/entry/tests/hedge_delay/replay.rs
+++ b/components/entry/tests/hedge_delay/replay.rs
@@ -17,7 +17,7 @@
 const BORNE: usize = 4;
 const USABLE: f64 = 0.67;
 const REQUESTS: usize = 4_000;
-/// Requests before this one teach the home duties and are not counted.
+/// Home duties learn run times from the requests before this one, which are not counted.
 const FIRST_COUNTED: usize = 1_000;
 const WAY_US: u64 = 300;
 const TICK_US: u64 = 5 * MILLISECOND;
--- a/components/home/src/stragglers.rs
+++ b/components/home/src/stragglers.rs
@@ -92,8 +92,8 @@
     /// When the run of an attempt is to be reported; none when it is not to be, or its class is not known yet.
     ///
     /// Not before the 90th percentile of its class, and not before the last moment at which a second run that takes as
-    /// long can still end within the objective. The delays are held against each other in the table of
-    /// `components/entry/tests/hedge_delay`.
+    /// long can still end within the objective. The table of
+    /// `components/entry/tests/hedge_delay` compares the delays.
     pub fn due(&self, id: AttemptId) -> Option<Moment> {
         self.due_of(self.watched.get(&id)?)
     }
