--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -8,11 +8,12 @@
 use crate::node::{Node, Waiter, Whole};
 use async_channel::{Receiver, Sender};
 use audit::stats::{self, Stage};
-use entry::{Action, Call, Candidate, Event, Origin, Outcome, Price, Treatment};
+use entry::{Action, Call, Candidate, Event, Origin, Outcome, Price, Treatment, WAY_BACK_US};
 use futures_util::future::{select, Either};
 use home::{Load, Offer, Suspicion};
 use keys::KeyHash;
 use names::{AttemptId, Moment, Name};
+use quarantine::Standing;
 use std::future::Future;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -93,8 +94,11 @@
         tx,
         attempts: Vec::new(),
     };
-    let outcome = running.run(rx, plan.deadline, pin!(hung_up)).await;
+    let outcome = running.run(&rx, plan.deadline, pin!(hung_up)).await;
     running.forget();
+    while let Ok(event) = rx.try_recv() {
+        running.step(event);
+    }
     if matches!(&outcome, Some(Outcome::Answered(answer)) if !answer.is_error()) {
         containment::answered(node, &running.req);
     }
@@ -107,7 +111,7 @@
 impl Running<'_> {
     async fn run(
         &mut self,
-        rx: Receiver<Event<Whole>>,
+        rx: &Receiver<Event<Whole>>,
         deadline: Moment,
         mut hung_up: Pin<&mut impl Future<Output = ()>>,
     ) -> Option<Outcome<Whole>> {
@@ -147,6 +151,11 @@
 
     fn step(&mut self, event: Event<Whole>) -> Option<Outcome<Whole>> {
         let now = self.node.now();
+        let is_straggler = matches!(event, Event::Straggles(_));
+        // An upstream may have ended under a copy since the call began.
+        if is_straggler && containment::standing(self.node, &self.req) != Standing::Free {
+            self.call.forbid_hedge();
+        }
         let actions = {
             let mut entry = self.node.entry.borrow_mut();
             self.call.step(now, event, &mut entry)
@@ -186,7 +195,7 @@
         let offer = Offer {
             id,
             service: self.req.service.clone(),
-            remaining_us: left.saturating_sub(home_driver::WAY_BACK_US),
+            remaining_us: left.saturating_sub(WAY_BACK_US),
             objective_us: self.objective_us(),
             priority: self.treatment.priority,
             level: self.req.level,
@@ -264,8 +273,12 @@
 
 /// Hands an event to the call that waits for the attempt; counts it as late when there is none.
 pub fn deliver(node: &Rc<Node>, id: AttemptId, event: Event<Whole>) {
+    let refusal = match &event {
+        Event::Refused(_, refusal) => Some(*refusal),
+        _ => None,
+    };
     let waiters = node.waiters.borrow();
-    if let Some(waiter) = waiters.get(&id) {
+    if let Some(waiter) = waiters.get(&id).filter(|_| !event.is_report()) {
         let took_us = node.now().since(waiter.offered);
         stats::took(Stage::Offer, &waiter.service, event.as_str(), took_us);
     }
@@ -274,5 +287,9 @@
         .is_some_and(|waiter| waiter.tx.try_send(event).is_ok());
     if !delivered {
         stats::late("event");
+        if let Some(refusal) = refusal {
+            let mut entry = node.entry.borrow_mut();
+            entry.refused_late(node.now(), id, &refusal);
+        }
     }
 }
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -42,6 +42,8 @@
     state: State,
     refused_by: Vec<Name>,
     closed: Vec<Name>,
+    /// Upstreams that handed the request back unrun.
+    revoked_by: Vec<Name>,
     offers: u32,
     queue_offers: u32,
     asked_to_queue: bool,
@@ -62,6 +64,8 @@
     /// When the current attempt was offered.
     offered_at: Moment,
     second: Second,
+    /// Whether the request came under suspicion elsewhere while it ran.
+    hedge_forbidden: bool,
     /// What the last step decided of a second attempt.
     hedge: Option<Hedge>,
 }
@@ -82,6 +86,7 @@
             state: State::Idle,
             refused_by: Vec::new(),
             closed: Vec::new(),
+            revoked_by: Vec::new(),
             offers: 0,
             queue_offers: 0,
             asked_to_queue: false,
@@ -98,6 +103,7 @@
             suspicion: Suspicion::None,
             offered_at: Moment(0),
             second: Second::None,
+            hedge_forbidden: false,
             hedge: None,
         }
     }
@@ -143,8 +149,7 @@
     /// Takes in an event and returns what has to be done.
     pub fn step(&mut self, now: Moment, event: Event<A>, entry: &mut Entry) -> Vec<Action<A>> {
         if self.is_done() {
-            self.late += 1;
-            return Vec::new();
+            return self.late_event(now, event, entry);
         }
         if self.second.is_beside() {
             return self.step_both(now, event, entry);
@@ -229,11 +234,12 @@
         entry: &mut Entry,
     ) -> Vec<Action<A>> {
         let Some(vm) = self.end(id, entry) else {
+            entry.refused_late(now, id, &refusal);
             return Vec::new();
         };
         self.last_refusal = Some(refusal);
         self.contacted |= refusal.reason != Reason::Uncertain;
-        if refusal.reason == Reason::Busy {
+        if refusal.reason == Reason::Busy && self.might_queue() {
             entry.refused_busy(now, &self.service);
         }
         match refusal.reason {
@@ -266,10 +272,7 @@
         let Some(vm) = self.end(id, entry) else {
             return Vec::new();
         };
-        self.close(vm);
-        if self.closed.len() >= self.candidates.len() {
-            self.closed.clear();
-        }
+        self.close_revoked(vm);
         self.next(now, entry)
     }
 
@@ -388,7 +391,7 @@
         if !self.may_retry(entry) {
             return Vec::new();
         }
-        self.end(id, entry);
+        self.leave_attempt(id, entry);
         self.runs += 1;
         self.arrivals += 1;
         self.maybe_ran = true;
@@ -401,7 +404,7 @@
         let Some((id, to)) = self.active() else {
             return self.give_up(Reason::Deadline, entry);
         };
-        self.end(id, entry);
+        self.leave_attempt(id, entry);
         self.arrived();
         self.maybe_ran = true;
         let mut actions = vec![Action::Cancel { id, to }];
@@ -412,7 +415,7 @@
     fn hung_up(&mut self, entry: &mut Entry) -> Vec<Action<A>> {
         let active = self.active();
         if let Some((id, _)) = &active {
-            self.end(*id, entry);
+            self.leave_attempt(*id, entry);
             // Its upstream may have seen the repeat.
             self.repeat_paid = false;
         }
--- a/components/entry/src/call/hedge.rs
+++ b/components/entry/src/call/hedge.rs
@@ -10,10 +10,10 @@
 use super::{Call, State};
 use crate::choice::Candidate;
 use crate::event::{Action, Event};
-use crate::hedging::{Hedge, HedgeDecision, HedgeRefusal};
+use crate::hedging::{Hedge, HedgeDecision, HedgeRefusal, WAY_BACK_US};
 use crate::shared::Entry;
 use crate::suspect::Suspect;
-use home::{Reason, Refusal, Suspicion};
+use home::{Load, Reason, Refusal, Suspicion};
 use names::{AttemptId, Moment, Name, SECOND};
 
 /// A service counts as short for so long after a refusal as busy where no objective is known, in microseconds.
@@ -66,16 +66,34 @@
     Ran,
 }
 
+/// How long a second run is expected to take, in microseconds.
+///
+/// The home duty reports a run that has taken longer than usual, so the time since its offer is an upper bound. What an
+/// upstream reports is a mean over all its classes, which short requests lower, so it counts down to half of that time
+/// only. Zero means that the upstream has reported none.
+fn expected_us(since_offer_us: u64, load: Option<Load>) -> u64 {
+    let reported_us = load.map(|load| load.service_us).filter(|us| *us > 0);
+    reported_us.map_or(since_offer_us, |us| {
+        us.clamp(since_offer_us / 2, since_offer_us)
+    })
+}
+
 impl<A: Clone> Call<A> {
     /// Whether a straggling attempt of this call may get a second one as far as the call itself goes.
     pub fn may_hedge(&self) -> bool {
         self.treatment.repeatable
             && self.suspect.is_none()
+            && !self.hedge_forbidden
             && self.second == Second::None
             && self.runs + 1 < self.treatment.attempts
             && self.arrivals + 1 < self.treatment.arrivals
     }
 
+    /// Forbids a second attempt: an upstream ended under another copy of the request since the call began.
+    pub fn forbid_hedge(&mut self) {
+        self.hedge_forbidden = true;
+    }
+
     /// Takes out the decision about a second attempt that was made in the last step.
     pub fn take_hedge(&mut self) -> Option<Hedge> {
         self.hedge.take()
@@ -133,14 +151,11 @@
         let to = self.pick_second(now, first, entry);
         let to = to.ok_or(HedgeRefusal::NoUpstream)?;
         let view = entry.view(&to);
-        // The home duty reports a run that has taken longer than usual, so the time since its offer is a bound.
-        let since_offer_us = hedge.since_offer_us;
-        let reported_us = view.load.map(|load| load.service_us);
-        let expected_us = reported_us.map_or(since_offer_us, |us| us.min(since_offer_us));
+        let expected_us = expected_us(hedge.since_offer_us, view.load);
         hedge.to = Some(to.clone());
         hedge.expected_us = Some(expected_us);
         hedge.load_age_us = view.load.map(|_| now.since(view.reported));
-        if expected_us >= hedge.left_us {
+        if expected_us + WAY_BACK_US > hedge.left_us {
             return Err(HedgeRefusal::TooLate);
         }
         if !entry.spend_retry(&self.service) {
@@ -205,7 +220,7 @@
             Event::Answered { id, answer, error } if error => {
                 if let Some(vm) = self.failed(id, Failure::Ran, entry) {
                     self.fallback = Some(answer);
-                    self.leave(vm);
+                    self.leave(now, vm, entry);
                 }
                 Vec::new()
             }
@@ -220,7 +235,7 @@
             }
             Event::Revoked(id) => {
                 if let Some(vm) = self.failed(id, Failure::NotRun, entry) {
-                    self.close(vm);
+                    self.close_revoked(vm);
                 }
                 Vec::new()
             }
@@ -232,17 +247,17 @@
                 Vec::new()
             }
             Event::Broken(id) | Event::Gone(id) => {
-                self.one_broken(id, entry);
+                self.one_broken(now, id, entry);
                 Vec::new()
             }
             Event::Lost(id) => {
-                if let Some(vm) = self.one_broken(id, entry) {
+                if let Some(vm) = self.one_broken(now, id, entry) {
                     entry.suspect(now, &vm);
                 }
                 Vec::new()
             }
             Event::Silent(id) => {
-                let Some(vm) = self.one_broken(id, entry) else {
+                let Some(vm) = self.one_broken(now, id, entry) else {
                     return Vec::new();
                 };
                 entry.suspect(now, &vm);
@@ -250,8 +265,10 @@
             }
             Event::Ended { id, order } => {
                 // The other attempt is the one more run that such a request may have.
-                if self.one_broken(id, entry).is_some() {
+                if let Some(vm) = self.failed(id, Failure::Ran, entry) {
+                    self.maybe_ran = true;
                     self.suspect = Some(Suspect::new(order));
+                    self.close(vm);
                 }
                 Vec::new()
             }
@@ -265,13 +282,18 @@
             Reason::Shed => Failure::Shed,
             _ => Failure::NotRun,
         };
+        // A second attempt only asks for a free slot at once.
+        let might_queue = self.might_queue() && self.current(id).is_some();
         let Some(vm) = self.failed(id, failure, entry) else {
+            entry.refused_late(now, id, &refusal);
             return;
         };
         self.contacted |= refusal.reason != Reason::Uncertain;
         match refusal.reason {
             Reason::Busy => {
-                entry.refused_busy(now, &self.service);
+                if might_queue {
+                    entry.refused_busy(now, &self.service);
+                }
                 self.refused_by.push(vm);
             }
             Reason::Leaving => {
@@ -282,10 +304,10 @@
         }
     }
 
-    fn one_broken(&mut self, id: AttemptId, entry: &mut Entry) -> Option<Name> {
+    fn one_broken(&mut self, now: Moment, id: AttemptId, entry: &mut Entry) -> Option<Name> {
         let vm = self.failed(id, Failure::Ran, entry)?;
         self.maybe_ran = true;
-        self.leave(vm.clone());
+        self.leave(now, vm.clone(), entry);
         Some(vm)
     }
 
@@ -307,6 +329,7 @@
                 Failure::NotRun => self.refund(entry),
                 Failure::Shed | Failure::Ran => self.arrived(),
             }
+            self.asked_to_queue = false;
             // The second attempt has been paid for, and it is not known yet whether it reaches an upstream.
             self.repeat_paid = true;
             self.state = State::Waiting {
--- a/components/entry/src/call/offers.rs
+++ b/components/entry/src/call/offers.rs
@@ -2,9 +2,10 @@
 
 use super::Call;
 use crate::choice::{Candidate, Rule};
-use crate::event::Action;
+use crate::event::{Action, Event};
 use crate::shared::Entry;
-use names::{Moment, Name};
+use home::Suspicion;
+use names::{AttemptId, Moment, Name};
 
 /// Offers that ask for a free slot at once, before one that may queue.
 const IMMEDIATE_OFFERS: u32 = 2;
@@ -62,6 +63,33 @@
         }
     }
 
+    /// Whether the current offer might queue. One that asks to run alone is also refused as busy because of another
+    /// suspect, which says nothing of slots.
+    pub(super) fn might_queue(&self) -> bool {
+        self.asked_to_queue && self.suspicion != Suspicion::Alone
+    }
+
+    /// Ends the current attempt without word of how it ended; its refusal may still arrive.
+    pub(super) fn leave_attempt(&mut self, id: AttemptId, entry: &mut Entry) {
+        if self.might_queue() {
+            entry.left_queued(id, &self.service);
+        }
+        self.end(id, entry);
+    }
+
+    /// Takes in an event that arrives after the outcome.
+    pub(super) fn late_event(
+        &mut self,
+        now: Moment,
+        event: Event<A>,
+        entry: &mut Entry,
+    ) -> Vec<Action<A>> {
+        if let Event::Refused(id, refusal) = event {
+            entry.refused_late(now, id, &refusal);
+        }
+        self.dropped()
+    }
+
     /// Makes no further offer to a VM.
     pub(super) fn close(&mut self, vm: Name) {
         if let Some(suspect) = &mut self.suspect {
@@ -70,20 +98,41 @@
         self.closed.push(vm);
     }
 
-    /// Makes no further offer to a VM where the request failed, as long as there are others.
-    pub(super) fn leave(&mut self, vm: Name) {
-        if self.suspect.is_some() || self.closed.len() + 1 < self.candidates.len() {
+    /// Makes no further offer to a VM that handed the request back unrun, as long as there are others.
+    pub(super) fn close_revoked(&mut self, vm: Name) {
+        self.revoked_by.push(vm.clone());
+        self.close(vm);
+        if self.closed.len() >= self.candidates.len() {
+            self.closed.clear();
+        }
+    }
+
+    /// Makes no further offer to a VM where the request failed, as long as there are others. One that handed the request
+    /// back unrun and stays is better than one where it failed.
+    pub(super) fn leave(&mut self, now: Moment, vm: Name, entry: &Entry) {
+        let is_last = self.closed.len() + 1 >= self.candidates.len();
+        if self.suspect.is_some() || !is_last || self.reopen_revoked(now, &vm, entry) {
             self.close(vm);
         }
     }
 
+    /// Returns whether any VM other than `failed` may be offered the request again.
+    fn reopen_revoked(&mut self, now: Moment, failed: &Name, entry: &Entry) -> bool {
+        let revoked_by = std::mem::take(&mut self.revoked_by);
+        let may_reopen =
+            |vm: &Name| vm != failed && revoked_by.contains(vm) && !entry.is_leaving(now, vm);
+        let before = self.closed.len();
+        self.closed.retain(|vm| !may_reopen(vm));
+        self.closed.len() < before
+    }
+
     pub(super) fn retry_elsewhere(
         &mut self,
         now: Moment,
         vm: Name,
         entry: &mut Entry,
     ) -> Vec<Action<A>> {
-        self.leave(vm);
+        self.leave(now, vm, entry);
         self.next(now, entry)
     }
 }
--- a/components/entry/src/hedging.rs
+++ b/components/entry/src/hedging.rs
@@ -1,6 +1,10 @@
 //! What was decided of second attempts, for logs and counters.
 
-use names::{AttemptId, Name};
+use names::{AttemptId, Name, MILLISECOND};
+
+/// Time an entry node leaves for the way back, so that a refusal at the deadline still arrives in
+/// time: two crossings and some slack, in microseconds.
+pub const WAY_BACK_US: u64 = 3 * MILLISECOND;
 
 /// What was decided of a second attempt, or came of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,7 +22,7 @@
 /// Why no second attempt was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HedgeRefusal {
-    /// The request may not run once more, or an upstream ended while it ran the request.
+    /// The request may not run once more, or an upstream ended while it ran the request or a copy of it.
     NotAllowed,
     /// The service is short of slots.
     Short,
@@ -73,6 +77,7 @@
     pub expected_us: Option<u64>,
     /// Age of what was known of the chosen upstream, in microseconds.
     pub load_age_us: Option<u64>,
-    /// Time since the last refusal as busy of this service, in microseconds; none when there was none.
+    /// Time since the last refusal as busy of an offer of this service that might queue, in microseconds; none when
+    /// there was none.
     pub since_busy_us: Option<u64>,
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,13 +11,14 @@
 mod price;
 mod retry;
 mod shared;
+mod shortage;
 mod split;
 mod suspect;
 
 pub use call::Call;
 pub use choice::{Candidate, Rule, View};
 pub use event::{Action, Event, Origin, Outcome, Treatment};
-pub use hedging::{Hedge, HedgeDecision, HedgeRefusal};
+pub use hedging::{Hedge, HedgeDecision, HedgeRefusal, WAY_BACK_US};
 pub use price::Price;
 pub use retry::{RetryBudget, RetryRate};
 pub use shared::Entry;
