Peers that told of newer declarations during the first read are asked once that is allowed

A summary comes once for each connection, and one that came while nothing was allowed was dropped: with a store that hung, nobody was asked until a random comparison. A store that has stalled in its first answer is not chosen for a second read.

--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -3,6 +3,7 @@
 use crate::links::{self, Reply};
 use crate::local;
 use crate::node::Node;
+use crate::registration::Registration;
 use crate::{coordinator, home_driver, store, watching};
 use async_std::task;
 use audit::stats::{self, Work};
@@ -129,7 +130,12 @@
 /// Asks a peer for what is newer there, unless it is on its way or the store is about to give it.
 fn ask(node: &Rc<Node>, from: &Name, theirs: &Summary, reply: &Reply) {
     if watching::allowed(node) == Allowed::Nothing {
-        // Asked again, the store would send the same once more over the same link.
+        // Asked again, the store would send the same once more over the same link. The peer tells this only once, so
+        // it is asked later.
+        if let Some(registration) = &node.registration {
+            let mut postponed = registration.postponed.borrow_mut();
+            postponed.add(from, reply.clone());
+        }
         return;
     }
     let mine = node.summary();
@@ -173,6 +179,16 @@
     }
 }
 
+/// Sends this node's summary to the peers that told of something newer while nobody was asked; they answer with theirs if
+/// that is still newer.
+pub fn ask_postponed(node: &Rc<Node>, registration: &Registration) {
+    let allowed = watching::allowed(node);
+    let due = registration.postponed.borrow_mut().due(allowed);
+    for reply in due {
+        reply.send(node, Frame::Summary(node.summary()));
+    }
+}
+
 /// Reads a large revision from the store; if that fails, a peer that tells of it again is asked.
 async fn read(node: Rc<Node>) {
     if let Err(error) = watching::read_anew(&node).await {
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -15,6 +15,7 @@
 pub use records::{look, run as run_records, withdraw};
 
 use crate::home_driver;
+use crate::links::Reply;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
 use audit::Arrivals;
@@ -29,6 +30,7 @@
 use settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use watch::Postponed;
 
 /// What a node keeps of a registered fleet.
 pub struct Registration {
@@ -48,6 +50,8 @@
     pub taking_in: Cell<u32>,
     /// Records that arrive at the start and are told in one line.
     pub arrivals: RefCell<Arrivals>,
+    /// Peers that told of newer declarations while this node asked nobody.
+    pub postponed: RefCell<Postponed<Reply>>,
     /// Whether the others have not been told of this node's record because its declarations are being read.
     untold: Cell<bool>,
     /// Whether something was learned by a comparison of which nearby nodes have not been told.
@@ -85,6 +89,7 @@
             evacuations: RefCell::default(),
             taking_in: Cell::new(0),
             arrivals: RefCell::default(),
+            postponed: RefCell::default(),
             untold: Cell::new(false),
             has_learned: Cell::new(false),
             asked_upstream: Cell::new(Moment(0)),
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -5,6 +5,7 @@
 //! in `registry`.
 
 use super::{health, Registration};
+use crate::configuration;
 use crate::containment;
 use crate::links::{self, Reply};
 use crate::local;
@@ -283,6 +284,7 @@
 /// evacuated; a few nodes of the hall once it has not answered.
 async fn dial_contacts(node: &Rc<Node>, registration: &Registration) {
     loop {
+        configuration::ask_postponed(node, registration);
         let count = match watching::allowed(node) {
             Allowed::Everything => return,
             Allowed::Nothing if lacks_evacuations(node, registration) => EVACUATION_DIALS,
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -124,10 +124,11 @@
     node.first_read.borrow().allowed(node.now(), is_read)
 }
 
-/// Whether this node has no declarations and its first read of them has not ended.
+/// Whether this node has no declarations and its first read of them has not ended, however long it takes: a store that has
+/// stalled would not answer a second read either.
 pub fn is_first_read(node: &Node) -> bool {
-    let is_over = node.first_read.borrow().is_over(node.now());
-    node.registration.is_some() && node.in_force().is_none() && !is_over
+    let has_ended = node.first_read.borrow().has_ended();
+    node.registration.is_some() && node.in_force().is_none() && !has_ended
 }
 
 /// Whether the store's answer with the declarations arrives or is checked just now.
--- a/components/watch/src/first_read.rs
+++ b/components/watch/src/first_read.rs
@@ -56,6 +56,11 @@
         self.has_ended = true;
     }
 
+    /// Whether the read has ended.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
     /// Whether the read has ended, or taken too long for other work to wait.
     pub fn is_over(&self, now: Moment) -> bool {
         self.has_ended || now.since(self.started) >= READ_US
--- a/components/watch/src/lib.rs
+++ b/components/watch/src/lib.rs
@@ -9,6 +9,7 @@
 mod duty;
 mod first_read;
 mod freshness;
+mod postponed;
 mod timing;
 mod waiting;
 mod word;
@@ -16,6 +17,7 @@
 pub use duty::{Advice, Watch, WANTED};
 pub use first_read::{Allowed, FirstRead, ANSWER_US, BLANK_WAIT_US, CONTACT_DIALS, READ_US};
 pub use freshness::Freshness;
+pub use postponed::{Postponed, MOST_POSTPONED};
 pub use timing::Timing;
 pub use waiting::{Waiting, WaitingPlace, MOST_WAITING, MOST_WAITING_BYTES};
 pub use word::Word;
--- a/components/watch/tests/watch/main.rs
+++ b/components/watch/tests/watch/main.rs
@@ -1,6 +1,7 @@
 //! Who asks the platform: few nodes, and always one that can, whatever is cut off from whom.
 
 mod first_read;
+mod postponed;
 mod world;
 
 use names::{Moment, MILLISECOND, SECOND};
