A node that starts asks two nodes for its own record, one of another hall, and tells at once that its upstream is gone

A restarted node heard that its upstream was drained only after its declarations were in force, because its record waited for them. Two contacts are dialled during the read in any case, one of them in another hall: when a whole hall starts, its nodes know nothing. A record whose upstream is gone or replaced is not deferred, and deferred records go over open connections. Collectors are dialled before the record is told to the hall. Connected contacts count: the blackout test saw five connections when the order of contacts changed with each record.

--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -248,6 +248,12 @@
     matches!(node.links.borrow().get(vm), Some(Link::Up(_)))
 }
 
+/// Whether a connection to a node is open or being opened.
+pub fn is_open_or_opening(node: &Node, vm: &Name) -> bool {
+    let links = node.links.borrow();
+    matches!(links.get(vm), Some(Link::Up(_) | Link::Connecting(_)))
+}
+
 /// Whether the last try to open a connection to a node failed a moment ago.
 pub fn has_failed(node: &Node, vm: &Name) -> bool {
     let links = node.links.borrow();
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -52,8 +52,10 @@
     pub arrivals: RefCell<Arrivals>,
     /// Peers that told of newer declarations while this node asked nobody.
     pub postponed: RefCell<Postponed<Reply>>,
-    /// Whether the others have not been told of this node's record because its declarations are being read.
-    untold: Cell<bool>,
+    /// Whether this node's record has been sent to open connections only, because its declarations are being read.
+    announcement_deferred: Cell<bool>,
+    /// Whether an upstream that this node has named is gone or replaced. Its record is not deferred from then on.
+    upstream_replaced: Cell<bool>,
     /// Whether something was learned by a comparison of which nearby nodes have not been told.
     pub has_learned: Cell<bool>,
     /// When the upstream was last asked whether it still stands there; 0 for never.
@@ -90,7 +92,8 @@
             taking_in: Cell::new(0),
             arrivals: RefCell::default(),
             postponed: RefCell::default(),
-            untold: Cell::new(false),
+            announcement_deferred: Cell::new(false),
+            upstream_replaced: Cell::new(false),
             has_learned: Cell::new(false),
             asked_upstream: Cell::new(Moment(0)),
             storing: Cell::new(0),
@@ -194,6 +197,9 @@
     if own.upstream == upstream && own.serving == serving {
         return;
     }
+    if registry::is_replaced(own.upstream.as_ref(), upstream.as_ref()) {
+        registration.upstream_replaced.set(true);
+    }
     let own = registration.fleet.borrow_mut().change_own(|own| {
         own.upstream = upstream;
         own.serving = serving;
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -17,7 +17,7 @@
 use quota::Quotas;
 use rand::seq::IndexedRandom;
 use rand::Rng;
-use registry::{Digests, Merged, Record, State, Versions};
+use registry::{Digests, Merged, Record, Versions};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,9 +34,9 @@
 
 /// Time between two looks whether the first declarations are in force.
 const START_LOOK: Duration = Duration::from_millis(10);
-/// Nodes of the hall that are asked which halls are evacuated while the declarations are being read: two, as one may have
-/// just started itself.
-const EVACUATION_DIALS: usize = 2;
+/// Nodes that are asked for this node's own record and for evacuated halls while the declarations are being read: two, as
+/// one may have just started itself.
+const RECORD_DIALS: usize = 2;
 /// Records that arrive so long after the start are told in one line, in microseconds: nodes that start together tell one
 /// another of their starts and of their upstreams in this time.
 const ARRIVALS_US: u64 = 2_000 * MILLISECOND;
@@ -54,29 +54,24 @@
 const TOLD_OF_NEWS: usize = 4;
 
 /// Tells this node's record to all others, directly or through others. While the first declarations are being read, a
-/// record by which the upstream takes work waits for them ([`run_dials`]): telling it opens connections to the whole hall.
+/// record by which the upstream takes work goes over open connections alone, and to the others afterwards ([`run_dials`]):
+/// telling it opens connections to the whole hall.
 pub fn tell_all(node: &Rc<Node>, registration: &Registration, own: &Record) {
-    if can_wait(own) && watching::allowed(node) != Allowed::Everything {
-        registration.untold.set(true);
-        return;
-    }
-    registration.untold.set(false);
+    let is_deferred = registry::can_wait(own)
+        && !registration.upstream_replaced.get()
+        && watching::allowed(node) != Allowed::Everything;
+    registration.announcement_deferred.set(is_deferred);
     let fleet = registration.fleet.borrow();
-    let told = registry::told_of_change(&fleet, |vm| links::has_failed(node, vm));
+    let mut told = registry::told_of_change(&fleet, |vm| links::has_failed(node, vm));
     drop(fleet);
+    if is_deferred {
+        told.retain(|vm| links::is_up(node, vm));
+    }
     for vm in told {
         links::send(node, &vm, &Frame::Registered(Box::new(own.clone())));
     }
 }
 
-/// Whether nobody acts wrongly who hears of a record a moment later: not while the upstream leaves or has left, or requests
-/// are held.
-fn can_wait(own: &Record) -> bool {
-    let upstream = own.upstream.as_ref();
-    let is_ready = upstream.is_none_or(|run| run.state == State::Ready);
-    own.serving && is_ready && own.held.is_empty()
-}
-
 /// Sends a frame to one node of each other hall.
 pub fn tell_other_halls(node: &Rc<Node>, registration: &Registration, frame: &Frame) {
     let fleet = registration.fleet.borrow();
@@ -247,15 +242,16 @@
 /// runs.
 pub async fn run_dials(node: Rc<Node>, registration: Rc<Registration>) {
     dial_contacts(&node, &registration).await;
-    if registration.untold.take() {
+    // First those without which no request of a limited account is let through. Telling the record connects to the whole
+    // hall.
+    for vm in Quotas::collectors(&links::Peers(node.clone())) {
+        links::dial(&node, &vm);
+    }
+    if registration.announcement_deferred.take() {
         let own = registration.fleet.borrow().own().clone();
         tell_all(&node, &registration, &own);
     }
     local::spawn(flush_arrivals(node.clone(), registration.clone()));
-    // First those without which no request of a limited account is let through.
-    for vm in Quotas::collectors(&links::Peers(node.clone())) {
-        links::dial(&node, &vm);
-    }
     let mut look = 0;
     loop {
         let apart: Vec<_> = {
@@ -280,36 +276,33 @@
     }
 }
 
-/// Before declarations are in force: nobody is dialled while the store gives them, but for those who tell which halls are
-/// evacuated; a few nodes of the hall once it has not answered.
+/// Before declarations are in force: only a few nodes are dialled while the store gives them, and a few more once it has not
+/// answered. Each is told this node's record and a summary when its connection opens, and answers with what it knows
+/// better: a later record of this node, by which its upstream may be drained, and which halls are evacuated.
 async fn dial_contacts(node: &Rc<Node>, registration: &Registration) {
     loop {
         configuration::ask_postponed(node, registration);
         let count = match watching::allowed(node) {
             Allowed::Everything => return,
-            Allowed::Nothing if lacks_evacuations(node, registration) => EVACUATION_DIALS,
-            Allowed::Nothing => 0,
+            Allowed::Nothing => RECORD_DIALS,
             Allowed::Contacts => CONTACT_DIALS,
         };
-        if count > 0 {
-            let fleet = registration.fleet.borrow();
-            let mut near = registry::contacts(&fleet, &node.cfg.hall);
-            drop(fleet);
-            near.retain(|vm| !links::has_failed(node, vm));
-            for vm in near.iter().take(count) {
-                links::dial(node, vm);
-            }
+        let fleet = registration.fleet.borrow();
+        let contacts = registry::start_contacts(
+            &fleet,
+            count,
+            |vm| links::is_open_or_opening(node, vm),
+            |vm| links::has_failed(node, vm),
+        );
+        drop(fleet);
+        for vm in contacts {
+            links::dial(node, &vm);
         }
         task::sleep(START_LOOK).await;
     }
 }
 
-/// Whether operators evacuate halls and this node has not heard which. It should know once its declarations are in force.
-fn lacks_evacuations(node: &Node, registration: &Registration) -> bool {
-    node.cfg.evacuated_within_ms > 0 && registration.evacuations.borrow().known().is_none()
-}
-
-/// Writes how many records arrived at the start, once the first flood of them is over.
+/// Writes how many records arrived at the start, once they have arrived.
 async fn flush_arrivals(node: Rc<Node>, registration: Rc<Registration>) {
     let until = node.started + ARRIVALS_US;
     task::sleep(Duration::from_micros(until.since(node.now()))).await;
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -185,6 +185,10 @@
                 break;
             }
         }
+        if *topic == Topic::Declarations {
+            // The answer of another topic must not keep other work back.
+            node.first_read.borrow_mut().ended();
+        }
     }
     node.first_read.borrow_mut().ended();
 }
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -18,6 +18,6 @@
 pub use local::{Change, Farewell, Heartbeat, Local, Verdict, DOUBT_US};
 pub use record::{Instance, Record, State, Version};
 pub use spread::{
-    compare, contacts, far_contacts, is_passed_on, told_of_change, versions, Comparison, Versions,
-    CONTACTS,
+    can_wait, compare, contacts, far_contacts, is_passed_on, is_replaced, start_contacts,
+    told_of_change, versions, Comparison, Versions, CONTACTS,
 };
--- a/components/registry/src/spread.rs
+++ b/components/registry/src/spread.rs
@@ -7,7 +7,7 @@
 
 use crate::digest::{is_in, mark, BucketSet};
 use crate::fleet::Fleet;
-use crate::record::{Record, Version};
+use crate::record::{Instance, Record, State, Version};
 use membership::rendezvous;
 use names::Name;
 use serde::{Deserialize, Serialize};
@@ -51,6 +51,52 @@
     told
 }
 
+/// The nodes that one which starts connects to first, beside those to which it `is_connected`, among those that are not
+/// known to be `unreachable`: `count` in all at most, one of them in another hall where there is one. When a whole hall
+/// starts at once, its nodes know as little as this one.
+pub fn start_contacts(
+    fleet: &Fleet,
+    count: usize,
+    is_connected: impl Fn(&Name) -> bool,
+    unreachable: impl Fn(&Name) -> bool,
+) -> Vec<Name> {
+    let own = fleet.own();
+    let connected: Vec<&Record> = fleet
+        .others()
+        .filter(|record| is_connected(&record.vm))
+        .collect();
+    // Those that are connected count: records arrive one by one, and each changes the order.
+    let room = count.saturating_sub(connected.len());
+    let has_far = connected.iter().any(|record| record.hall != own.hall);
+    let is_usable = |vm: &Name| !is_connected(vm) && !unreachable(vm);
+    let mut far = far_contacts(fleet, 1, |vm| !is_usable(vm));
+    far.sort_by_cached_key(|vm| rendezvous(own.vm.as_str(), vm));
+    let is_far_due = !has_far && !far.is_empty();
+    let near_count = room.saturating_sub(usize::from(is_far_due));
+    let near = contacts(fleet, &own.hall).into_iter();
+    let mut asked: Vec<Name> = near.filter(is_usable).take(near_count).collect();
+    let far_count = room - asked.len();
+    asked.extend(far.into_iter().take(far_count));
+    asked
+}
+
+/// Whether the record of a node that starts may be told a moment later: nobody acts wrongly meanwhile. Not while the
+/// upstream leaves or has left, or requests are held.
+pub fn can_wait(own: &Record) -> bool {
+    let upstream = own.upstream.as_ref();
+    let is_ready = upstream.is_none_or(|run| run.state == State::Ready);
+    own.serving && is_ready && own.held.is_empty()
+}
+
+/// Whether the upstream that a node named before is not the one that it names now. Others that know the earlier one go on
+/// sending it requests until they are told.
+pub fn is_replaced(before: Option<&Instance>, after: Option<&Instance>) -> bool {
+    let Some(before) = before.map(Instance::incarnation) else {
+        return false;
+    };
+    after.is_none_or(|after| !after.incarnation().is(&before))
+}
+
 /// Up to `count` contacts of each other hall among those that are not known to be `unreachable`.
 pub fn far_contacts(fleet: &Fleet, count: usize, unreachable: impl Fn(&Name) -> bool) -> Vec<Name> {
     let own_hall = &fleet.own().hall;
