--- a/components/daemon/src/callers/admission.rs
+++ b/components/daemon/src/callers/admission.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use audit::stats;
 use home::{Reason, Refusal};
-use names::MILLISECOND;
+use names::{Moment, MILLISECOND};
 use quota::{Admission, Peers, Quotas, Token};
 use rollout::InForce;
 use std::rc::Rc;
@@ -83,12 +83,13 @@
     peers: &impl Peers,
     call: &CallerRequest,
     account: Option<&Account>,
+    deadline: Moment,
 ) -> Result<Option<Token>, Refusal> {
     let limited = account.filter(|account| account.limit.is_some() && call.parent.is_none());
     let Some(account) = limited else {
         return Ok(None);
     };
-    let refusal = match quotas.take(peers, account).await {
+    let refusal = match quotas.take(peers, account, deadline).await {
         Admission::Granted(token) => return Ok(Some(token)),
         Admission::Over { wait_us } => Refusal {
             reason: Reason::OverLimit,
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -110,7 +110,7 @@
     let Some(deadline) = deadline(node, &ruled, &call) else {
         return too_late(&call);
     };
-    let admitted = match admit(node, &in_force, &mut call, service.open).await {
+    let admitted = match admit(node, &in_force, &mut call, service.open, deadline).await {
         Ok(admitted) => admitted,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
@@ -183,7 +183,7 @@
     let Some(deadline) = deadline(node, ruled, &call) else {
         return too_late(&call);
     };
-    let admitted = match admit(node, in_force, &mut call, route.open).await {
+    let admitted = match admit(node, in_force, &mut call, route.open, deadline).await {
         Ok(admitted) => admitted,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
@@ -247,11 +247,12 @@
     in_force: &InForce,
     call: &mut CallerRequest,
     is_open: bool,
+    deadline: Moment,
 ) -> Result<Admitted, Refusal> {
     let account = admission::identify(in_force, call, is_open, proof(node))?;
     call.account = account.as_ref().map(|account| account.name.clone());
     let peers = links::Peers(node.clone());
-    let token = admission::admit(&node.quotas, &peers, call, account.as_deref()).await?;
+    let token = admission::admit(&node.quotas, &peers, call, account.as_deref(), deadline).await?;
     Ok(Admitted { account, token })
 }
 
--- a/components/quota/src/quotas.rs
+++ b/components/quota/src/quotas.rs
@@ -31,6 +31,8 @@
 /// Callers of a node that has just started wait for its first loan so long at most, in microseconds, and not beyond
 /// [`CONNECT_US`].
 const FIRST_LOAN_WAIT_US: u64 = 300 * MILLISECOND;
+/// They wait for so great a part of the time that they have left, at most: what remains is enough for most runs.
+const FIRST_LOAN_WAIT_PART: u64 = 4;
 /// Time between two looks for it.
 const FIRST_LOAN_LOOK: Duration = Duration::from_millis(10);
 /// What the places of collectors are drawn for.
@@ -170,9 +172,11 @@
         self.collector.borrow_mut().part(now)
     }
 
-    /// Takes a token for a request.
-    pub async fn take(&self, peers: &impl Peers, account: &Account) -> Admission {
-        let until = self.first_loan_by(peers.now());
+    /// Takes a token for a request whose caller waits until `deadline`.
+    pub async fn take(&self, peers: &impl Peers, account: &Account, deadline: Moment) -> Admission {
+        let now = peers.now();
+        let callers_part = now + deadline.since(now) / FIRST_LOAN_WAIT_PART;
+        let until = self.first_loan_by(now).min(callers_part);
         while !self.has_lent.get() && peers.now() < until {
             task::sleep(FIRST_LOAN_LOOK).await;
         }
--- a/components/quota/tests/first_loan.rs
+++ b/components/quota/tests/first_loan.rs
@@ -44,6 +44,11 @@
 
 /// How long a caller waited that came so long after the start, in microseconds.
 fn waited_us(quotas: &Quotas, peers: &Alone) -> u64 {
+    waited_of_us(quotas, peers, 10 * SECOND)
+}
+
+/// The same for a caller that has so much time left.
+fn waited_of_us(quotas: &Quotas, peers: &Alone, left_us: u64) -> u64 {
     let account = Account {
         name: Name::from("clinic"),
         priority: 0,
@@ -53,7 +58,7 @@
         }),
     };
     let before = peers.0.get();
-    let admission = block_on(quotas.take(peers, &account));
+    let admission = block_on(quotas.take(peers, &account, before + left_us));
     assert_eq!(admission, Admission::Unanswered);
     peers.0.get().since(before)
 }
@@ -92,3 +97,16 @@
     let waited = waited_us(&quotas, &peers);
     assert!(waited < 200 * MILLISECOND, "{waited}");
 }
+
+/// Guards against a caller that waits for the first loan until it has no time left for its run.
+#[test]
+fn a_caller_waits_for_the_first_loan_for_a_quarter_of_its_time_at_most() {
+    let (quotas, peers) = (started(), Alone(Cell::new(Moment(600 * MILLISECOND))));
+    let waited = waited_of_us(&quotas, &peers, 400 * MILLISECOND);
+    assert!(
+        (80..200).contains(&(waited / MILLISECOND)),
+        "{waited} us of 400 ms"
+    );
+    let waited = waited_of_us(&quotas, &peers, 0);
+    assert!(waited < 100 * MILLISECOND, "{waited}");
+}
