Callers without declarations wait for one wake-up instead of looking every 10 ms

They now listen on one channel that is closed when declarations come into force or their first read ends. The first read counts as ended after the declarations' answer.

--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -13,7 +13,6 @@
 use crate::relay::{self, Relay};
 use crate::watching;
 use accounts::{Account, Proof, MOST_PRIORITY};
-use async_std::task;
 use audit::stats::{self, Stage};
 use audit::Routed;
 use declarations::{Route, Service};
@@ -53,8 +52,6 @@
 const BLANK_RETRY_MS: u64 = 300;
 /// Characters of a caller's word that a log line shows at most.
 const MAX_LOGGED_CHARS: usize = 40;
-/// Time between two looks for it.
-const BLANK_LOOK: Duration = Duration::from_millis(10);
 /// Told to callers of a node that was paused, in milliseconds.
 const NOT_SERVING_RETRY_MS: u64 = 1_000;
 
@@ -160,13 +157,16 @@
         }
         let now = node.now();
         let first_read = *node.first_read.borrow();
-        if now >= first_read.caller_waits_until(arrived, time_us, watching::is_read(node)) {
+        let until = first_read.caller_waits_until(arrived, time_us, watching::is_read(node));
+        if now >= until {
             return None;
         }
         if first_read.needs_place(now) && place.is_none() {
             place = Some(node.blank_waiters.enter(call.bytes())?);
         }
-        task::sleep(BLANK_LOOK).await;
+        let limit_us = first_read.next_look(now, until).since(now);
+        let limit = Duration::from_micros(limit_us);
+        node.first_declarations.wait(limit).await;
     }
 }
 
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -83,6 +83,7 @@
         Offered::Taken => {
             if let Some(after) = node.in_force() {
                 node.fetch.borrow_mut().came();
+                node.first_declarations.wake();
                 let age_us = node.watch.borrow().age_us(node.now());
                 audit::in_force(before.as_deref(), &after, age_us);
                 coordinator::groups_changed(node, before.as_deref(), &after);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 mod stop;
 mod store;
 mod straggling;
+mod wakeup;
 mod watching;
 
 use async_std::net::TcpListener;
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -9,6 +9,7 @@
 use crate::relay::Relayed;
 use crate::reload::Live;
 use crate::store;
+use crate::wakeup::Wakeup;
 use crate::watching::PlatformState;
 use async_channel::Sender;
 use budget::{Gate, HallBudget};
@@ -127,6 +128,8 @@
     pub first_read: RefCell<FirstRead>,
     /// Callers that wait for the first declarations.
     pub blank_waiters: Waiting,
+    /// Wakes them when declarations come into force or their first read ends.
+    pub first_declarations: Wakeup,
     /// Platform's object API.
     pub platform: Rc<Client>,
     /// The registered fleet; none where the platform lists the VMs.
@@ -212,6 +215,7 @@
             watch: RefCell::new(watch(&cfg, clock.now(), boot)),
             first_read: RefCell::new(FirstRead::new(clock.now())),
             blank_waiters: Waiting::default(),
+            first_declarations: Wakeup::default(),
             platform: Rc::new(Client::new(cfg.platform.clone())),
             registration,
             containment: Containment::new(clock.now()),
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -176,7 +176,7 @@
     let mut pause = LEAST_PAUSE_MS;
     for topic in topics(node) {
         while let Err(error) = look(node, *topic, Manner::Start).await {
-            node.first_read.borrow_mut().ended();
+            first_read_ended(node);
             set_reachable(node, false);
             tracing::info!(?topic, %error, "the platform gave no answer");
             listed::ask_seeds(node);
@@ -187,10 +187,16 @@
         }
         if *topic == Topic::Declarations {
             // The answer of another topic must not keep other work back.
-            node.first_read.borrow_mut().ended();
+            first_read_ended(node);
         }
     }
+    first_read_ended(node);
+}
+
+/// Notes that the store has answered the first read or failed, and wakes the callers that wait for declarations.
+fn first_read_ended(node: &Node) {
     node.first_read.borrow_mut().ended();
+    node.first_declarations.wake();
 }
 
 fn is_told(node: &Node, topic: Topic) -> bool {
--- a/components/watch/src/first_read.rs
+++ b/components/watch/src/first_read.rs
@@ -89,6 +89,17 @@
         }
     }
 
+    /// When a caller that waits until `until` looks again, if declarations do not come before: at the end of the time after
+    /// the start, when it needs a place and the answer may have begun to arrive.
+    pub fn next_look(&self, now: Moment, until: Moment) -> Moment {
+        let boundary = self.started + BLANK_WAIT_US;
+        if now < boundary {
+            until.min(boundary)
+        } else {
+            until
+        }
+    }
+
     /// Whether a caller that still waits does so beyond the time after the start, and needs a place of its own.
     pub fn needs_place(&self, now: Moment) -> bool {
         now >= self.started + BLANK_WAIT_US
--- a/components/watch/tests/watch/first_read.rs
+++ b/components/watch/tests/watch/first_read.rs
@@ -81,3 +81,16 @@
     drop(large);
     assert!(waiting.enter(1).is_some());
 }
+
+/// Guards against callers that miss the moment at which they need a place, or look every few milliseconds.
+#[test]
+fn a_waiting_caller_looks_again_at_the_end_of_the_time_after_the_start_and_of_its_own() {
+    let started = Moment(7_000_000);
+    let read = FirstRead::new(started);
+    let boundary = started + BLANK_WAIT_US;
+    let late = boundary + 400 * MILLISECOND;
+    assert_eq!(read.next_look(started, late), boundary);
+    assert_eq!(read.next_look(boundary, late), late);
+    assert_eq!(read.next_look(started, boundary), boundary);
+    assert!(read.needs_place(boundary));
+}
