--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -4,17 +4,16 @@
 //! Every kind of line is bounded in each second; what was left out is told with the next line of the kind and counted.
 //! `docs/OPERATIONS.md` reads these lines.
 
-mod arrivals;
 mod containment;
 mod declarations;
 mod limit;
 mod purpose;
 mod registrations;
 mod requests;
+mod startup_records;
 pub mod stats;
 mod store;
 
-pub use arrivals::{Arrivals, Arrived};
 pub use containment::{cleared, held, released, suspected, upstream_ended};
 pub use declarations::{declarations_sent, in_force, newer_there, revision_came, Origin};
 pub use purpose::Purpose;
@@ -26,6 +25,7 @@
     barred, call_ended, caller_changed, cold, hedged, home, look_failed, no_route, offered,
     over_limit, routed, straggles, Routed,
 };
+pub use startup_records::{StartupCount, StartupRecords};
 pub use store::{
     copy_is_older, declarations_read, halls_evacuated, listed, platform_called, store_came_back,
     suspended, unreadable,
--- a/components/audit/src/arrivals.rs
+++ b/components/audit/src/startup_records.rs
@@ -10,7 +10,7 @@
 
 /// Records that were taken in since the start.
 #[derive(Debug, Default)]
-pub struct Arrivals {
+pub struct StartupRecords {
     nodes: HashSet<Name>,
     changes: usize,
     has_ended: bool,
@@ -18,14 +18,14 @@
 
 /// What arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Arrived {
+pub struct StartupCount {
     /// Nodes whose records came.
     pub nodes: usize,
     /// Records of them that were taken in.
     pub changes: usize,
 }
 
-impl Arrivals {
+impl StartupRecords {
     /// Another node's record was taken in, in place of the one before.
     pub fn record_taken(&mut self, after: &Record, before: Option<&Record>) {
         if self.has_own_line(after, before) {
@@ -61,9 +61,9 @@
     }
 
     /// Ends the count; what was counted, if anything.
-    pub fn count(&mut self) -> Option<Arrived> {
+    pub fn count(&mut self) -> Option<StartupCount> {
         self.has_ended = true;
-        let arrived = Arrived {
+        let arrived = StartupCount {
             nodes: std::mem::take(&mut self.nodes).len(),
             changes: std::mem::take(&mut self.changes),
         };
--- a/components/audit/tests/arrivals.rs
+++ b/components/audit/tests/startup_records.rs
@@ -1,7 +1,7 @@
 //! Records that arrive at the start of a node. When each had a line, a node of 87 wrote 137 of them within a second, while its
 //! declarations were being read.
 
-use audit::{Arrivals, Arrived};
+use audit::{StartupCount, StartupRecords};
 use names::{BootId, Name};
 use registry::{Instance, Record, State, Version};
 
@@ -30,53 +30,53 @@
 
 #[test]
 fn a_hundred_records_at_the_start_are_told_in_one_line_with_their_number() {
-    let mut arrivals = Arrivals::default();
+    let mut records = StartupRecords::default();
     let own_lines = (0..100).filter(|vm| {
         let first = record(*vm, 0, None);
         let second = record(*vm, 1, Some(State::Ready));
-        arrivals.has_own_line(&first, None) || arrivals.has_own_line(&second, Some(&first))
+        records.has_own_line(&first, None) || records.has_own_line(&second, Some(&first))
     });
     assert_eq!(own_lines.count(), 0);
-    let arrived = Arrived {
+    let arrived = StartupCount {
         nodes: 100,
         changes: 200,
     };
-    assert_eq!(arrivals.count(), Some(arrived));
-    assert_eq!(arrivals.count(), None, "the line is written once");
+    assert_eq!(records.count(), Some(arrived));
+    assert_eq!(records.count(), None, "the line is written once");
 }
 
 #[test]
 fn a_change_after_the_start_has_a_line_of_its_own() {
-    let mut arrivals = Arrivals::default();
+    let mut records = StartupRecords::default();
     let before = record(1, 0, None);
-    assert!(!arrivals.has_own_line(&before, None));
-    arrivals.count();
+    assert!(!records.has_own_line(&before, None));
+    records.count();
     let after = record(1, 1, Some(State::Ready));
-    assert!(arrivals.has_own_line(&after, Some(&before)));
+    assert!(records.has_own_line(&after, Some(&before)));
 }
 
 #[test]
 fn an_upstream_that_stops_taking_work_has_a_line_of_its_own_even_at_the_start() {
-    let mut arrivals = Arrivals::default();
+    let mut records = StartupRecords::default();
     let before = record(1, 0, Some(State::Ready));
-    arrivals.has_own_line(&before, None);
+    records.has_own_line(&before, None);
     let drained = record(1, 1, Some(State::Draining));
-    assert!(arrivals.has_own_line(&drained, Some(&before)));
+    assert!(records.has_own_line(&drained, Some(&before)));
     let mut stopped = before.clone();
     stopped.serving = false;
-    assert!(arrivals.has_own_line(&stopped, Some(&before)));
+    assert!(records.has_own_line(&stopped, Some(&before)));
 }
 
 #[test]
 fn a_node_that_starts_again_has_no_line_of_its_own_at_the_start() {
-    let mut arrivals = Arrivals::default();
+    let mut records = StartupRecords::default();
     let before = record(1, 0, Some(State::Ready));
     let mut after = record(1, 1, None);
     after.boot = BootId(2);
-    assert!(!arrivals.has_own_line(&after, Some(&before)));
+    assert!(!records.has_own_line(&after, Some(&before)));
 }
 
 #[test]
 fn a_node_that_hears_of_nobody_writes_no_line() {
-    assert_eq!(Arrivals::default().count(), None);
+    assert_eq!(StartupRecords::default().count(), None);
 }
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -18,7 +18,7 @@
 use crate::links::Reply;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
-use audit::Arrivals;
+use audit::StartupRecords;
 use era::Eras;
 use evacuation::Evacuations;
 use home::Earlier;
@@ -49,7 +49,7 @@
     /// Answers of the store with declarations that are being taken in.
     pub taking_in: Cell<u32>,
     /// Records that arrive at the start and are told in one line.
-    pub arrivals: RefCell<Arrivals>,
+    pub startup_records: RefCell<StartupRecords>,
     /// Peers that told of newer declarations while this node asked nobody.
     pub postponed: RefCell<Postponed<Reply>>,
     /// Whether this node's record has been sent to open connections only, because its declarations are being read.
@@ -90,7 +90,7 @@
             eras: RefCell::new(Eras::new(boot.0)),
             evacuations: RefCell::default(),
             taking_in: Cell::new(0),
-            arrivals: RefCell::default(),
+            startup_records: RefCell::default(),
             postponed: RefCell::default(),
             announcement_deferred: Cell::new(false),
             upstream_replaced: Cell::new(false),
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -39,7 +39,7 @@
 const RECORD_DIALS: usize = 2;
 /// Records that arrive so long after the start are told in one line, in microseconds: nodes that start together tell one
 /// another of their starts and of their upstreams in this time.
-const ARRIVALS_US: u64 = 2_000 * MILLISECOND;
+const STARTUP_RECORDS_US: u64 = 2_000 * MILLISECOND;
 
 /// Every so many looks a node compares what it knows with others: once a second. One that has not read
 /// the records in the store yet does so at each look.
@@ -112,9 +112,9 @@
             let Some(after) = fleet.record(&vm) else {
                 return;
             };
-            let mut arrivals = registration.arrivals.borrow_mut();
-            arrivals.record_taken(after, before.as_ref());
-            drop(arrivals);
+            let mut startup_records = registration.startup_records.borrow_mut();
+            startup_records.record_taken(after, before.as_ref());
+            drop(startup_records);
             let after_record = after.clone();
             let moved = before
                 .as_ref()
@@ -251,7 +251,7 @@
         let own = registration.fleet.borrow().own().clone();
         tell_all(&node, &registration, &own);
     }
-    local::spawn(flush_arrivals(node.clone(), registration.clone()));
+    local::spawn(log_startup_records(node.clone(), registration.clone()));
     let mut look = 0;
     loop {
         let apart: Vec<_> = {
@@ -287,26 +287,28 @@
             Allowed::Nothing => RECORD_DIALS,
             Allowed::Contacts => CONTACT_DIALS,
         };
-        let fleet = registration.fleet.borrow();
-        let contacts = registry::start_contacts(
-            &fleet,
-            count,
-            |vm| links::is_open_or_opening(node, vm),
-            |vm| links::has_failed(node, vm),
-        );
-        drop(fleet);
-        for vm in contacts {
+        for vm in start_contacts(node, registration, count) {
             links::dial(node, &vm);
         }
         task::sleep(START_LOOK).await;
     }
 }
 
+/// The nodes to dial now, so that `count` are connected.
+fn start_contacts(node: &Node, registration: &Registration, count: usize) -> Vec<Name> {
+    registry::start_contacts(
+        &registration.fleet.borrow(),
+        count,
+        |vm| links::is_open_or_opening(node, vm),
+        |vm| links::has_failed(node, vm),
+    )
+}
+
 /// Writes how many records arrived at the start, once they have arrived.
-async fn flush_arrivals(node: Rc<Node>, registration: Rc<Registration>) {
-    let until = node.started + ARRIVALS_US;
+async fn log_startup_records(node: Rc<Node>, registration: Rc<Registration>) {
+    let until = node.started + STARTUP_RECORDS_US;
     task::sleep(Duration::from_micros(until.since(node.now()))).await;
-    registration.arrivals.borrow_mut().end();
+    registration.startup_records.borrow_mut().end();
 }
 
 /// Tells what this node knows to one node of its hall and, now and then, to a contact in another.
