--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -13,7 +13,6 @@
 use crate::relay::{self, Relay};
 use crate::watching;
 use accounts::{Account, Proof, MOST_PRIORITY};
-use async_std::task;
 use audit::stats::{self, Stage};
 use audit::Routed;
 use declarations::{Route, Service};
@@ -53,8 +52,6 @@
 const BLANK_RETRY_MS: u64 = 300;
 /// Characters of a caller's word that a log line shows at most.
 const MAX_LOGGED_CHARS: usize = 40;
-/// Time between two looks for it.
-const BLANK_LOOK: Duration = Duration::from_millis(10);
 /// Told to callers of a node that was paused, in milliseconds.
 const NOT_SERVING_RETRY_MS: u64 = 1_000;
 
@@ -110,7 +107,7 @@
     let Some(deadline) = deadline(node, &ruled, &call) else {
         return too_late(&call);
     };
-    let admitted = match admit(node, &in_force, &mut call, service.open).await {
+    let admitted = match admit(node, &in_force, &mut call, service.open, deadline).await {
         Ok(admitted) => admitted,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
@@ -160,13 +157,16 @@
         }
         let now = node.now();
         let first_read = *node.first_read.borrow();
-        if now >= first_read.caller_waits_until(arrived, time_us, watching::is_read(node)) {
+        let until = first_read.caller_waits_until(arrived, time_us, watching::is_read(node));
+        if now >= until {
             return None;
         }
         if first_read.needs_place(now) && place.is_none() {
             place = Some(node.blank_waiters.enter(call.bytes())?);
         }
-        task::sleep(BLANK_LOOK).await;
+        let limit_us = first_read.next_look(now, until).since(now);
+        let limit = Duration::from_micros(limit_us);
+        node.first_declarations.wait(limit).await;
     }
 }
 
@@ -183,7 +183,7 @@
     let Some(deadline) = deadline(node, ruled, &call) else {
         return too_late(&call);
     };
-    let admitted = match admit(node, in_force, &mut call, route.open).await {
+    let admitted = match admit(node, in_force, &mut call, route.open, deadline).await {
         Ok(admitted) => admitted,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
@@ -247,11 +247,12 @@
     in_force: &InForce,
     call: &mut CallerRequest,
     is_open: bool,
+    deadline: Moment,
 ) -> Result<Admitted, Refusal> {
     let account = admission::identify(in_force, call, is_open, proof(node))?;
     call.account = account.as_ref().map(|account| account.name.clone());
     let peers = links::Peers(node.clone());
-    let token = admission::admit(&node.quotas, &peers, call, account.as_deref()).await?;
+    let token = admission::admit(&node.quotas, &peers, call, account.as_deref(), deadline).await?;
     Ok(Admitted { account, token })
 }
 
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -15,9 +15,10 @@
 pub use records::{look, run as run_records, withdraw};
 
 use crate::home_driver;
+use crate::links::Reply;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
-use audit::Arrivals;
+use audit::StartupRecords;
 use era::Eras;
 use evacuation::Evacuations;
 use home::Earlier;
@@ -29,6 +30,7 @@
 use settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use watch::Postponed;
 
 /// What a node keeps of a registered fleet.
 pub struct Registration {
@@ -47,9 +49,13 @@
     /// Answers of the store with declarations that are being taken in.
     pub taking_in: Cell<u32>,
     /// Records that arrive at the start and are told in one line.
-    pub arrivals: RefCell<Arrivals>,
-    /// Whether the others have not been told of this node's record because its declarations are being read.
-    untold: Cell<bool>,
+    pub startup_records: RefCell<StartupRecords>,
+    /// Peers that told of newer declarations while this node asked nobody.
+    pub postponed: RefCell<Postponed<Reply>>,
+    /// Whether this node's record has been sent to open connections only, because its declarations are being read.
+    announcement_deferred: Cell<bool>,
+    /// Whether an upstream that this node has named is gone or replaced. Its record is not deferred from then on.
+    upstream_replaced: Cell<bool>,
     /// Whether something was learned by a comparison of which nearby nodes have not been told.
     pub has_learned: Cell<bool>,
     /// When the upstream was last asked whether it still stands there; 0 for never.
@@ -84,8 +90,10 @@
             eras: RefCell::new(Eras::new(boot.0)),
             evacuations: RefCell::default(),
             taking_in: Cell::new(0),
-            arrivals: RefCell::default(),
-            untold: Cell::new(false),
+            startup_records: RefCell::default(),
+            postponed: RefCell::default(),
+            announcement_deferred: Cell::new(false),
+            upstream_replaced: Cell::new(false),
             has_learned: Cell::new(false),
             asked_upstream: Cell::new(Moment(0)),
             storing: Cell::new(0),
@@ -189,6 +197,9 @@
     if own.upstream == upstream && own.serving == serving {
         return;
     }
+    if registry::is_replaced(own.upstream.as_ref(), upstream.as_ref()) {
+        registration.upstream_replaced.set(true);
+    }
     let own = registration.fleet.borrow_mut().change_own(|own| {
         own.upstream = upstream;
         own.serving = serving;
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -124,10 +124,11 @@
     node.first_read.borrow().allowed(node.now(), is_read)
 }
 
-/// Whether this node has no declarations and its first read of them has not ended.
+/// Whether this node has no declarations and its first read of them has not ended, however long it takes: a store that has
+/// stalled would not answer a second read either.
 pub fn is_first_read(node: &Node) -> bool {
-    let is_over = node.first_read.borrow().is_over(node.now());
-    node.registration.is_some() && node.in_force().is_none() && !is_over
+    let has_ended = node.first_read.borrow().has_ended();
+    node.registration.is_some() && node.in_force().is_none() && !has_ended
 }
 
 /// Whether the store's answer with the declarations arrives or is checked just now.
@@ -175,7 +176,7 @@
     let mut pause = LEAST_PAUSE_MS;
     for topic in topics(node) {
         while let Err(error) = look(node, *topic, Manner::Start).await {
-            node.first_read.borrow_mut().ended();
+            first_read_ended(node);
             set_reachable(node, false);
             tracing::info!(?topic, %error, "the platform gave no answer");
             listed::ask_seeds(node);
@@ -184,8 +185,18 @@
                 break;
             }
         }
+        if *topic == Topic::Declarations {
+            // The answer of another topic must not keep other work back.
+            first_read_ended(node);
+        }
     }
+    first_read_ended(node);
+}
+
+/// Notes that the store has answered the first read or failed, and wakes the callers that wait for declarations.
+fn first_read_ended(node: &Node) {
     node.first_read.borrow_mut().ended();
+    node.first_declarations.wake();
 }
 
 fn is_told(node: &Node, topic: Topic) -> bool {
--- a/components/watch/src/first_read.rs
+++ b/components/watch/src/first_read.rs
@@ -56,6 +56,11 @@
         self.has_ended = true;
     }
 
+    /// Whether the read has ended.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
     /// Whether the read has ended, or taken too long for other work to wait.
     pub fn is_over(&self, now: Moment) -> bool {
         self.has_ended || now.since(self.started) >= READ_US
@@ -84,6 +89,17 @@
         }
     }
 
+    /// When a caller that waits until `until` looks again, if declarations do not come before: at the end of the time after
+    /// the start, when it needs a place and the answer may have begun to arrive.
+    pub fn next_look(&self, now: Moment, until: Moment) -> Moment {
+        let boundary = self.started + BLANK_WAIT_US;
+        if now < boundary {
+            until.min(boundary)
+        } else {
+            until
+        }
+    }
+
     /// Whether a caller that still waits does so beyond the time after the start, and needs a place of its own.
     pub fn needs_place(&self, now: Moment) -> bool {
         now >= self.started + BLANK_WAIT_US
