--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -372,7 +372,12 @@
         Action::Straggles(id) => straggling::tell(node, id),
         Action::Refuse(id, refusal) => {
             stats::attempt_refused(refusal.reason.as_str());
-            audit_home(node, id, "refused", Some(refusal.reason));
+            let is_displaced = |home: &Home<Whole>| home.is_displaced(id);
+            let decision = match node.home.borrow().as_ref().is_some_and(is_displaced) {
+                true => "refused for another account",
+                false => "refused",
+            };
+            audit_home(node, id, decision, Some(refusal.reason));
             let load = node.load();
             end_job(node, id, Frame::Refused { id, refusal, load });
         }
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -111,7 +111,7 @@
             Known::Ended(Record::Answered(Some(answer))) => AskReply::Answered(answer),
             Known::Ended(Record::Answered(None)) => AskReply::Ran,
             Known::Ended(Record::Broken) => AskReply::Ran,
-            Known::Ended(Record::NotRun) => AskReply::Revoked,
+            Known::Ended(Record::NotRun | Record::Displaced) => AskReply::Revoked,
             Known::Forgotten => AskReply::Forgotten,
             Known::New => {
                 self.counters.fenced += 1;
@@ -380,9 +380,20 @@
         id: AttemptId,
         reason: Reason,
         actions: &mut Vec<Action>,
+    ) {
+        self.refuse_as(now, id, reason, Record::NotRun, actions);
+    }
+
+    fn refuse_as(
+        &mut self,
+        now: Moment,
+        id: AttemptId,
+        reason: Reason,
+        record: Record<A>,
+        actions: &mut Vec<Action>,
     ) {
         self.counters.refused += 1;
-        self.records.end(now, id, Record::NotRun);
+        self.records.end(now, id, record);
         let retry_after_ms = self.retry_after_ms(now);
         actions.push(Action::Refuse(id, refusal(reason, retry_after_ms)));
     }
--- a/components/home/src/duty/accounts.rs
+++ b/components/home/src/duty/accounts.rs
@@ -2,7 +2,8 @@
 
 use super::Home;
 use crate::config::AccountLoad;
-use names::Name;
+use crate::record::{Known, Record};
+use names::{AttemptId, Name};
 
 impl<A: Clone> Home<A> {
     /// How many attempts of the account run and wait; without one, those that have none.
@@ -13,6 +14,11 @@
         }
     }
 
+    /// Whether the attempt was refused in a full queue for one of another account of its rank, as far as that is on record.
+    pub fn is_displaced(&self, id: AttemptId) -> bool {
+        matches!(self.records.look_up(id), Known::Ended(Record::Displaced))
+    }
+
     /// Number of accounts with attempts that wait.
     pub fn accounts_waiting(&self) -> usize {
         self.queue.waiting().accounts()
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -7,6 +7,7 @@
 use crate::limit::Class;
 use crate::message::{Offer, Reason};
 use crate::queue::Rank;
+use crate::record::Record;
 use names::Moment;
 
 impl<A: Clone> Home<A> {
@@ -139,7 +140,12 @@
         let is_for_account = Rank::of(last) == Rank::of(attempt);
         self.queue.take(id);
         self.counters.refused_for_account += u64::from(is_for_account);
-        self.refuse_ended(now, id, Reason::Busy, actions);
+        let record = if is_for_account {
+            Record::Displaced
+        } else {
+            Record::NotRun
+        };
+        self.refuse_as(now, id, Reason::Busy, record, actions);
     }
 
     /// Decides about the attempts that came while there was no word and got no slot since.
--- a/components/home/src/record.rs
+++ b/components/home/src/record.rs
@@ -16,6 +16,8 @@
     Broken,
     /// Never started, and never will be.
     NotRun,
+    /// The same, because it was refused in a full queue for an attempt of another account.
+    Displaced,
 }
 
 /// What is known of an attempt that is not active.
--- a/components/home/tests/fair/order.rs
+++ b/components/home/tests/fair/order.rs
@@ -165,6 +165,9 @@
     assert_eq!(home.counters().refused_for_account, 0);
     assert_eq!(refused(&home.offer(now, &offer(20, "quiet"))), [17]);
     assert_eq!(home.counters().refused_for_account, 1);
+    // Guards against a decision in favour of another account that operators can't tell from a lack of slots.
+    assert!(home.is_displaced(id(17)));
+    assert!(!home.is_displaced(id(18)));
     assert!(home.is_queued(id(20)));
     assert_eq!(home.accounts_waiting(), 2);
     assert_eq!(home.account_load(&Some("busy".into())).queued, 15);
