--- a/components/home/src/duty/accounts.rs
+++ b/components/home/src/duty/accounts.rs
@@ -2,7 +2,8 @@
 
 use super::Home;
 use crate::config::AccountLoad;
-use names::Name;
+use crate::record::{Known, Record};
+use names::{AttemptId, Name};
 
 impl<A: Clone> Home<A> {
     /// How many attempts of the account run and wait; without one, those that have none.
@@ -13,13 +14,24 @@
         }
     }
 
+    /// Whether the attempt was refused in a full queue for one of another account of its rank, as far as that is on record.
+    pub fn is_displaced(&self, id: AttemptId) -> bool {
+        matches!(self.records.look_up(id), Known::Ended(Record::Displaced))
+    }
+
     /// Number of accounts with attempts that wait.
     pub fn accounts_waiting(&self) -> usize {
         self.queue.waiting().accounts()
     }
 
-    /// Number of turns of accounts that are kept, at most one for each attempt that runs or waits.
-    pub fn turns_kept(&self) -> usize {
-        self.queue.lines()
+    /// Number of accounts whose tags are kept: those with attempts that wait, and those whose finish tag is ahead of the
+    /// virtual time.
+    pub fn accounts_kept(&self) -> usize {
+        self.queue.flows()
+    }
+
+    /// The virtual time of the fair order, in microseconds: the largest over ranks and levels.
+    pub fn virtual_us(&self) -> u64 {
+        self.queue.virtual_us()
     }
 }
