--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -2,11 +2,11 @@
 
 mod admission;
 mod connection;
+mod pipeline;
 mod reading;
 mod request;
 mod response;
 mod returned;
-mod row;
 mod serve;
 
 pub use admission::run_loans;
--- a/components/daemon/src/callers/connection.rs
+++ b/components/daemon/src/callers/connection.rs
@@ -1,8 +1,8 @@
 //! Connections of callers: what was read is answered in its order.
 
-use super::reading::{hung_up, Ended, Place, Reader};
+use super::pipeline::{Pipeline, Pipelines, MOST_PIPELINED};
+use super::reading::{hung_up, Ended, Reader, ResponseSlot};
 use super::response;
-use super::row::{Row, Rows, MOST_IN_ROW};
 use crate::local;
 use crate::node::Node;
 use async_channel::Receiver;
@@ -26,7 +26,7 @@
 
 /// Accepts callers for as long as the node runs; the last moments of a planned stop excepted.
 pub async fn run(node: Rc<Node>, listener: TcpListener) {
-    let rows = Rc::new(Rows::default());
+    let pipelines = Rc::new(Pipelines::default());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             task::sleep(ACCEPT_PAUSE).await;
@@ -38,9 +38,9 @@
             continue;
         }
         node.open_callers.set(node.open_callers.get() + 1);
-        let (node, rows) = (node.clone(), rows.clone());
+        let (node, pipelines) = (node.clone(), pipelines.clone());
         local::spawn(async move {
-            let connection = AssertUnwindSafe(connection(&node, rows, stream));
+            let connection = AssertUnwindSafe(connection(&node, pipelines, stream));
             if connection.catch_unwind().await.is_err() {
                 stats::panicked();
             }
@@ -55,42 +55,47 @@
 }
 
 /// Serves one connection until it ends. Requests are read while earlier ones are served.
-async fn connection(node: &Rc<Node>, rows: Rc<Rows>, stream: TcpStream) {
+async fn connection(node: &Rc<Node>, pipelines: Rc<Pipelines>, stream: TcpStream) {
     let Ok(address) = stream.peer_addr() else {
         return;
     };
     stream.set_nodelay(true).ok();
-    let row = Rc::new(Row::new(rows.clone()));
-    let (places, answers) = async_channel::bounded(MOST_IN_ROW + 1);
+    let pipeline = Rc::new(Pipeline::new(pipelines.clone()));
+    let (slots, answers) = async_channel::bounded(MOST_PIPELINED + 1);
     // Dropped at the end, so that what is served still is given up.
     let (_here, gone) = async_channel::bounded(1);
     let reader = Reader {
         node: node.clone(),
         connection: Connection::new(stream.clone()),
         caller: address.ip(),
-        row: row.clone(),
-        rows,
-        places,
+        pipeline: pipeline.clone(),
+        pipelines,
+        slots,
         gone,
     };
     let reading = pin!(reader.run());
-    let writing = pin!(write(node, stream.clone(), &row, answers));
+    let writing = pin!(write(node, stream.clone(), &pipeline, answers));
     if let Either::Left((Ended::Done, writing)) = select(reading, writing).await {
         select(writing, pin!(hung_up(stream))).await;
     }
 }
 
 /// Writes the answers in the order of their requests, until one closes the connection.
-async fn write(node: &Node, mut stream: TcpStream, row: &Row, answers: Receiver<Place>) {
-    while let Ok(place) = answers.recv().await {
-        let (method, is_last, answer, _open) = match place {
-            Place::Request {
+async fn write(
+    node: &Node,
+    mut stream: TcpStream,
+    pipeline: &Pipeline,
+    answers: Receiver<ResponseSlot>,
+) {
+    while let Ok(slot) = answers.recv().await {
+        let (method, is_last, answer, _open) = match slot {
+            ResponseSlot::Request {
                 method,
                 is_last,
                 answer,
                 open,
             } => (method, is_last, answer, open),
-            Place::Refusal(text) => {
+            ResponseSlot::Refusal(text) => {
                 // Who does not send may not read either.
                 timeout(WRITE_TIMEOUT, stream.write_all(text.as_bytes()))
                     .await
@@ -104,12 +109,12 @@
         // What was read behind it is answered first.
         let closes = is_last || node.stopping.get() && answers.is_empty();
         if closes {
-            row.close();
+            pipeline.close();
         }
         let bytes = held.res.bytes(&method, closes);
         drop(held);
         let written = timeout(WRITE_TIMEOUT, stream.write_all(&bytes)).await;
-        row.answered();
+        pipeline.answered();
         if closes || !matches!(written, Ok(Ok(()))) {
             return;
         }
--- a/components/daemon/src/callers/row.rs
+++ b/components/daemon/src/callers/pipeline.rs
@@ -1,4 +1,4 @@
-//! The row of one connection: requests that were read and not answered yet, and what all rows of a node may hold.
+//! The pipeline of one connection: requests that were read and not answered yet, and what all pipelines of a node may hold.
 
 use super::response::Response;
 use async_channel::{Receiver, Sender};
@@ -6,22 +6,22 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Requests in one row at most.
-pub const MOST_IN_ROW: usize = 8;
-/// Requests in all rows of a node that run behind another one, at most.
+/// Requests in one pipeline at most.
+pub const MOST_PIPELINED: usize = 8;
+/// Requests in all pipelines of a node that run behind another one, at most.
 const MOST_BEHIND: usize = 256;
-/// Bytes of answers that wait for their turn, at most: beyond it no further request joins a row. What runs by then may
+/// Bytes of answers that wait for their turn, at most: beyond it no further request joins a pipeline. What runs by then may
 /// still add its answers.
 const MOST_HELD_BYTES: usize = 4 * 1024 * 1024;
 
-/// What all rows of a node hold together.
+/// What all pipelines of a node hold together.
 #[derive(Debug, Default)]
-pub struct Rows {
+pub struct Pipelines {
     behind: Cell<usize>,
     held_bytes: Cell<usize>,
 }
 
-impl Rows {
+impl Pipelines {
     fn has_room(&self) -> bool {
         self.behind.get() < MOST_BEHIND && self.held_bytes.get() < MOST_HELD_BYTES
     }
@@ -32,30 +32,36 @@
 pub struct Held {
     /// The answer.
     pub res: Response,
-    rows: Rc<Rows>,
+    pipelines: Rc<Pipelines>,
     bytes: usize,
 }
 
 impl Held {
     /// Counts an answer.
-    pub fn new(rows: Rc<Rows>, res: Response) -> Held {
+    pub fn new(pipelines: Rc<Pipelines>, res: Response) -> Held {
         let bytes = res.body_bytes();
-        rows.held_bytes.set(rows.held_bytes.get() + bytes);
-        Held { res, rows, bytes }
+        pipelines.held_bytes.set(pipelines.held_bytes.get() + bytes);
+        Held {
+            res,
+            pipelines,
+            bytes,
+        }
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let rows = &self.rows;
-        rows.held_bytes.set(rows.held_bytes.get() - self.bytes);
+        let pipelines = &self.pipelines;
+        pipelines
+            .held_bytes
+            .set(pipelines.held_bytes.get() - self.bytes);
     }
 }
 
-/// One row.
+/// One pipeline.
 #[derive(Debug)]
-pub struct Row {
-    rows: Rc<Rows>,
+pub struct Pipeline {
+    pipelines: Rc<Pipelines>,
     length: Cell<usize>,
     /// When it was last empty.
     rests_since: Cell<Instant>,
@@ -64,11 +70,11 @@
     changed: (Sender<()>, Receiver<()>),
 }
 
-impl Row {
-    /// An empty row.
-    pub fn new(rows: Rc<Rows>) -> Row {
-        Row {
-            rows,
+impl Pipeline {
+    /// An empty pipeline.
+    pub fn new(pipelines: Rc<Pipelines>) -> Pipeline {
+        Pipeline {
+            pipelines,
             length: Cell::new(0),
             rests_since: Cell::new(Instant::now()),
             closes: Cell::new(false),
@@ -83,10 +89,10 @@
 
     /// Whether another request may join.
     pub fn has_room(&self) -> bool {
-        self.is_empty() || self.length.get() < MOST_IN_ROW && self.rows.has_room()
+        self.is_empty() || self.length.get() < MOST_PIPELINED && self.pipelines.has_room()
     }
 
-    /// Since when the row is empty.
+    /// Since when the pipeline is empty.
     pub fn rests_since(&self) -> Instant {
         self.rests_since.get()
     }
@@ -104,7 +110,7 @@
     /// A request joins.
     pub fn join(&self) {
         if !self.is_empty() {
-            self.rows.behind.set(self.rows.behind.get() + 1);
+            self.pipelines.behind.set(self.pipelines.behind.get() + 1);
         }
         self.length.set(self.length.get() + 1);
     }
@@ -117,8 +123,8 @@
         self.changed.0.try_send(()).ok();
     }
 
-    /// Ends once `fits` holds of the row.
-    pub async fn until(&self, fits: impl Fn(&Row) -> bool) {
+    /// Ends once `fits` holds of the pipeline.
+    pub async fn until(&self, fits: impl Fn(&Pipeline) -> bool) {
         while !fits(self) {
             if self.changed.1.recv().await.is_err() {
                 return;
@@ -126,17 +132,19 @@
         }
     }
 
-    /// All but the first of a row run behind another one.
+    /// All but the first of a pipeline run behind another one.
     fn leave(&self, count: usize) {
         let before = self.length.get();
         let after = before - count;
         let behind = before.saturating_sub(1) - after.saturating_sub(1);
-        self.rows.behind.set(self.rows.behind.get() - behind);
+        self.pipelines
+            .behind
+            .set(self.pipelines.behind.get() - behind);
         self.length.set(after);
     }
 }
 
-impl Drop for Row {
+impl Drop for Pipeline {
     fn drop(&mut self) {
         self.leave(self.length.get());
     }
--- a/components/daemon/src/callers/reading.rs
+++ b/components/daemon/src/callers/reading.rs
@@ -1,8 +1,8 @@
 //! Reads the requests of one connection and has them served: beside one another where they may be repeated, else alone.
 
+use super::pipeline::{Held, Pipeline, Pipelines};
 use super::request::{self, BadRequest, CallerRequest, Limits};
 use super::response;
-use super::row::{Held, Row, Rows};
 use super::serve;
 use crate::local;
 use crate::node::Node;
@@ -21,8 +21,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// The place of one answer in a row.
-pub enum Place {
+/// The slot of one answer in a pipeline.
+pub enum ResponseSlot {
     /// The answer to a request that was read.
     Request {
         /// The request's method.
@@ -72,11 +72,11 @@
     /// Where the caller is.
     pub caller: IpAddr,
     /// Requests in progress on this connection.
-    pub row: Rc<Row>,
-    /// What all rows hold.
-    pub rows: Rc<Rows>,
-    /// Takes the places of the answers, in order.
-    pub places: Sender<Place>,
+    pub pipeline: Rc<Pipeline>,
+    /// What all pipelines hold.
+    pub pipelines: Rc<Pipelines>,
+    /// Takes the slots of the answers, in order.
+    pub slots: Sender<ResponseSlot>,
     /// Closed once the caller has left.
     pub gone: Receiver<Infallible>,
 }
@@ -95,7 +95,7 @@
     async fn next(&mut self) -> Result<(), Ended> {
         let node = self.node.clone();
         // A node that stops reads nothing behind what it serves: the last answer closes the connection.
-        self.until(|row| row.has_room() && (row.is_empty() || !node.stopping.get()))
+        self.until(|pipeline| pipeline.has_room() && (pipeline.is_empty() || !node.stopping.get()))
             .await?;
         let in_force = node.in_force();
         let declared = in_force.and_then(|in_force| in_force.declarations.limits);
@@ -111,8 +111,8 @@
                 stats::bad_input("caller");
                 let (tx, answer) = async_channel::bounded(1);
                 let res = response::bad_request(&bad);
-                tx.try_send(Held::new(self.rows.clone(), res)).ok();
-                self.put(Place::Request {
+                tx.try_send(Held::new(self.pipelines.clone(), res)).ok();
+                self.put(ResponseSlot::Request {
                     method,
                     is_last: true,
                     answer,
@@ -126,8 +126,8 @@
     /// Waits for the first bytes of a request.
     async fn begins(&mut self, limits: Limits) -> Result<(), Ended> {
         loop {
-            let rested = match self.row.is_empty() {
-                true => self.row.rests_since().elapsed(),
+            let rested = match self.pipeline.is_empty() {
+                true => self.pipeline.rests_since().elapsed(),
                 false => std::time::Duration::ZERO,
             };
             let left = limits.idle.saturating_sub(rested);
@@ -135,7 +135,8 @@
                 Ok(Ok(true)) => return Ok(()),
                 Ok(_) => return Err(Ended::Gone),
                 Err(_)
-                    if self.row.is_empty() && self.row.rests_since().elapsed() >= limits.idle =>
+                    if self.pipeline.is_empty()
+                        && self.pipeline.rests_since().elapsed() >= limits.idle =>
                 {
                     return Err(Ended::Done);
                 }
@@ -161,7 +162,7 @@
             }
         };
         stats::bad_input("caller");
-        self.put(Place::Refusal(refusal))?;
+        self.put(ResponseSlot::Refusal(refusal))?;
         Err(Ended::Done)
     }
 
@@ -191,9 +192,9 @@
         let is_alone = !may_run_beside(self.node.in_force(), &call);
         self.note_pipelining();
         if is_alone {
-            self.until(Row::is_empty).await?;
+            self.until(Pipeline::is_empty).await?;
         }
-        if self.row.closes() {
+        if self.pipeline.closes() {
             // The caller sends it again: to it, it was not read.
             return Err(Ended::Done);
         }
@@ -205,13 +206,13 @@
             return Err(Ended::Gone);
         }
         let (tx, answer) = async_channel::bounded(1);
-        self.put(Place::Request {
+        self.put(ResponseSlot::Request {
             method,
             is_last,
             answer,
             open,
         })?;
-        let (node, rows) = (self.node.clone(), self.rows.clone());
+        let (node, pipelines) = (self.node.clone(), self.pipelines.clone());
         let gone = self.gone.clone();
         local::spawn_contained("request", async move {
             let hung_up = async move {
@@ -220,37 +221,37 @@
             };
             let res = serve::serve(&node, call, hung_up).await;
             // The connection may have ended meanwhile.
-            tx.try_send(Held::new(rows, res)).ok();
+            tx.try_send(Held::new(pipelines, res)).ok();
         });
         if is_last {
             return Err(Ended::Done);
         }
         if is_alone {
-            self.until(Row::is_empty).await?;
+            self.until(Pipeline::is_empty).await?;
         }
         Ok(())
     }
 
     /// A request that was read behind an unanswered one shows that callers of this node pipeline.
     fn note_pipelining(&self) {
-        if !self.row.is_empty() {
+        if !self.pipeline.is_empty() {
             self.node.activation.pipelined(self.node.now());
         }
     }
 
-    fn put(&self, place: Place) -> Result<(), Ended> {
-        self.row.join();
-        // As many places as a row has, and one refusal behind them; else the writer has ended.
-        self.places.try_send(place).map_err(|_| Ended::Gone)
+    fn put(&self, slot: ResponseSlot) -> Result<(), Ended> {
+        self.pipeline.join();
+        // As many slots as a pipeline has, and one refusal behind them; else the writer has ended.
+        self.slots.try_send(slot).map_err(|_| Ended::Gone)
     }
 
-    /// Waits until `fits` holds of the row, or the caller leaves.
-    async fn until(&self, fits: impl Fn(&Row) -> bool) -> Result<(), Ended> {
-        if fits(&self.row) {
+    /// Waits until `fits` holds of the pipeline, or the caller leaves.
+    async fn until(&self, fits: impl Fn(&Pipeline) -> bool) -> Result<(), Ended> {
+        if fits(&self.pipeline) {
             return Ok(());
         }
         let hung_up = pin!(hung_up(self.connection.stream().clone()));
-        match select(pin!(self.row.until(fits)), hung_up).await {
+        match select(pin!(self.pipeline.until(fits)), hung_up).await {
             Either::Left(((), _)) => Ok(()),
             Either::Right(((), _)) => Err(Ended::Gone),
         }
--- a/components/daemon/src/configuration.rs
+++ b/components/daemon/src/configuration.rs
@@ -28,7 +28,7 @@
 const FAR_COMPARISON: u32 = 4;
 
 /// Pause between two steps of work on declarations, in which requests are served: long enough that
-/// sockets are looked at.
+/// sockets are probed at.
 pub const BREATH: Duration = Duration::from_millis(1);
 
 /// Takes in a revision; tells peers when it is new. Requests are served by the one before it until it
@@ -89,7 +89,7 @@
                 coordinator::groups_changed(node, before.as_deref(), &after);
             }
             node.refresh_budget();
-            home_driver::bears_changed(node);
+            home_driver::cold_capacity_changed(node);
             tell_some(node);
         }
         Offered::Same | Offered::UnderWay => {}
--- a/components/daemon/src/containment.rs
+++ b/components/daemon/src/containment.rs
@@ -50,7 +50,7 @@
     /// The last end of the upstream beside this node.
     last_end: Cell<Option<LastEnd>>,
     /// When the store was last asked what other nodes hold.
-    looked: Cell<Option<Moment>>,
+    probed: Cell<Option<Moment>>,
 }
 
 impl Containment {
@@ -61,7 +61,7 @@
             cut_off: RefCell::default(),
             has_predecessor: Cell::default(),
             last_end: Cell::default(),
-            looked: Cell::default(),
+            probed: Cell::default(),
         }
     }
 }
--- a/components/daemon/src/containment/ends.rs
+++ b/components/daemon/src/containment/ends.rs
@@ -144,11 +144,11 @@
         return;
     };
     let now = node.now();
-    let looked = node.containment.looked.get();
-    if looked.is_some_and(|looked| now.since(looked) < LOOK_EVERY_US) {
+    let probed = node.containment.probed.get();
+    if probed.is_some_and(|probed| now.since(probed) < LOOK_EVERY_US) {
         return;
     }
-    node.containment.looked.set(Some(now));
+    node.containment.probed.set(Some(now));
     let node = node.clone();
     local::spawn_contained("look for held requests", async move {
         registration::look(&node, &registration).await;
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -141,7 +141,7 @@
         }
         return (Verdict::Shed, None);
     }
-    if let Some(percent) = told_percent(node, &answer) {
+    if let Some(percent) = reported_percent(node, &answer) {
         slowness(node, percent);
     }
     let not_run = names.not_run.as_deref();
@@ -157,7 +157,7 @@
 }
 
 /// How long work takes at the upstream by what its answer says, in hundredths of the usual.
-pub fn told_percent(node: &Node, answer: &Answer) -> Option<u32> {
+pub fn reported_percent(node: &Node, answer: &Answer) -> Option<u32> {
     let name = node.cfg.headers.load.as_deref()?;
     slow_percent(http1::value(&answer.headers, name)?)
 }
@@ -172,7 +172,7 @@
 /// at 295 VMs was nine in ten of the messages between nodes.
 fn slowness(node: &Rc<Node>, percent: u32) {
     let now = node.now();
-    let told = |home: &mut Home<Whole>| home.told_slowness(now, percent);
+    let told = |home: &mut Home<Whole>| home.slowness_reported(now, percent);
     let changed = node.home.borrow_mut().as_mut().is_some_and(told);
     if changed {
         pace_changed(node);
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -14,7 +14,10 @@
 use audit::stats::{self, Stage};
 use budget::Act;
 use futures_util::future::{select, Either};
-use home::{Action, AskReply, Bears, Earlier, Home, Load, Looked, Offer, Reason, Refusal, Verdict};
+use home::{
+    Action, AskReply, ColdCapacity, Earlier, Home, Load, Offer, ProbeResult, Reason, Refusal,
+    Verdict,
+};
 use keys::{ClaimReply, KeyHash};
 use names::{AttemptId, BootId, Name, MILLISECOND};
 use std::pin::pin;
@@ -198,23 +201,23 @@
     }
     let now = node.now();
     with_home(node, |home| home.replaced(now, run.slots, earlier));
-    bears_changed(node);
+    cold_capacity_changed(node);
 }
 
 /// Brings in line with the declarations in force how many starts the upstream beside this node bears while it is cold.
-pub fn bears_changed(node: &Node) {
+pub fn cold_capacity_changed(node: &Node) {
     if let Some(home) = node.home.borrow_mut().as_mut() {
-        home.set_bears(bears(node));
+        home.set_cold_capacity(cold_capacity(node));
     }
 }
 
 /// What the upstream bears while it is cold; nothing before any declarations are known.
-fn bears(node: &Node) -> Bears {
+fn cold_capacity(node: &Node) -> ColdCapacity {
     let Some(registration) = &node.registration else {
-        return Bears::Any;
+        return ColdCapacity::Any;
     };
     let Some(in_force) = node.in_force() else {
-        return Bears::Most {
+        return ColdCapacity::Most {
             starts: 0,
             cold_us: u64::MAX,
         };
@@ -222,20 +225,20 @@
     let service = registration::service(registration);
     let registered = service.and_then(|service| in_force.declarations.registered.get(&service));
     match registered.and_then(|registered| registered.cold) {
-        Some(cold) => Bears::Most {
+        Some(cold) => ColdCapacity::Most {
             starts: node.cfg.cold.most(cold.starts_per_s),
             cold_us: cold.lasts_ms * MILLISECOND,
         },
-        None => Bears::Any,
+        None => ColdCapacity::Any,
     }
 }
 
 /// Takes in the upstream's own registration: how much longer it is cold, in milliseconds.
-pub fn told_cold(node: &Node, cold_ms: u64) {
+pub fn cold_reported(node: &Node, cold_ms: u64) {
     let now = node.now();
     noting_cold(node, "registration", || {
         if let Some(home) = node.home.borrow_mut().as_mut() {
-            home.told_cold(now, cold_ms * MILLISECOND);
+            home.cold_reported(now, cold_ms * MILLISECOND);
         }
     });
 }
@@ -336,14 +339,14 @@
 }
 
 /// Takes in what a look at the upstream's pace brought.
-pub fn looked(node: &Rc<Node>, looked: Looked) {
+pub fn probed(node: &Rc<Node>, probed: ProbeResult) {
     let now = node.now();
     let before = node.load().slow_percent;
     noting_cold(node, "look", || {
-        with_home(node, |home| home.looked(now, looked));
+        with_home(node, |home| home.probed(now, probed));
     });
-    let told = match looked {
-        Looked::Told { percent, .. } => percent,
+    let told = match probed {
+        ProbeResult::Told { percent, .. } => percent,
         _ => None,
     };
     if told.is_some_and(|percent| percent != before) {
@@ -368,7 +371,7 @@
             audit_home(node, id, "started", None);
             start(node, id);
         }
-        Action::Look => look::start(node),
+        Action::Probe => look::start(node),
         Action::Straggles(id) => straggling::tell(node, id),
         Action::Refuse(id, refusal) => {
             stats::attempt_refused(refusal.reason.as_str());
--- a/components/daemon/src/look.rs
+++ b/components/daemon/src/look.rs
@@ -11,7 +11,7 @@
 use async_std::future::timeout;
 use audit::stats::{self, Look};
 use budget::Act;
-use home::Looked;
+use home::ProbeResult;
 use names::MILLISECOND;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,17 +28,17 @@
 pub fn start(node: &Rc<Node>) {
     let node = node.clone();
     local::spawn(async move {
-        let looked = ask(&node).await;
-        home_driver::looked(&node, looked);
+        let probed = ask(&node).await;
+        home_driver::probed(&node, probed);
     });
 }
 
-async fn ask(node: &Rc<Node>) -> Looked {
+async fn ask(node: &Rc<Node>) -> ProbeResult {
     let Some(registration) = node.registration.clone() else {
-        return Looked::Nothing;
+        return ProbeResult::Nothing;
     };
     let Some(pool) = node.look_pool.clone() else {
-        return Looked::Nothing;
+        return ProbeResult::Nothing;
     };
     let Some(req) = request(node, &registration) else {
         return failed("no path to ask at is declared");
@@ -46,7 +46,7 @@
     let now = node.now();
     if !node.gate.borrow_mut().spend(now, Act::LOOK) {
         stats::looked(Look::Refused);
-        return Looked::NoBudget;
+        return ProbeResult::NoBudget;
     }
     let terms = Terms {
         repeatable: true,
@@ -83,7 +83,7 @@
 }
 
 /// How long work takes, if the upstream that is expected here says so.
-fn read(node: &Rc<Node>, registration: &Registration, answer: &Answer) -> Looked {
+fn read(node: &Rc<Node>, registration: &Registration, answer: &Answer) -> ProbeResult {
     let names = &node.cfg.headers;
     let instance = names
         .instance
@@ -94,17 +94,17 @@
     if instance.is_some() && instance != expected {
         return failed("another upstream answers");
     }
-    let percent = exchange::told_percent(node, answer);
-    let cold_us = told_cold_us(node, answer);
+    let percent = exchange::reported_percent(node, answer);
+    let cold_us = reported_cold_us(node, answer);
     if percent.is_none() && cold_us.is_none() {
         return failed("the answer names neither load nor cold");
     }
     stats::looked(Look::Answered);
-    Looked::Told { percent, cold_us }
+    ProbeResult::Told { percent, cold_us }
 }
 
 /// How much longer the upstream is cold by its answer, in microseconds. One that is well and says nothing of it is warm.
-fn told_cold_us(node: &Node, answer: &Answer) -> Option<u64> {
+fn reported_cold_us(node: &Node, answer: &Answer) -> Option<u64> {
     let name = node.cfg.headers.cold_ms.as_deref()?;
     match http1::value(&answer.headers, name) {
         Some(text) => text.trim().parse::<u64>().ok().map(|ms| ms * MILLISECOND),
@@ -112,8 +112,8 @@
     }
 }
 
-fn failed(cause: &str) -> Looked {
+fn failed(cause: &str) -> ProbeResult {
     stats::looked(Look::Failed);
     audit::look_failed(cause);
-    Looked::Nothing
+    ProbeResult::Nothing
 }
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -100,7 +100,7 @@
     /// Looks at the upstream's pace.
     pub looks: u64,
     /// Starts on a word of the pace that was fresh without a look.
-    pub looks_saved: u64,
+    pub probes_saved: u64,
     /// Requests that no upstream sees, because upstreams ended while they ran them.
     pub held: Vec<HeldRequest>,
     /// Learned length of the upstream's slow phases, in microseconds.
@@ -276,7 +276,7 @@
         revisions_differ: rollout.differs,
         measuring_refused: spent.refused,
         looks: spent.looks,
-        looks_saved: counters.looks_saved,
+        probes_saved: counters.probes_saved,
         held: held(node),
         slow_phase_us: home
             .as_ref()
@@ -358,7 +358,7 @@
             state.measuring_refused as f64,
         ),
         ("drumwheel_looks", state.looks as f64),
-        ("drumwheel_looks_saved", state.looks_saved as f64),
+        ("drumwheel_looks_saved", state.probes_saved as f64),
         ("drumwheel_slow_phase_us", state.slow_phase_us as f64),
         ("drumwheel_cold_us", state.cold_us as f64),
         ("drumwheel_refused_cold", state.refused_cold as f64),
--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -181,7 +181,7 @@
         local_changed(node, registration, earlier);
     }
     if let Some(cold_ms) = cold_ms {
-        home_driver::told_cold(node, cold_ms);
+        home_driver::cold_reported(node, cold_ms);
     }
     taken
 }
--- a/components/daemon/src/reload.rs
+++ b/components/daemon/src/reload.rs
@@ -94,7 +94,7 @@
     let mut signals = match Signals::new([SIGHUP]) {
         Ok(signals) => signals,
         Err(error) => {
-            tracing::error!(%error, "SIGHUP is not caught; the file is still looked at");
+            tracing::error!(%error, "SIGHUP is not caught; the file is still probed at");
             return;
         }
     };
--- a/components/daemon/src/watching/mod.rs
+++ b/components/daemon/src/watching/mod.rs
@@ -236,7 +236,7 @@
             .map(|topic| Box::pin(keep(node, *topic)));
         match select(select_all(all), pin!(overtaken(node))).await {
             Either::Left(((ended, _, _), _)) => return ended,
-            Either::Right((looked, _)) => looked?,
+            Either::Right((probed, _)) => probed?,
         }
     }
 }
--- a/components/entry/tests/attempts/fuzz.rs
+++ b/components/entry/tests/attempts/fuzz.rs
@@ -4,7 +4,7 @@
 //! `FUZZ_CASES` replace the seed and the number of cases.
 
 use crate::world::World;
-use home::{Looked, Verdict};
+use home::{ProbeResult, Verdict};
 use proptest::prelude::*;
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 
@@ -33,9 +33,9 @@
         verdict: Verdict,
     },
     Advance(u64),
-    Looked {
+    ProbeResult {
         home: usize,
-        looked: Looked,
+        probed: ProbeResult,
     },
     Kill(usize),
     Pause {
@@ -95,7 +95,7 @@
             6 => (0..3usize, 0..4usize, verdict)
                 .prop_map(|(home, pick, verdict)| Step::Finish { home, pick, verdict }),
             3 => (1..1500u64).prop_map(Step::Advance),
-            4 => (0..3usize, pace()).prop_map(|(home, looked)| Step::Looked { home, looked }),
+            4 => (0..3usize, pace()).prop_map(|(home, probed)| Step::ProbeResult { home, probed }),
             1 => (0..3usize).prop_map(Step::Kill),
             2 => (0..3usize, any::<bool>())
                 .prop_map(|(home, paused)| Step::Pause { home, paused }),
@@ -112,13 +112,13 @@
 }
 
 /// What an upstream may say of its pace.
-fn pace() -> impl Strategy<Value = Looked> {
+fn pace() -> impl Strategy<Value = ProbeResult> {
     prop_oneof![
-        4 => Just(Looked::percent(100)),
-        2 => Just(Looked::percent(500)),
-        1 => Just(Looked::percent(200)),
-        1 => Just(Looked::Nothing),
-        1 => Just(Looked::NoBudget),
+        4 => Just(ProbeResult::percent(100)),
+        2 => Just(ProbeResult::percent(500)),
+        1 => Just(ProbeResult::percent(200)),
+        1 => Just(ProbeResult::Nothing),
+        1 => Just(ProbeResult::NoBudget),
     ]
 }
 
@@ -145,7 +145,7 @@
                 verdict,
             } => world.finish(home, pick, verdict),
             Step::Advance(ms) => world.advance(ms),
-            Step::Looked { home, looked } => world.looked(home, looked),
+            Step::ProbeResult { home, probed } => world.probed(home, probed),
             Step::Kill(home) => world.kill(home),
             Step::Pause { home, paused } => world.pause(home, paused),
             Step::Leave(home) => world.leave(home),
--- a/components/entry/tests/attempts/world/delivery.rs
+++ b/components/entry/tests/attempts/world/delivery.rs
@@ -94,7 +94,7 @@
                 }
                 home::Action::Refuse(id, refusal) => self.reply(home, Body::Refused(id, refusal)),
                 home::Action::Revoke(id) => self.reply(home, Body::Revoked(id)),
-                home::Action::Look => self.homes[home].looking = true,
+                home::Action::Probe => self.homes[home].looking = true,
                 home::Action::Straggles(id) => self.reply(home, Body::Straggles(id)),
             }
         }
--- a/components/entry/tests/attempts/world/mod.rs
+++ b/components/entry/tests/attempts/world/mod.rs
@@ -5,7 +5,7 @@
 mod repeats;
 
 use entry::{Call, Candidate, Entry, Event, Origin, Outcome, RetryRate, Rule, Treatment};
-use home::{AskReply, Config, Home, Looked, Offer, Refusal, Verdict};
+use home::{AskReply, Config, Home, Offer, ProbeResult, Refusal, Verdict};
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND, SECOND};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -262,14 +262,14 @@
     }
 
     /// An upstream tells its pace, or nothing, if it was asked.
-    pub fn looked(&mut self, home: usize, looked: Looked) {
+    pub fn probed(&mut self, home: usize, probed: ProbeResult) {
         let home = home % self.homes.len();
         let node = &mut self.homes[home];
         if node.paused || !node.looking {
             return;
         }
         node.looking = false;
-        let actions = node.duty.looked(self.now, looked);
+        let actions = node.duty.probed(self.now, probed);
         self.perform(home, actions);
     }
 
@@ -362,7 +362,7 @@
             let is_busy = |home: &HomeNode| !home.running.is_empty() || home.looking;
             let busy = self.homes.iter().any(is_busy);
             for home in 0..self.homes.len() {
-                self.looked(home, Looked::percent(100));
+                self.probed(home, ProbeResult::percent(100));
                 self.finish(home, 0, Verdict::Good);
             }
             if !busy && self.pool.is_empty() {
--- a/components/entry/tests/attempts/world/repeats.rs
+++ b/components/entry/tests/attempts/world/repeats.rs
@@ -1,7 +1,7 @@
 //! What repeats may cost, and what home duties must know before they report stragglers.
 
 use super::{CallId, World, DEADLINE_US, LEVELS};
-use home::{Home, Looked, Offer, Suspicion, Verdict};
+use home::{Home, Offer, ProbeResult, Suspicion, Verdict};
 use names::{AttemptId, MILLISECOND};
 
 /// Repeats earned by a request where a world sets none.
@@ -47,7 +47,7 @@
             };
             duty.offer(self.now, &offer);
             if self.looks {
-                duty.looked(self.now, Looked::percent(100));
+                duty.probed(self.now, ProbeResult::percent(100));
             }
             self.now = self.now + USUAL_RUN_US;
             duty.completed(self.now, id, Verdict::Good, None);
--- a/components/entry/tests/hedge_delay/replay.rs
+++ b/components/entry/tests/hedge_delay/replay.rs
@@ -354,7 +354,7 @@
                 home::Action::Refuse(id, refusal) => self.tell(at, id, Event::Refused(id, refusal)),
                 home::Action::Revoke(id) => self.tell(at, id, Event::Revoked(id)),
                 home::Action::Straggles(id) => self.tell(at, id, Event::Straggles(id)),
-                home::Action::Look => panic!("upstreams say nothing of their pace"),
+                home::Action::Probe => panic!("upstreams say nothing of their pace"),
             }
         }
     }
--- a/components/home/src/cold.rs
+++ b/components/home/src/cold.rs
@@ -17,7 +17,7 @@
 
 /// What a cold upstream bears.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Bears {
+pub enum ColdCapacity {
     /// As much as a warm one: nothing is declared of it.
     #[default]
     Any,
@@ -66,7 +66,7 @@
 /// What is known of one upstream's warmth, and what was started there.
 #[derive(Debug, Clone, Default)]
 pub struct Cold {
-    bears: Bears,
+    bears: ColdCapacity,
     /// Starts of the last window, the oldest first.
     starts: VecDeque<Moment>,
     /// When the upstream was last known to be warm.
@@ -79,7 +79,7 @@
 
 impl Cold {
     /// Sets what the upstream bears.
-    pub fn set_bears(&mut self, bears: Bears) {
+    pub fn set_cold_capacity(&mut self, bears: ColdCapacity) {
         self.bears = bears;
     }
 
@@ -97,7 +97,7 @@
 
     /// Takes in the upstream's word, which it gave at `asked` or later, on how long it stays cold, in microseconds; 0
     /// when it is warm.
-    pub fn told(&mut self, asked: Moment, left_us: u64) {
+    pub fn reported(&mut self, asked: Moment, left_us: u64) {
         if left_us > 0 {
             self.cold_until = Some(asked + left_us);
             return;
@@ -107,7 +107,7 @@
     }
 
     /// Takes in a word that may have been on its way for long: it can't show that the upstream is warm now.
-    pub fn told_late(&mut self, now: Moment, left_us: u64) {
+    pub fn reported_late(&mut self, now: Moment, left_us: u64) {
         if left_us > 0 {
             self.cold_until = Some(now + left_us);
         }
@@ -128,7 +128,7 @@
 
     /// Whether another attempt may start after `ahead` others.
     pub fn room(&self, now: Moment, ahead: usize) -> Room {
-        let Bears::Most {
+        let ColdCapacity::Most {
             starts: most,
             cold_us,
         } = self.bears
--- a/components/home/src/config.rs
+++ b/components/home/src/config.rs
@@ -41,7 +41,7 @@
 
 /// What a look at the upstream's pace brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Looked {
+pub enum ProbeResult {
     /// It answered.
     Told {
         /// How long work takes there, in hundredths of the usual; none if it doesn't say.
@@ -55,10 +55,10 @@
     NoBudget,
 }
 
-impl Looked {
+impl ProbeResult {
     /// An answer that tells the pace alone.
-    pub fn percent(percent: u32) -> Looked {
-        Looked::Told {
+    pub fn percent(percent: u32) -> ProbeResult {
+        ProbeResult::Told {
             percent: Some(percent),
             cold_us: None,
         }
@@ -72,8 +72,8 @@
     Start(AttemptId),
     /// Tell the entry duty that the attempt was not run and never will be.
     Refuse(AttemptId, Refusal),
-    /// Ask the upstream for its pace and call [`crate::Home::looked`] with what it says; offers wait.
-    Look,
+    /// Ask the upstream for its pace and call [`crate::Home::probed`] with what it says; offers wait.
+    Probe,
     /// Tell the entry duty that the run takes much longer than usual.
     Straggles(AttemptId),
     /// Hand a queued attempt back, not run, to be moved elsewhere.
@@ -113,7 +113,7 @@
     /// Queued attempts refused in favour of another account's of their rank.
     pub refused_for_account: u64,
     /// Starts on a word that was fresh already.
-    pub looks_saved: u64,
+    pub probes_saved: u64,
     /// Runs reported because they took much longer than usual.
     pub straggled: u64,
     /// Completions dropped because the attempt was not running.
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -6,7 +6,7 @@
 mod holding;
 
 use crate::attempt::{Attempt, Queued, Started};
-use crate::cold::{Bears, Cold, Earlier, Room};
+use crate::cold::{Cold, ColdCapacity, Earlier, Room};
 use crate::config::{Action, Config, Counters};
 use crate::depth::Depth;
 use crate::limit::{Class, Limit, Verdict};
@@ -233,7 +233,7 @@
             limit: self.current_limit(now, &running),
             service_us: self.limit.service_us(&running) as u64,
             errors_permille: self.limit.errors_permille(),
-            slow_percent: self.pace.word(now),
+            slow_percent: self.pace.reported_percent(now),
             held_us: self.held_us(now),
             cold_wait_us: self.cold.wait_us(now, 0),
             leaving: self.leaving,
@@ -294,14 +294,14 @@
         }
         let pace = &self.pace;
         let matters = self.queue.any(|attempt| pace.matters(attempt.class()));
-        if matters && self.waits_for_word(now, actions) {
+        if matters && self.waits_for_report(now, actions) {
             return;
         }
         while !self.queue.is_empty() {
             match self.cold_room(now, 0) {
                 Room::Free => {}
                 Room::Doubtful(_) => {
-                    self.look_once(now, actions);
+                    self.probe_once(now, actions);
                     return;
                 }
                 Room::Full(_) => break,
@@ -311,7 +311,7 @@
             let Some(attempt) = self.next_queued(now, limit) else {
                 break;
             };
-            let percent = self.pace.word(now);
+            let percent = self.pace.reported_percent(now);
             self.start(attempt.start(now, percent), actions);
         }
         self.settle(now, actions);
@@ -325,7 +325,7 @@
         let pace = &self.pace;
         self.queue.take_first(|attempt| {
             let level = attempt.class().level;
-            if can_wait && pace.is_held(now, attempt.class()) {
+            if can_wait && pace.is_deferred(now, attempt.class()) {
                 return false;
             }
             busy < kept.map_or(limit, |depth| depth.limit(now, level, limit))
@@ -454,21 +454,21 @@
 
     /// Takes in how long work takes at the upstream, in hundredths of the usual. Returns whether
     /// that differs from what it said before.
-    pub fn told_slowness(&mut self, now: Moment, percent: u32) -> bool {
-        self.pace.told(now, percent)
+    pub fn slowness_reported(&mut self, now: Moment, percent: u32) -> bool {
+        self.pace.reported(now, percent)
     }
 
     /// Sets how many starts the upstream bears while it is cold.
-    pub fn set_bears(&mut self, bears: Bears) {
-        self.cold.set_bears(bears);
+    pub fn set_cold_capacity(&mut self, bears: ColdCapacity) {
+        self.cold.set_cold_capacity(bears);
     }
 
     /// Takes in the upstream's own registration: how much longer it is cold, in microseconds.
-    pub fn told_cold(&mut self, now: Moment, left_us: u64) {
+    pub fn cold_reported(&mut self, now: Moment, left_us: u64) {
         if self.cfg.looks {
-            self.cold.told_late(now, left_us);
+            self.cold.reported_late(now, left_us);
         } else {
-            self.cold.told(now, left_us);
+            self.cold.reported(now, left_us);
         }
     }
 
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -31,16 +31,16 @@
         let room = self.cold_room(now, 0);
         let in_doubt = matches!(room, Room::Doubtful(_));
         if in_doubt {
-            self.look_once(now, &mut actions);
+            self.probe_once(now, &mut actions);
         }
-        if in_doubt || matters && self.waits_for_word(now, &mut actions) {
+        if in_doubt || matters && self.waits_for_report(now, &mut actions) {
             self.unsettled.push(attempt.id());
             let cost_us = self.pace.cost_us(class);
             self.queue.put(attempt.queue(now), cost_us);
             return actions;
         }
-        let is_held = !offer.may_queue && self.is_held(now, class);
-        if is_held || self.is_hopeless(now, &attempt) {
+        let is_deferred = !offer.may_queue && self.is_deferred(now, class);
+        if is_deferred || self.is_hopeless(now, &attempt) {
             // Another upstream is asked next, which may be faster now; if all are as slow, the request comes back to queue.
             self.refuse_ended(now, offer.id, Reason::Busy, &mut actions);
             return actions;
@@ -48,9 +48,9 @@
         let allowed = self.allowed(now, offer.level, limit);
         let is_first = self.queue.is_empty() || !matters && self.queue.ahead_of(&attempt) == 0;
         let is_free = self.running.len() < allowed as usize && is_first && room == Room::Free;
-        if is_free && !self.lets_wait(now, class) {
-            self.counters.looks_saved += 1;
-            let percent = self.pace.word(now);
+        if is_free && !self.defers_queued(now, class) {
+            self.counters.probes_saved += 1;
+            let percent = self.pace.reported_percent(now);
             self.start(attempt.start(now, percent), &mut actions);
             return actions;
         }
--- a/components/home/src/duty/holding.rs
+++ b/components/home/src/duty/holding.rs
@@ -2,31 +2,31 @@
 
 use super::Home;
 use crate::cold::Room;
-use crate::config::{Action, Looked};
+use crate::config::{Action, ProbeResult};
 use crate::limit::Class;
 use names::Moment;
 
 impl<A: Clone> Home<A> {
     /// Takes in what a look brought.
-    pub fn looked(&mut self, now: Moment, looked: Looked) -> Vec<Action> {
+    pub fn probed(&mut self, now: Moment, probed: ProbeResult) -> Vec<Action> {
         let asked = self.looking.take().unwrap_or(now);
-        match looked {
-            Looked::Told { percent, cold_us } => {
+        match probed {
+            ProbeResult::Told { percent, cold_us } => {
                 match percent {
                     Some(percent) => {
-                        self.pace.told(now, percent);
+                        self.pace.reported(now, percent);
                     }
-                    None => self.pace.untold(now),
+                    None => self.pace.probe_failed(now),
                 }
                 if let Some(left_us) = cold_us {
-                    self.cold.told(asked, left_us);
+                    self.cold.reported(asked, left_us);
                 }
                 // An upstream that answers is there: without this, what waits for its word would be handed
                 // back for as long as offers are rare.
                 self.down_since = None;
             }
-            Looked::Nothing => self.pace.untold(now),
-            Looked::NoBudget => self.pace.not_asked(now),
+            ProbeResult::Nothing => self.pace.probe_failed(now),
+            ProbeResult::NoBudget => self.pace.not_asked(now),
         }
         let mut actions = Vec::new();
         self.fill(now, &mut actions);
@@ -35,20 +35,20 @@
 
     /// Whether nothing may start before the upstream has said how long work takes there; asks it, once
     /// for all that wait.
-    pub(super) fn waits_for_word(&mut self, now: Moment, actions: &mut Vec<Action>) -> bool {
+    pub(super) fn waits_for_report(&mut self, now: Moment, actions: &mut Vec<Action>) -> bool {
         if !self.cfg.looks || !self.pace.is_stale(now) {
             return false;
         }
-        self.look_once(now, actions);
+        self.probe_once(now, actions);
         true
     }
 
     /// Asks the upstream, once for all that wait.
-    pub(super) fn look_once(&mut self, now: Moment, actions: &mut Vec<Action>) {
+    pub(super) fn probe_once(&mut self, now: Moment, actions: &mut Vec<Action>) {
         if self.looking.is_none() {
             self.looking = Some(now);
             self.counters.looks += 1;
-            actions.push(Action::Look);
+            actions.push(Action::Probe);
         }
     }
 
@@ -66,17 +66,17 @@
     }
 
     /// Whether work of this class should not begin now because the upstream is in a slow phase.
-    pub(super) fn is_held(&self, now: Moment, class: Class) -> bool {
+    pub(super) fn is_deferred(&self, now: Moment, class: Class) -> bool {
         if self.cfg.looks {
-            self.pace.is_held(now, class)
+            self.pace.is_deferred(now, class)
         } else {
             self.pace.is_slow(now)
         }
     }
 
     /// The same for work that may wait. Without a way to see the phase's end it does not.
-    pub(super) fn lets_wait(&self, now: Moment, class: Class) -> bool {
-        self.cfg.looks && !self.pace.is_blind(now) && self.pace.is_held(now, class)
+    pub(super) fn defers_queued(&self, now: Moment, class: Class) -> bool {
+        self.cfg.looks && !self.pace.is_blind(now) && self.pace.is_deferred(now, class)
     }
 
     /// How long new work is expected to wait for the end of a slow phase, in microseconds.
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -20,8 +20,8 @@
 mod stragglers;
 
 pub use attempt::{Attempt, Offered, Queued, Started};
-pub use cold::{Bears, Cold, Earlier, Room, COLD_WINDOW_US};
-pub use config::{AccountLoad, Action, Config, Counters, Looked};
+pub use cold::{Cold, ColdCapacity, Earlier, Room, COLD_WINDOW_US};
+pub use config::{AccountLoad, Action, Config, Counters, ProbeResult};
 pub use delay::Delay;
 pub use depth::Depth;
 pub use duty::Home;
--- a/components/home/src/pace.rs
+++ b/components/home/src/pace.rs
@@ -84,11 +84,11 @@
 
 impl Pace {
     /// Takes in the upstream's word, in hundredths of the usual time. Returns whether it changed.
-    pub fn told(&mut self, now: Moment, percent: u32) -> bool {
+    pub fn reported(&mut self, now: Moment, percent: u32) -> bool {
         let changed = self.percent != percent;
         self.usual = self.usual.min(percent).max(USUAL_PERCENT);
-        if self.is_slow_word(percent) {
-            self.slow_word(now, percent);
+        if self.is_slow_report(percent) {
+            self.slow_report(now, percent);
         } else if let Some(phase) = self.phase.take() {
             self.phase_ended(now, phase);
         }
@@ -99,7 +99,7 @@
     }
 
     /// Begins a slow phase or goes on with it; one that lasts becomes the usual pace.
-    fn slow_word(&mut self, now: Moment, percent: u32) {
+    fn slow_report(&mut self, now: Moment, percent: u32) {
         let is_near = self.is_near(now);
         let factor = f64::from(percent) / f64::from(self.usual());
         let slow = self.slow_factor.get_or_insert(FIRST_SLOW_FACTOR);
@@ -136,7 +136,7 @@
     }
 
     /// Takes in that a look brought no word.
-    pub fn untold(&mut self, now: Moment) {
+    pub fn probe_failed(&mut self, now: Moment) {
         let (least, most) = BLIND_US;
         self.blind_us = (self.blind_us * 2).clamp(least, most);
         self.blind_until = now + self.blind_us;
@@ -180,7 +180,7 @@
 
     /// How long work takes that begins now and takes `usual_us` at the usual pace, in microseconds.
     pub fn scaled_us(&self, now: Moment, usual_us: f64) -> f64 {
-        let percent = match self.word(now) {
+        let percent = match self.reported_percent(now) {
             0 => self.usual(),
             word => word,
         };
@@ -199,7 +199,7 @@
     }
 
     /// Whether work of this class ends sooner if it begins after the slow phase.
-    pub fn is_held(&self, now: Moment, class: Class) -> bool {
+    pub fn is_deferred(&self, now: Moment, class: Class) -> bool {
         if !self.is_slow(now) {
             return false;
         }
@@ -224,7 +224,7 @@
 
     /// Whether the upstream is in a slow phase by a word that still counts.
     pub fn is_slow(&self, now: Moment) -> bool {
-        self.word(now) > 0 && self.is_slow_word(self.percent)
+        self.reported_percent(now) > 0 && self.is_slow_report(self.percent)
     }
 
     /// How much longer the slow phase is expected to last, in microseconds; 0 when there is none.
@@ -237,7 +237,7 @@
     }
 
     /// The word while it counts, in hundredths of the usual; 0 when there is none.
-    pub fn word(&self, now: Moment) -> u32 {
+    pub fn reported_percent(&self, now: Moment) -> u32 {
         let counts = self.told.is_some_and(|told| now.since(told) < KEPT_US);
         if counts {
             self.percent
@@ -261,7 +261,7 @@
     }
 
     /// Whether a word of the upstream means that it is in a slow phase.
-    pub(crate) fn is_slow_word(&self, percent: u32) -> bool {
+    pub(crate) fn is_slow_report(&self, percent: u32) -> bool {
         f64::from(percent) >= SLOW_FACTOR * f64::from(self.usual())
     }
 }
--- a/components/home/src/stragglers.rs
+++ b/components/home/src/stragglers.rs
@@ -69,7 +69,7 @@
     ) {
         self.watched.remove(&attempt.id());
         let percent = attempt.state().percent;
-        if pace.is_slow_word(percent) {
+        if pace.is_slow_report(percent) {
             return;
         }
         let at_usual_us = service_us * USUAL_PERCENT / u64::from(percent).max(USUAL_PERCENT);
--- a/components/home/tests/cold.rs
+++ b/components/home/tests/cold.rs
@@ -3,7 +3,8 @@
 //! next one down. These tests replay that load on one home duty, and then draw upstreams that turn cold at any moment.
 
 use home::{
-    Action, Bears, Config, Earlier, Home, Looked, Offer, Room, Suspicion, Verdict, COLD_WINDOW_US,
+    Action, ColdCapacity, Config, Earlier, Home, Offer, ProbeResult, Room, Suspicion, Verdict,
+    COLD_WINDOW_US,
 };
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
 use proptest::prelude::*;
@@ -51,7 +52,7 @@
         ..Config::default()
     };
     let mut home = Home::new(BootId(1), cfg);
-    home.set_bears(Bears::Most {
+    home.set_cold_capacity(ColdCapacity::Most {
         starts: MOST,
         cold_us: COLD_US,
     });
@@ -59,8 +60,8 @@
     home
 }
 
-fn told(cold_us: u64) -> Looked {
-    Looked::Told {
+fn told(cold_us: u64) -> ProbeResult {
+    ProbeResult::Told {
         percent: Some(USUAL),
         cold_us: Some(cold_us),
     }
@@ -100,7 +101,7 @@
                     self.starts.push(self.now);
                     self.running.push_back((self.now + RUN_US, id));
                 }
-                Action::Look => {
+                Action::Probe => {
                     self.looks += 1;
                     self.asked = true;
                 }
@@ -120,7 +121,7 @@
     fn answer_look(&mut self) {
         if std::mem::take(&mut self.asked) {
             let left_us = self.cold_until.since(self.now);
-            let actions = self.home.looked(self.now, told(left_us));
+            let actions = self.home.probed(self.now, told(left_us));
             self.perform(actions);
         }
     }
@@ -211,15 +212,15 @@
 #[test]
 fn without_looks_a_registration_tells_when_it_is_warm() {
     let mut home = duty(false, Earlier::Unknowing);
-    home.told_cold(START, COLD_US);
+    home.cold_reported(START, COLD_US);
     let mut drive = replay(Drive::new(home, START + COLD_US));
     assert_eq!(drive.most_in_a_second(START), MOST as usize);
-    drive.home.told_cold(drive.now, 0);
+    drive.home.cold_reported(drive.now, 0);
     let warm = drive.now;
     for _ in 0..100 {
         drive.offer(true);
         drive.pass(10 * MILLISECOND);
-        drive.home.told_cold(drive.now, 0);
+        drive.home.cold_reported(drive.now, 0);
     }
     assert!(drive.most_in_a_second(warm) > MOST as usize);
 }
@@ -357,7 +358,7 @@
                 Step::Register { ago_ms } => {
                     let left_us = drive.cold_until.since(drive.now) + ago_ms * MILLISECOND;
                     let left_us = if drive.cold_until > drive.now { left_us } else { 0 };
-                    drive.home.told_cold(drive.now, left_us);
+                    drive.home.cold_reported(drive.now, left_us);
                 }
                 Step::Replace => {
                     let now = drive.now;
--- a/components/home/tests/decisions.rs
+++ b/components/home/tests/decisions.rs
@@ -3,7 +3,7 @@
 //! The digests were recorded with the queue as it was before accounts took turns in it. They guard against any change of
 //! order, of refusals or of returning times where no accounts are shared among.
 
-use home::{Action, Bears, Config, Earlier, Home, Looked, Offer, Suspicion, Verdict};
+use home::{Action, ColdCapacity, Config, Earlier, Home, Offer, ProbeResult, Suspicion, Verdict};
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -27,10 +27,10 @@
 }
 
 impl Drive {
-    fn new(seed: u64, cfg: Config, bears: Bears) -> Drive {
+    fn new(seed: u64, cfg: Config, bears: ColdCapacity) -> Drive {
         let slots = cfg.slots;
         let mut home = Home::new(BootId(1), cfg);
-        home.set_bears(bears);
+        home.set_cold_capacity(bears);
         Drive {
             home,
             slots,
@@ -57,13 +57,13 @@
             800..880 => self.home.tick(now),
             880..960 if self.is_looking => {
                 self.is_looking = false;
-                let looked = match self.rng.random_range(0..8) {
-                    0 => Looked::Nothing,
-                    1 => Looked::NoBudget,
-                    2 => Looked::percent(500),
-                    _ => Looked::percent(100),
+                let probed = match self.rng.random_range(0..8) {
+                    0 => ProbeResult::Nothing,
+                    1 => ProbeResult::NoBudget,
+                    2 => ProbeResult::percent(500),
+                    _ => ProbeResult::percent(100),
                 };
-                self.home.looked(now, looked)
+                self.home.probed(now, probed)
             }
             960..980 => {
                 let id = id(self.rng.random_range(0..=self.next));
@@ -74,7 +74,7 @@
             }
             980..995 => {
                 let percent = [100, 100, 150, 400][self.rng.random_range(0..4)];
-                self.home.told_slowness(now, percent);
+                self.home.slowness_reported(now, percent);
                 Vec::new()
             }
             995 => self.home.leave(now),
@@ -135,7 +135,7 @@
             }
             Action::Refuse(..) => self.counted[1] += 1,
             Action::Revoke(_) => self.counted[2] += 1,
-            Action::Look => self.is_looking = true,
+            Action::Probe => self.is_looking = true,
             Action::Straggles(_) => return,
         }
         for byte in format!("{action:?}").bytes() {
@@ -166,16 +166,16 @@
         looks: true,
         ..plain.clone()
     };
-    let cold = Bears::Most {
+    let cold = ColdCapacity::Most {
         starts: 60,
         cold_us: 3 * SECOND,
     };
     let kinds = [
-        ("plain", plain.clone(), Bears::Any),
-        ("adaptive", adaptive, Bears::Any),
-        ("looking", looking, Bears::Any),
+        ("plain", plain.clone(), ColdCapacity::Any),
+        ("adaptive", adaptive, ColdCapacity::Any),
+        ("looking", looking, ColdCapacity::Any),
         ("cold", plain.clone(), cold),
-        ("crowded", Config { slots: 1, ..plain }, Bears::Any),
+        ("crowded", Config { slots: 1, ..plain }, ColdCapacity::Any),
     ];
     let mut table = String::from("kind seed: started refused revoked longest-queue digest\n");
     for (kind, cfg, bears) in kinds {
--- a/components/home/tests/fair/drawn.rs
+++ b/components/home/tests/fair/drawn.rs
@@ -96,7 +96,7 @@
                     }
                 }
                 Action::Refuse(id, _) | Action::Revoke(id) => self.leave(id.seq),
-                Action::Look | Action::Straggles(_) => {}
+                Action::Probe | Action::Straggles(_) => {}
             }
         }
         let load = self.home.load(self.now);
--- a/components/home/tests/fair/order.rs
+++ b/components/home/tests/fair/order.rs
@@ -1,7 +1,7 @@
 //! The order in which attempts of several accounts start, and which of them are refused.
 
 use crate::duty::{id, offer, started, warm, BEGIN, RUN_US, SLOTS};
-use home::{Action, Bears, Config, Home, Looked, Offer, Reason, Verdict};
+use home::{Action, ColdCapacity, Config, Home, Offer, ProbeResult, Reason, Verdict};
 use names::{BootId, Moment, MILLISECOND, SECOND};
 use std::collections::BTreeMap;
 
@@ -210,11 +210,11 @@
     home.offer(now, &offer(0, "busy"));
     home.offer(now, &offer(1, "busy"));
     home.offer(now, &offer(2, account));
-    home.set_bears(Bears::Most {
+    home.set_cold_capacity(ColdCapacity::Most {
         starts: 2,
         cold_us: 3 * SECOND,
     });
-    home.told_cold(now, 3 * SECOND);
+    home.cold_reported(now, 3 * SECOND);
     let actions = home.completed(now, id(0), Verdict::Good, None);
     assert_eq!((actions, home.is_queued(id(2))), (Vec::new(), true));
     (home, now + 2 * SECOND)
@@ -245,12 +245,12 @@
     };
     let mut home: Home<u64> = Home::new(BootId(1), cfg);
     home.offer(BEGIN, &offer(0, "other"));
-    home.looked(BEGIN, Looked::percent(100));
+    home.probed(BEGIN, ProbeResult::percent(100));
     let later = BEGIN + RUN_US;
     for (seq, account) in [(1, "quiet"), (2, "busy"), (3, "busy")] {
         home.offer(later, &offer(seq, account));
     }
-    assert_eq!(home.looked(later, Looked::percent(100)), []);
+    assert_eq!(home.probed(later, ProbeResult::percent(100)), []);
     let actions = home.completed(later, id(0), Verdict::Good, None);
     assert_eq!(started(&actions), [1]);
 }
@@ -296,7 +296,7 @@
     };
     let mut home: Home<u64> = Home::new(BootId(1), cfg);
     home.offer(BEGIN, &offer(0, "busy"));
-    home.looked(BEGIN, Looked::percent(100));
+    home.probed(BEGIN, ProbeResult::percent(100));
     for seq in 1..9 {
         home.offer(BEGIN, &offer(seq, "busy"));
     }
@@ -304,7 +304,7 @@
     for seq in 9..12 {
         home.offer(later, &offer(seq, &format!("quiet-{seq}")));
     }
-    let actions = home.looked(later, Looked::percent(100));
+    let actions = home.probed(later, ProbeResult::percent(100));
     assert_eq!(refused(&actions), [8, 7, 6]);
     assert_eq!(home.load(later).queued, 8);
 }
--- a/components/home/tests/fair/world.rs
+++ b/components/home/tests/fair/world.rs
@@ -306,7 +306,7 @@
                     }
                     self.offer(index);
                 }
-                Action::Look | Action::Straggles(_) => {}
+                Action::Probe | Action::Straggles(_) => {}
             }
         }
     }
--- a/components/home/tests/home.rs
+++ b/components/home/tests/home.rs
@@ -272,7 +272,7 @@
 #[test]
 fn an_upstream_that_says_it_is_slow_gives_no_free_slot_but_lets_requests_wait() {
     let (mut home, now) = warm(60 * MILLISECOND);
-    home.told_slowness(now, 400);
+    home.slowness_reported(now, 400);
     let at_once = Offer {
         may_queue: false,
         repeat: false,
--- a/components/home/tests/overdue.rs
+++ b/components/home/tests/overdue.rs
@@ -96,7 +96,7 @@
     };
     let mut home: Home<u64> = Home::new(BootId(1), cfg);
     let now = Moment(SECOND);
-    assert_eq!(home.offer(now, &overdue(10)), [Action::Look]);
+    assert_eq!(home.offer(now, &overdue(10)), [Action::Probe]);
     assert!(!refuses(&home.tick(now + 15 * MILLISECOND), 10));
     assert!(refuses(&home.tick(now + 21 * MILLISECOND), 10));
 }
--- a/components/home/tests/pace.rs
+++ b/components/home/tests/pace.rs
@@ -1,6 +1,6 @@
 //! Starts hang on what the upstream says of its pace.
 
-use home::{Action, AskReply, Class, Config, Home, Looked, Offer, Pace, Reason, Verdict};
+use home::{Action, AskReply, Class, Config, Home, Offer, Pace, ProbeResult, Reason, Verdict};
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
 
 const ME: BootId = BootId(1);
@@ -52,7 +52,7 @@
 fn experienced() -> (Home<u64>, Moment) {
     let mut home = duty();
     home.offer(START, &offer(1_000, true));
-    home.looked(START, Looked::percent(USUAL));
+    home.probed(START, ProbeResult::percent(USUAL));
     let end = START + 200 * MILLISECOND;
     home.completed(end, id(1_000), Verdict::Good, Some(1));
     (home, end)
@@ -69,22 +69,22 @@
 #[test]
 fn one_look_serves_all_starts_that_wait_for_it() {
     let mut home = duty();
-    assert_eq!(home.offer(START, &offer(1, true)), [Action::Look]);
+    assert_eq!(home.offer(START, &offer(1, true)), [Action::Probe]);
     assert_eq!(home.offer(START, &offer(2, false)), []);
-    let actions = home.looked(START + MILLISECOND, Looked::percent(USUAL));
+    let actions = home.probed(START + MILLISECOND, ProbeResult::percent(USUAL));
     assert_eq!(actions, [Action::Start(id(1)), Action::Start(id(2))]);
 }
 
 #[test]
 fn a_word_that_came_with_an_answer_saves_the_look() {
     let mut home = duty();
-    home.told_slowness(START, USUAL);
+    home.slowness_reported(START, USUAL);
     let soon = START + 15 * MILLISECOND;
     assert_eq!(home.offer(soon, &offer(1, true)), [Action::Start(id(1))]);
     let late = START + 30 * MILLISECOND;
-    assert_eq!(home.offer(late, &offer(2, true)), [Action::Look]);
+    assert_eq!(home.offer(late, &offer(2, true)), [Action::Probe]);
     assert_eq!(home.counters().looks, 1);
-    assert_eq!(home.counters().looks_saved, 1);
+    assert_eq!(home.counters().probes_saved, 1);
 }
 
 #[test]
@@ -92,16 +92,16 @@
     let (mut home, now) = experienced();
     home.offer(now, &offer(1, true));
     home.offer(now, &offer(2, false));
-    let actions = home.looked(now, Looked::percent(SLOW));
+    let actions = home.probed(now, ProbeResult::percent(SLOW));
     assert!(is_refused(&actions, 2), "{actions:?}");
     assert!(home.is_queued(id(1)));
     assert!(home.load(now).held_us > 50 * MILLISECOND);
     let actions = home.offer(now + MILLISECOND, &offer(3, false));
     assert!(is_refused(&actions, 3), "{actions:?}");
     let later = now + LOOK_US;
-    assert_eq!(home.tick(later), [Action::Look]);
+    assert_eq!(home.tick(later), [Action::Probe]);
     assert_eq!(
-        home.looked(later, Looked::percent(USUAL)),
+        home.probed(later, ProbeResult::percent(USUAL)),
         [Action::Start(id(1))]
     );
     assert_eq!(home.load(later).held_us, 0);
@@ -111,12 +111,12 @@
 fn work_whose_slow_run_is_shorter_than_the_wait_begins_at_once_and_needs_no_word() {
     let mut home = duty();
     home.offer(START, &offer(1, true));
-    home.looked(START, Looked::percent(USUAL));
+    home.probed(START, ProbeResult::percent(USUAL));
     let now = START + 10 * MILLISECOND;
     home.completed(now, id(1), Verdict::Good, Some(1));
     let later = now + SECOND;
     assert_eq!(home.offer(later, &offer(2, true)), [Action::Start(id(2))]);
-    home.told_slowness(later, SLOW);
+    home.slowness_reported(later, SLOW);
     assert_eq!(home.offer(later, &offer(3, true)), [Action::Start(id(3))]);
 }
 
@@ -124,11 +124,14 @@
 fn without_a_word_work_starts_and_no_look_is_made_for_a_while() {
     let mut home = duty();
     home.offer(START, &offer(1, true));
-    assert_eq!(home.looked(START, Looked::Nothing), [Action::Start(id(1))]);
+    assert_eq!(
+        home.probed(START, ProbeResult::Nothing),
+        [Action::Start(id(1))]
+    );
     let soon = START + 100 * MILLISECOND;
     assert_eq!(home.offer(soon, &offer(2, true)), [Action::Start(id(2))]);
     let later = START + SECOND;
-    assert_eq!(home.offer(later, &offer(3, true)), [Action::Look]);
+    assert_eq!(home.offer(later, &offer(3, true)), [Action::Probe]);
 }
 
 #[test]
@@ -138,7 +141,7 @@
     home.offer(START, &offer(2, true));
     assert_eq!(home.ask(START, id(1), ME), AskReply::Revoked);
     assert!(!home.cancel(START, id(2)));
-    assert_eq!(home.looked(START, Looked::percent(USUAL)), []);
+    assert_eq!(home.probed(START, ProbeResult::percent(USUAL)), []);
     assert!(home.is_idle());
 }
 
@@ -149,14 +152,14 @@
     let begin = now;
     while home.is_queued(id(1)) {
         assert!(now.since(begin) < 1_100 * MILLISECOND, "held back too long");
-        if home.tick(now) == [Action::Look] || now == begin {
-            home.looked(now, Looked::percent(SLOW));
+        if home.tick(now) == [Action::Probe] || now == begin {
+            home.probed(now, ProbeResult::percent(SLOW));
         }
         now = now + LOOK_US;
     }
     // A slow phase within the lasting slowness is one all the same.
     home.offer(now, &offer(2, true));
-    home.looked(now, Looked::percent(5 * SLOW));
+    home.probed(now, ProbeResult::percent(5 * SLOW));
     assert!(home.is_queued(id(2)));
 }
 
@@ -165,23 +168,23 @@
     let (mut home, now) = experienced();
     home.offer(now, &offer(1, true));
     assert_eq!(
-        home.looked(now, Looked::percent(200)),
+        home.probed(now, ProbeResult::percent(200)),
         [Action::Start(id(1))]
     );
 }
 
-/// A pace after slow phases of `length_ms`, looked at every 20 ms.
+/// A pace after slow phases of `length_ms`, probed at every 20 ms.
 fn after_phases(length_ms: u64) -> Pace {
     let mut pace = Pace::default();
     let mut now = START;
     for _ in 0..100 {
         let looks = length_ms / 20;
         for _ in 0..looks {
-            pace.told(now, SLOW);
+            pace.reported(now, SLOW);
             now = now + 20 * MILLISECOND;
         }
         for _ in 0..2 * looks + 1 {
-            pace.told(now, USUAL);
+            pace.reported(now, USUAL);
             now = now + 20 * MILLISECOND;
         }
     }
@@ -208,16 +211,16 @@
         pace.ran(class, 500 * MILLISECOND, SLOW);
     }
     let now = START + 60 * SECOND;
-    pace.told(now, USUAL);
-    pace.told(now, 400);
+    pace.reported(now, USUAL);
+    pace.reported(now, 400);
     assert!(
-        pace.is_held(now, class),
+        pace.is_deferred(now, class),
         "three times 100 ms more against the wait"
     );
     for _ in 0..100 {
         pace.ran(class, 20 * MILLISECOND, USUAL);
     }
-    assert!(!pace.is_held(now, class));
+    assert!(!pace.is_deferred(now, class));
 }
 
 /// An offer with an objective of 600 ms, of a class that takes 200 ms.
@@ -234,7 +237,7 @@
     for look in 1..18u64 {
         let now = begin + look * LOOK_US;
         let mut actions = home.tick(now);
-        actions.extend(home.looked(now, Looked::percent(SLOW)));
+        actions.extend(home.probed(now, ProbeResult::percent(SLOW)));
         for action in actions {
             if let Action::Refuse(id, _) = action {
                 refused.push((id, now.since(begin) / MILLISECOND));
@@ -251,7 +254,7 @@
     for seq in 10..14 {
         home.offer(now, &offer(seq, true));
     }
-    home.looked(now, Looked::percent(USUAL));
+    home.probed(now, ProbeResult::percent(USUAL));
     home.offer(now, &urgent(1));
     let refused = refused_in_a_long_phase(&mut home, now);
     // 0.22 of 600 ms.
@@ -265,25 +268,25 @@
 fn without_budget_for_a_look_the_last_word_holds_for_a_moment() {
     let (mut home, now) = experienced();
     home.offer(now, &offer(1, true));
-    home.looked(now, Looked::percent(SLOW));
+    home.probed(now, ProbeResult::percent(SLOW));
     let later = now + LOOK_US;
-    assert_eq!(home.tick(later), [Action::Look]);
-    assert_eq!(home.looked(later, Looked::NoBudget), []);
+    assert_eq!(home.tick(later), [Action::Probe]);
+    assert_eq!(home.probed(later, ProbeResult::NoBudget), []);
     assert!(home.is_queued(id(1)), "it began in a slow phase");
     let next = later + LOOK_US;
-    assert_eq!(home.tick(next), [Action::Look]);
-    let actions = home.looked(next, Looked::percent(USUAL));
+    assert_eq!(home.tick(next), [Action::Probe]);
+    let actions = home.probed(next, ProbeResult::percent(USUAL));
     assert_eq!(actions, [Action::Start(id(1))]);
 }
 
 #[test]
 fn an_upstream_that_was_down_takes_work_again_once_a_look_finds_it() {
     let (mut home, now) = experienced();
-    home.told_slowness(now, USUAL);
+    home.slowness_reported(now, USUAL);
     home.offer(now, &offer(1, true));
     home.completed(now, id(1), Verdict::NotSent, None);
     let later = now + SECOND;
-    assert_eq!(home.offer(later, &offer(2, true)), [Action::Look]);
-    let actions = home.looked(later, Looked::percent(USUAL));
+    assert_eq!(home.offer(later, &offer(2, true)), [Action::Probe]);
+    let actions = home.probed(later, ProbeResult::percent(USUAL));
     assert_eq!(actions, [Action::Start(id(2))]);
 }
--- a/components/home/tests/stragglers.rs
+++ b/components/home/tests/stragglers.rs
@@ -1,6 +1,6 @@
 //! Which runs are reported because they take much longer than usual, and when.
 
-use home::{Action, Config, Home, Looked, Offer, RunTimes, Suspicion, Verdict};
+use home::{Action, Config, Home, Offer, ProbeResult, RunTimes, Suspicion, Verdict};
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -319,7 +319,7 @@
         ..Site::new()
     };
     let told = |site: &mut Site, percent| {
-        site.home.looked(site.now, Looked::percent(percent));
+        site.home.probed(site.now, ProbeResult::percent(percent));
     };
     for _ in 0..100 {
         told(&mut site, 100);
--- a/components/model/src/message.rs
+++ b/components/model/src/message.rs
@@ -55,7 +55,7 @@
     /// An upstream gives up an attempt at its deadline.
     RanOut { vm: usize, id: AttemptId },
     /// An upstream's word on its pace reaches its node.
-    Looked { vm: usize },
+    ProbeResult { vm: usize },
     /// An upstream that fell over is back.
     Back { vm: usize },
     /// An upstream is gone until a moment.
--- a/components/model/src/world.rs
+++ b/components/model/src/world.rs
@@ -16,7 +16,7 @@
 use crate::tally::Tally;
 use crate::upstream::Upstream;
 use entry::{Call, Entry, RetryRate, Rule};
-use home::{Bears, Config, Home};
+use home::{ColdCapacity, Config, Home};
 use names::{AttemptId, BootId, Moment, MILLISECOND};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -233,7 +233,7 @@
             Happening::Expired { req } => self.step(req, entry::Event::Expired),
             Happening::Worked { vm, id } => self.worked(vm, id),
             Happening::RanOut { vm, id } => self.ran_out(vm, id),
-            Happening::Looked { vm } => self.looked(vm),
+            Happening::ProbeResult { vm } => self.probed(vm),
             Happening::Back { vm } => self.back(vm),
             Happening::Gone { vm, until } => self.gone(vm, until),
             Happening::Tick { vm } => self.tick(vm),
@@ -293,11 +293,11 @@
     entry.set_retry_rate(RetryRate::share(RETRY_RATIO, slack, vms));
     let mut home = Home::new(boot, cfg);
     if let Some(cold) = site.services[spec.service].cold {
-        let bears = |starts| Bears::Most {
+        let bears = |starts| ColdCapacity::Most {
             starts,
             cold_us: site.pace.cold_us,
         };
-        home.set_bears(cold.known.map_or(Bears::Any, bears));
+        home.set_cold_capacity(cold.known.map_or(ColdCapacity::Any, bears));
     }
     Node {
         entry,
--- a/components/model/src/world/home_side.rs
+++ b/components/model/src/world/home_side.rs
@@ -4,7 +4,7 @@
 use crate::message::{Happening, Message, RequestId};
 use crate::upstream::Run;
 use entry::Event;
-use home::{Action, Earlier, Looked, Offer, Verdict};
+use home::{Action, Earlier, Offer, ProbeResult, Verdict};
 use names::{AttemptId, MILLISECOND};
 
 /// Time that a look at an upstream's pace takes.
@@ -46,14 +46,14 @@
         self.at(self.now + TICK_US, Happening::Tick { vm });
     }
 
-    pub(super) fn looked(&mut self, vm: usize) {
+    pub(super) fn probed(&mut self, vm: usize) {
         let node = &mut self.nodes[vm];
         let pace = &self.site.pace;
-        let looked = Looked::Told {
+        let probed = ProbeResult::Told {
             percent: Some(node.upstream.percent(self.now, pace, &self.troubles)),
             cold_us: Some(node.upstream.cold_us(self.now, pace)),
         };
-        let actions = node.home.looked(self.now, looked);
+        let actions = node.home.probed(self.now, probed);
         self.perform(vm, actions);
     }
 
@@ -131,7 +131,7 @@
         let percent = node
             .upstream
             .percent(self.now, &self.site.pace, &self.troubles);
-        node.home.told_slowness(self.now, percent);
+        node.home.slowness_reported(self.now, percent);
         let is_good = verdict == Verdict::Good;
         let answer = (verdict != Verdict::Cancelled).then_some(is_good);
         let actions = node.home.completed(self.now, id, verdict, answer);
@@ -155,7 +155,7 @@
         for action in actions {
             match action {
                 Action::Start(id) => self.start(vm, id),
-                Action::Look => self.at(self.now + LOOK_US, Happening::Looked { vm }),
+                Action::Probe => self.at(self.now + LOOK_US, Happening::ProbeResult { vm }),
                 Action::Refuse(id, refusal) => self.tell_end(vm, id, Event::Refused(id, refusal)),
                 Action::Revoke(id) => self.tell_end(vm, id, Event::Revoked(id)),
                 Action::Straggles(id) => self.tell_straggler(vm, id),
