Answers' limits and leavings are read, and shown in lines and a gauge

No line of a node showed any header of an upstream's answer, so hypotheses of the incident with named limits could not be told apart. components/notices reads two headers (names in the settings; without names nothing is read): the requests a second that an upstream takes, and that it leaves. An empty, negative, unreadable, huge or repeated value is a line and a counter, and changes nothing.

Lines: a limit that is named, changes or ends; the limit in 'attempt decided' and 'request offered'. Gauge: drumwheel_upstream_request_limit. Nothing is decided by it yet.

--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -7,6 +7,7 @@
 mod containment;
 mod declarations;
 mod limit;
+mod notices;
 mod purpose;
 mod registrations;
 mod requests;
@@ -16,6 +17,7 @@
 
 pub use containment::{cleared, held, released, suspected, upstream_ended};
 pub use declarations::{declarations_sent, in_force, newer_there, revision_came, Origin};
+pub use notices::{bad_notice, request_limit};
 pub use purpose::Purpose;
 pub use registrations::{
     differs, found, leaves, not_beside, own_record, registered, still_stands, stored_for,
--- a/components/audit/src/limit.rs
+++ b/components/audit/src/limit.rs
@@ -21,9 +21,11 @@
     CallerName,
     NotBelieved,
     Hedged,
+    BadNotice,
+    RequestLimit,
 }
 
-const KINDS: usize = 10;
+const KINDS: usize = 12;
 
 thread_local! {
     static LIMITERS: RefCell<([Limiter; KINDS], Option<Clock>)> =
--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -5,6 +5,7 @@
 use entry::{Hedge, View};
 use home::{AccountLoad, Load, Offer, Reason, Refusal};
 use names::{AttemptId, Name};
+use notices::RequestRate;
 use registry::Named;
 use wire::{RelayOutcome, Request};
 
@@ -139,6 +140,7 @@
             slow_percent = load.slow_percent,
             held_ms = load.held_us / 1_000,
             cold_wait_ms = load.cold_wait_us / 1_000,
+            request_limit = load.request_limit.map(RequestRate::per_s),
             "request offered"
         );
     }
@@ -210,6 +212,7 @@
             pace_age_ms = pace_age_us.map(|age_us| age_us / 1_000),
             held_ms = load.held_us / 1_000,
             cold_wait_ms = load.cold_wait_us / 1_000,
+            request_limit = load.request_limit.map(RequestRate::per_s),
             account = account.map(|(name, _)| name.as_str()),
             account_running = account_load.map(|load| load.running),
             account_queued = account_load.map(|load| load.queued),
--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -4,6 +4,7 @@
 use entry::HedgeDecision;
 use metrics::{counter, gauge, histogram};
 use names::{Name, SECOND};
+use notices::RequestRate;
 
 /// A caller's request ended with this outcome and reason.
 pub fn call_ended(outcome: &'static str, reason: &'static str) {
@@ -57,6 +58,12 @@
     counter!("drumwheel_upstream_failures_total", "kind" => kind).increment(1);
 }
 
+/// The upstream takes so many requests a second by its own word, or as many as it can.
+pub fn request_limit(limit: Option<RequestRate>) {
+    let per_s = limit.map_or(f64::INFINITY, RequestRate::per_s);
+    gauge!("drumwheel_upstream_request_limit").set(per_s);
+}
+
 /// The upstream ended while it ran something.
 pub fn upstream_ended() {
     counter!("drumwheel_upstream_ends_total").increment(1);
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -5,6 +5,7 @@
 use crate::home_driver::leaving_changed;
 use crate::node::{Job, Node, Whole};
 use crate::registration::{self, Registration};
+use crate::upstream_notices;
 use audit::stats;
 use errors::Error;
 use home::{Earlier, Home, Verdict};
@@ -122,6 +123,7 @@
 /// Reads what a registered upstream says of itself in an answer.
 fn judge_registered(
     node: &Rc<Node>,
+    id: &str,
     registration: &Rc<Registration>,
     expected: Option<&Incarnation>,
     answer: Answer,
@@ -141,6 +143,7 @@
         }
         return (Verdict::Shed, None);
     }
+    upstream_notices::take_in(node, id, &answer);
     if let Some(percent) = reported_percent(node, &answer) {
         slowness(node, percent);
     }
@@ -192,8 +195,9 @@
     mut answer: Answer,
 ) -> (Verdict, Option<Answer>) {
     if let Some(registration) = &node.registration {
-        return judge_registered(node, registration, expected, answer);
+        return judge_registered(node, &job.req.id, registration, expected, answer);
     }
+    upstream_notices::take_in(node, &job.req.id, &answer);
     let in_force = node.in_force();
     let service = in_force
         .as_ref()
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 mod stop;
 mod store;
 mod straggling;
+mod upstream_notices;
 mod wakeup;
 mod watching;
 
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -14,8 +14,10 @@
 use crate::pace::Pace;
 use crate::queue::Queue;
 use crate::record::{Known, Record, Records};
+use crate::request_limit::RequestLimit;
 use crate::stragglers::Stragglers;
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
+use notices::RateNotice;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::HashMap;
@@ -41,6 +43,7 @@
     pace: Pace,
     stragglers: Stragglers,
     cold: Cold,
+    request_limit: RequestLimit,
     /// When the look at the upstream began that is under way.
     looking: Option<Moment>,
     /// Queued attempts that wait for a word of the upstream before it is known whether they are taken.
@@ -66,6 +69,7 @@
             pace: Pace::default(),
             stragglers: Stragglers::default(),
             cold: Cold::default(),
+            request_limit: RequestLimit::default(),
             looking: None,
             unsettled: Vec::new(),
             down_since: None,
@@ -236,6 +240,7 @@
             slow_percent: self.pace.reported_percent(now),
             held_us: self.held_us(now),
             cold_wait_us: self.cold.wait_us(now, 0),
+            request_limit: self.request_limit.in_force(),
             leaving: self.leaving,
         }
     }
@@ -458,6 +463,12 @@
         self.pace.reported(now, percent)
     }
 
+    /// Takes in what an answer of the upstream says of how many requests it takes. Returns whether another limit, or none,
+    /// is in force now.
+    pub fn limit_noticed(&mut self, now: Moment, notice: RateNotice) -> bool {
+        self.request_limit.noticed(now, notice)
+    }
+
     /// Sets how many starts the upstream bears while it is cold.
     pub fn set_cold_capacity(&mut self, bears: ColdCapacity) {
         self.cold.set_cold_capacity(bears);
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -16,6 +16,7 @@
 mod pace;
 mod queue;
 mod record;
+mod request_limit;
 mod run_times;
 mod stragglers;
 
@@ -29,5 +30,6 @@
 pub use message::{AskReply, Load, Offer, Reason, Refusal, Suspicion};
 pub use pace::Pace;
 pub use record::{Known, Record, Records};
+pub use request_limit::RequestLimit;
 pub use run_times::RunTimes;
 pub use stragglers::Stragglers;
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between an entry duty and a home duty about one attempt.
 
 use names::{AttemptId, Name};
+use notices::RequestRate;
 use serde::{Deserialize, Serialize};
 
 /// Asks a home duty to run one attempt. The request itself travels beside it.
@@ -98,6 +99,9 @@
     /// How long until the upstream, which is cold, bears another start, in microseconds.
     #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
     pub cold_wait_us: u64,
+    /// Requests a second that the upstream takes from all nodes together, by its own word.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub request_limit: Option<RequestRate>,
     /// Whether the upstream or its node is leaving.
     #[serde(rename = "g")]
     pub leaving: bool,
--- /dev/null
+++ b/components/notices/tests/read.rs
@@ -0,0 +1,97 @@
+//! What answers say of their upstream, and what can't be read.
+
+use notices::{read, HeaderNames, Notice, RateNotice, RequestRate};
+use proptest::prelude::*;
+
+const NAMES: HeaderNames<'static> = HeaderNames {
+    request_limit: Some("Most"),
+    leaving: Some("Leaves"),
+};
+
+fn headers(pairs: &[(&str, &str)]) -> Vec<(String, String)> {
+    let owned = |(name, value): &(&str, &str)| (name.to_string(), value.to_string());
+    pairs.iter().map(owned).collect()
+}
+
+/// One line: what was read, then the problems.
+fn line(pairs: &[(&str, &str)]) -> String {
+    let (notice, problems) = read(&headers(pairs), &NAMES);
+    let rate = match notice.rate {
+        RateNotice::None => "-".to_string(),
+        RateNotice::Limit(rate) => rate.to_string(),
+        RateNotice::Unreadable => "unreadable".to_string(),
+    };
+    let problems: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    let problems = problems.join("; ");
+    format!(
+        "{pairs:?}: limit {rate}, leaving {}, [{problems}]",
+        notice.leaving
+    )
+}
+
+#[test]
+fn values_that_are_no_limit_change_nothing_and_are_problems() {
+    let long = "9".repeat(400);
+    let lines = [
+        line(&[]),
+        line(&[("most", "7.3")]),
+        line(&[("Most", " 12 ")]),
+        line(&[("Most", "0")]),
+        line(&[("Most", "0.0004")]),
+        line(&[("Most", &long)]),
+        line(&[("Most", "")]),
+        line(&[("Most", "-3")]),
+        line(&[("Most", "+3")]),
+        line(&[("Most", "x")]),
+        line(&[("Most", "NaN")]),
+        line(&[("Most", "inf")]),
+        line(&[("Most", "1e999")]),
+        line(&[("Most", "5,0")]),
+        line(&[("Most", "5.")]),
+        line(&[("Most", "५")]),
+        line(&[("Most", "9"), ("Most", "4.5")]),
+        line(&[("Most", "9"), ("Most", "x")]),
+        line(&[("Leaves", "1")]),
+        line(&[("Leaves", "0")]),
+        line(&[("Leaves", "")]),
+        line(&[("Leaves", "-1")]),
+        line(&[("Leaves", "yes")]),
+        line(&[("Leaves", "1"), ("Leaves", "1")]),
+        line(&[("Leaves", "0"), ("Leaves", "1")]),
+        line(&[("Most", "2"), ("Leaves", "1")]),
+    ];
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn headers_without_a_name_in_the_settings_say_nothing() {
+    let headers = headers(&[("Most", "2"), ("Leaves", "1")]);
+    let (notice, problems) = read(&headers, &HeaderNames::default());
+    assert_eq!(notice, Notice::default());
+    assert_eq!(problems, []);
+}
+
+proptest! {
+    #[test]
+    fn any_value_is_read_or_a_problem(value in ".{0,60}", other in ".{0,60}") {
+        let headers = headers(&[("Most", &value), ("Leaves", &other)]);
+        let (notice, problems) = read(&headers, &NAMES);
+        let is_read = matches!(notice.rate, RateNotice::Limit(_));
+        prop_assert_eq!(is_read, !problems.iter().any(|problem| problem.header == "Most"));
+        prop_assert_eq!(notice.leaving, !problems.iter().any(|problem| problem.header == "Leaves"));
+    }
+
+    #[test]
+    fn a_decimal_number_is_read_down_to_thousandths(milli in 0u64..10_000_000) {
+        let text = format!("{}.{:03}", milli / 1_000, milli % 1_000);
+        prop_assert_eq!(RequestRate::parse(&text), Some(RequestRate::from_milli(milli)));
+    }
+
+    #[test]
+    fn the_time_of_a_count_is_the_shortest_in_which_the_rate_makes_it(milli in 1u64..10_000_000, count in 1u64..1_000) {
+        let rate = RequestRate::from_milli(milli);
+        let us = rate.time_of_us(count);
+        prop_assert!(rate.in_us(us) >= count);
+        prop_assert!(rate.in_us(us - 1) < count);
+    }
+}
--- a/components/settings/src/headers.rs
+++ b/components/settings/src/headers.rs
@@ -23,6 +23,10 @@
     pub load: Option<String>,
     /// In an answer to a health check: how much longer the upstream is cold, in milliseconds.
     pub cold_ms: Option<String>,
+    /// In an upstream's answer: the requests a second that it takes from all nodes together, as a decimal number.
+    pub request_limit: Option<String>,
+    /// In an upstream's answer: `1` says that it leaves.
+    pub leaving: Option<String>,
     /// Key of a client account; read here and shown to no upstream.
     pub account_key: Option<String>,
     /// Name of the client account in which a request runs; always set by the node.
@@ -45,6 +49,8 @@
         not_run: name("not_run"),
         load: name("load"),
         cold_ms: name("cold_ms"),
+        request_limit: name("request_limit"),
+        leaving: name("leaving"),
         account_key: name("account_key"),
         account: name("account"),
         retry_after_fractions: flag(reader, "retry_after_fractions"),
