A limit that an upstream names is kept by the node beside it

Callers saw: an upstream in need that had named a limit got several times as many requests (59 where 49 were allowed, 89 where 33), fell behind, and its callers were late.

Cause: the limit was known to nobody.

Now: the home duty, through which every request to the upstream goes, starts no more than the limit; at most half a second's worth at once. What exceeds it waits for its turn where it can be in time, goes elsewhere, or is refused at once. Entries see the wait in each report and count the upstream as full until then. A limit ends with an answer that doesn't name it (100 ms later at the earliest, as answers overtake one another), and one request in 10 s is let through whatever the limit is, since only an answer can end it. A node that starts anew knows no limit: entries that know one name it in their offers.

--- a/components/audit/src/notices.rs
+++ b/components/audit/src/notices.rs
@@ -18,13 +18,34 @@
     }
 }
 
-/// The upstream names another limit, in requests a second, or none any more, in its answer to the request `id`.
-pub fn request_limit(id: &str, before: Option<RequestRate>, limit: Option<RequestRate>) {
+/// Another limit is in force at the upstream, in requests a second, or none any more. `source` says who told it: its answer
+/// to the request `id`, or a node by its offer `id`.
+pub fn request_limit(
+    id: &str,
+    source: &str,
+    before: Option<RequestRate>,
+    limit: Option<RequestRate>,
+) {
     if allowed(Kind::RequestLimit) {
         let before = before.map(RequestRate::per_s);
         match limit.map(RequestRate::per_s) {
-            Some(limit) => tracing::info!(id, limit, before, "the upstream names a request limit"),
-            None => tracing::info!(id, before, "the upstream names no request limit any more"),
+            Some(limit) => {
+                tracing::info!(
+                    id,
+                    source,
+                    limit,
+                    before,
+                    "the upstream names a request limit"
+                );
+            }
+            None => {
+                tracing::info!(
+                    id,
+                    source,
+                    before,
+                    "the upstream names no request limit any more"
+                );
+            }
         }
     }
 }
--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -140,7 +140,8 @@
             slow_percent = load.slow_percent,
             held_ms = load.held_us / 1_000,
             cold_wait_ms = load.cold_wait_us / 1_000,
-            request_limit = load.request_limit.map(RequestRate::per_s),
+            request_limit = view.known_limit.map(RequestRate::per_s),
+            limit_wait_ms = load.request_limit.map(|_| load.limit_wait_us / 1_000),
             "request offered"
         );
     }
@@ -213,6 +214,7 @@
             held_ms = load.held_us / 1_000,
             cold_wait_ms = load.cold_wait_us / 1_000,
             request_limit = load.request_limit.map(RequestRate::per_s),
+            limit_wait_ms = load.request_limit.map(|_| load.limit_wait_us / 1_000),
             account = account.map(|(name, _)| name.as_str()),
             account_running = account_load.map(|load| load.running),
             account_queued = account_load.map(|load| load.queued),
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -205,6 +205,7 @@
             suspicion,
             returned: self.is_return,
             report_straggler: self.reports_straggler(),
+            known_limit: node.entry.borrow().view(&to).known_limit,
             account: None,
         };
         let local = to == node.cfg.vm;
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -10,6 +10,7 @@
 use crate::node::{Job, Node, Whole};
 use crate::registration;
 use crate::straggling;
+use crate::upstream_notices;
 use async_std::task;
 use audit::stats::{self, Stage};
 use budget::Act;
@@ -78,6 +79,7 @@
         cancel: None,
     };
     let id = offer.id;
+    upstream_notices::recalled(node, from, &offer);
     node.jobs.borrow_mut().entry(id).or_insert(job);
     with_home(node, |home| home.offer(now, &offer));
     let waits = |home: &Home<Whole>| home.is_queued(id);
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -109,6 +109,8 @@
     pub cold_us: u64,
     /// Attempts refused because the upstream is cold.
     pub refused_cold: u64,
+    /// Attempts refused because the upstream takes no more within the limit that it names.
+    pub refused_limited: u64,
     /// Client accounts whose attempts wait for the upstream.
     pub accounts_waiting: usize,
     /// Attempts refused in favour of another account's.
@@ -285,6 +287,7 @@
             .as_ref()
             .map_or(0, |home| home.cold().left_us(node.now())),
         refused_cold: counters.refused_cold,
+        refused_limited: counters.refused_limited,
         accounts_waiting: home.as_ref().map_or(0, |home| home.accounts_waiting()),
         refused_for_account: counters.refused_for_account,
         evacuated: evacuated(node),
@@ -362,6 +365,7 @@
         ("drumwheel_slow_phase_us", state.slow_phase_us as f64),
         ("drumwheel_cold_us", state.cold_us as f64),
         ("drumwheel_refused_cold", state.refused_cold as f64),
+        ("drumwheel_refused_limited", state.refused_limited as f64),
         ("drumwheel_accounts_waiting", state.accounts_waiting as f64),
         (
             "drumwheel_refused_for_account",
--- a/components/daemon/src/upstream_notices.rs
+++ b/components/daemon/src/upstream_notices.rs
@@ -1,8 +1,10 @@
 //! What the upstream beside this node says of itself in the headers of its answers.
 
-use crate::node::Node;
+use crate::node::{Node, Whole};
 use audit::stats;
-use notices::{HeaderNames, RateNotice};
+use home::{Home, Offer};
+use names::{Moment, Name};
+use notices::HeaderNames;
 use settings::Headers;
 use wire::Answer;
 
@@ -12,7 +14,19 @@
     for problem in &problems {
         audit::bad_notice(id, problem);
     }
-    limit_noticed(node, id, notice.rate);
+    limit_told(node, id, "answer", |home, now| {
+        home.limit_noticed(now, notice.rate)
+    });
+}
+
+/// Takes in what the node `from` knows of the upstream's limit, which an earlier run of this node has told it.
+pub fn recalled(node: &Node, from: &Name, offer: &Offer) {
+    if offer.known_limit.is_some() {
+        let id = offer.id.to_string();
+        limit_told(node, &id, from.as_str(), |home, now| {
+            home.limit_recalled(now, offer)
+        });
+    }
 }
 
 fn header_names(headers: &Headers) -> HeaderNames<'_> {
@@ -22,16 +36,21 @@
     }
 }
 
-fn limit_noticed(node: &Node, id: &str, notice: RateNotice) {
+fn limit_told(
+    node: &Node,
+    id: &str,
+    source: &str,
+    take_in: impl FnOnce(&mut Home<Whole>, Moment) -> bool,
+) {
     let now = node.now();
     let before = node.load().request_limit;
     let is_changed = match node.home.borrow_mut().as_mut() {
-        Some(home) => home.limit_noticed(now, notice),
+        Some(home) => take_in(home, now),
         None => false,
     };
     if is_changed {
         let limit = node.load().request_limit;
-        audit::request_limit(id, before, limit);
+        audit::request_limit(id, source, before, limit);
         stats::request_limit(limit);
     }
 }
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -3,6 +3,7 @@
 use crate::price::Price;
 use home::Load;
 use names::{Moment, Name, MILLISECOND};
+use notices::RequestRate;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::Rng;
@@ -75,6 +76,8 @@
     pub reported: Moment,
     /// Until when the node beside the upstream is taken as not answering.
     pub suspect_until: Moment,
+    /// The last limit that the upstream named, also by an earlier run of the node beside it.
+    pub known_limit: Option<RequestRate>,
 }
 
 impl View {
@@ -85,11 +88,18 @@
         lately && self.load.is_some_and(|load| load.leaving)
     }
 
-    /// Whether a fresh report says that no slot was free.
+    /// Whether a report that still holds says that no slot was free, or that the upstream takes no request within its limit.
     pub(crate) fn is_full(&self, now: Moment) -> bool {
-        let fresh = (now.since(self.reported) as f64) < self.fullness_kept_us();
-        self.load
-            .is_some_and(|load| fresh && load.in_flight + load.queued >= load.limit)
+        let age = now.since(self.reported);
+        let fresh = (age as f64) < self.fullness_kept_us();
+        let is_busy = |load: Load| fresh && load.in_flight + load.queued >= load.limit;
+        self.limit_wait_us(age) > 0.0 || self.load.is_some_and(is_busy)
+    }
+
+    /// How long until the upstream takes another request within its limit, in microseconds.
+    fn limit_wait_us(&self, age: u64) -> f64 {
+        let wait = self.load.map_or(0, |load| load.limit_wait_us);
+        wait.saturating_sub(age) as f64
     }
 
     /// A report of a long queue holds for as long as the queue takes to drain.
@@ -113,7 +123,8 @@
         let errors = known.map_or(0.0, |load| load.errors_permille as f64 / 1000.0);
         let limit = known.map_or(1, |load| load.limit.max(1)) as f64;
         let occupied = self.occupied(age);
-        let wait = (occupied + 1.0 - limit).max(0.0) * service / limit;
+        let queue = (occupied + 1.0 - limit).max(0.0) * service / limit;
+        let wait = queue.max(self.limit_wait_us(age));
         let pressure = service * occupied / limit / 4.0;
         service + wait + pressure + errors * ERROR_COST_US + way_us(candidate)
     }
@@ -130,7 +141,7 @@
         let limit = f64::from(load.limit.max(1));
         let occupied = self.occupied(age);
         let queue = (occupied + 1.0 - limit).max(0.0) * service * slow / limit;
-        let wait = queue + self.held_us(age);
+        let wait = (queue + self.held_us(age)).max(self.limit_wait_us(age));
         let fresh = (-(age as f64) / SLOW_PHASE_US).exp();
         let errors = f64::from(load.errors_permille) / 1000.0 * fresh;
         let crossing = if candidate.same_hall {
@@ -147,7 +158,11 @@
         let Some(most_us) = price.most_far_wait_us() else {
             return false;
         };
-        let age = now.since(self.reported) as f64;
+        let age = now.since(self.reported);
+        if self.limit_wait_us(age) > most_us {
+            return true;
+        }
+        let age = age as f64;
         let Some(load) = self.load.filter(|_| age < self.fullness_kept_us()) else {
             return false;
         };
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::shortage::Shortage;
 use home::{Load, Refusal};
 use names::{AttemptId, BootId, Moment, Name, SECOND};
+use notices::RequestRate;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::collections::{HashMap, HashSet};
@@ -52,6 +53,7 @@
     /// Takes in a report of a home duty.
     pub fn reported(&mut self, now: Moment, vm: &Name, load: Load) {
         let view = self.view_mut(vm);
+        view.known_limit = known_limit(view, &load);
         view.load = Some(load);
         view.reported = now;
         view.since_report = 0;
@@ -213,3 +215,13 @@
         self.views.entry(vm.clone()).or_default()
     }
 }
+
+/// The limit of an upstream after a report. A node that has just started does not know one that was named before; one that
+/// knew it says when it has ended.
+fn known_limit(view: &View, load: &Load) -> Option<RequestRate> {
+    let was_known_there = view.load.is_some_and(|load| load.request_limit.is_some());
+    match load.request_limit {
+        None if !was_known_there => view.known_limit,
+        limit => limit,
+    }
+}
--- a/components/entry/tests/attempts/world/delivery.rs
+++ b/components/entry/tests/attempts/world/delivery.rs
@@ -166,6 +166,7 @@
                     returned: false,
                     // Also for requests that may run once: the home duty must not report them.
                     report_straggler: true,
+                    known_limit: None,
                     account: None,
                 };
                 self.send(entry, home, Body::Offer(offer));
--- a/components/entry/tests/attempts/world/repeats.rs
+++ b/components/entry/tests/attempts/world/repeats.rs
@@ -43,6 +43,7 @@
                 suspicion: Suspicion::None,
                 returned: false,
                 report_straggler: false,
+                known_limit: None,
                 account: None,
             };
             duty.offer(self.now, &offer);
--- a/components/entry/tests/hedge_delay/replay.rs
+++ b/components/entry/tests/hedge_delay/replay.rs
@@ -325,6 +325,7 @@
                         suspicion,
                         returned: false,
                         report_straggler: reports && self.delay == Delay::LatestUseful,
+                        known_limit: None,
                         account: None,
                     };
                     self.put(now + WAY_US, Happening::Offered(index(&to), offer));
--- a/components/entry/tests/priced.rs
+++ b/components/entry/tests/priced.rs
@@ -3,6 +3,7 @@
 use entry::{Action, Call, Candidate, Entry, Event, Origin, Outcome, Price, Rule, Treatment};
 use home::{Load, Reason, Refusal};
 use names::{BootId, Moment, Name, MILLISECOND};
+use notices::RequestRate;
 
 const NOW: Moment = Moment(10_000_000);
 
@@ -260,3 +261,39 @@
     };
     assert!(goes_to(&first_offer(leaving, load(0, 0, 100), 60), "far"));
 }
+
+fn limited(milli_per_s: u64, limit_wait_ms: u64) -> Load {
+    Load {
+        request_limit: Some(RequestRate::from_milli(milli_per_s)),
+        limit_wait_us: limit_wait_ms * MILLISECOND,
+        ..load(0, 0, 100)
+    }
+}
+
+#[test]
+fn an_upstream_at_its_request_limit_counts_as_full_until_it_takes_another() {
+    let idle = load(0, 0, 100);
+    assert!(goes_to(&first_offer(limited(5_000, 150), idle, 60), "far"));
+    assert!(goes_to(&first_offer(limited(5_000, 0), idle, 60), "near"));
+    assert!(goes_to(
+        &first_offer(load(4, 9, 400), limited(5_000, 150), 0),
+        "near"
+    ));
+}
+
+#[test]
+fn a_limit_is_known_beyond_a_restart_of_the_node_beside_the_upstream_until_that_says_it_ended() {
+    let vm = Name::from("near");
+    let rate = Some(RequestRate::from_milli(5_000));
+    let mut entry = Entry::new(BootId(1), Rule::Priced, 7);
+    entry.reported(NOW, &vm, limited(5_000, 0));
+    assert_eq!(entry.view(&vm).known_limit, rate);
+    entry.forget(&vm);
+    assert_eq!(entry.view(&vm).known_limit, rate);
+    // The node that has started anew has not heard of it.
+    entry.reported(NOW, &vm, load(0, 0, 100));
+    assert_eq!(entry.view(&vm).known_limit, rate);
+    entry.reported(NOW, &vm, limited(5_000, 0));
+    entry.reported(NOW, &vm, load(0, 0, 100));
+    assert_eq!(entry.view(&vm).known_limit, None);
+}
--- a/components/home/src/config.rs
+++ b/components/home/src/config.rs
@@ -110,6 +110,8 @@
     pub looks: u64,
     /// Attempts refused because the upstream is cold and bears no more for now.
     pub refused_cold: u64,
+    /// Attempts refused because the upstream takes no more within the limit that it names.
+    pub refused_limited: u64,
     /// Queued attempts refused in favour of another account's of their rank.
     pub refused_for_account: u64,
     /// Starts on a word that was fresh already.
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -241,6 +241,7 @@
             held_us: self.held_us(now),
             cold_wait_us: self.cold.wait_us(now, 0),
             request_limit: self.request_limit.in_force(),
+            limit_wait_us: self.request_limit.wait_us(now, self.queue.len()),
             leaving: self.leaving,
         }
     }
@@ -266,6 +267,7 @@
     fn start(&mut self, attempt: Attempt<Started>, actions: &mut Vec<Action>) {
         self.counters.started += 1;
         self.cold.started(attempt.state().at);
+        self.request_limit.started(attempt.state().at);
         self.stragglers.started(&attempt);
         let id = attempt.id();
         let cost_us = self.pace.cost_us(attempt.class());
@@ -311,6 +313,9 @@
                 }
                 Room::Full(_) => break,
             }
+            if self.request_limit.wait_us(now, 0) > 0 {
+                break;
+            }
             let running = self.in_flight(now);
             let limit = self.current_limit(now, &running);
             let Some(attempt) = self.next_queued(now, limit) else {
@@ -423,7 +428,9 @@
         let drain_us =
             (self.queue.len() + 1) as f64 * service / self.current_limit(now, &running) as f64;
         let ahead = self.queue.len();
-        let wait_us = (drain_us as u64 + self.held_us(now)).max(self.cold.wait_us(now, ahead));
+        let wait_us = (drain_us as u64 + self.held_us(now))
+            .max(self.cold.wait_us(now, ahead))
+            .max(self.request_limit.wait_us(now, ahead));
         let wait_ms = (wait_us / MILLISECOND).max(LEAST_RETRY_AFTER_MS);
         self.rng.random_range(wait_ms..=2 * wait_ms)
     }
@@ -451,6 +458,8 @@
         self.pace = Pace::default();
         self.stragglers.forget_run_times();
         self.cold.replaced(earlier);
+        self.request_limit
+            .replaced(earlier == Earlier::SameIdentity);
         self.down_since = None;
         let mut actions = Vec::new();
         self.fill(now, &mut actions);
@@ -469,6 +478,12 @@
         self.request_limit.noticed(now, notice)
     }
 
+    /// Takes in a limit that the sender of an offer knows. Returns whether it is in force now and was not before.
+    pub fn limit_recalled(&mut self, now: Moment, offer: &Offer) -> bool {
+        let limit = offer.known_limit;
+        limit.is_some_and(|limit| self.request_limit.recalled(now, limit))
+    }
+
     /// Sets how many starts the upstream bears while it is cold.
     pub fn set_cold_capacity(&mut self, bears: ColdCapacity) {
         self.cold.set_cold_capacity(bears);
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -47,7 +47,9 @@
         }
         let allowed = self.allowed(now, offer.level, limit);
         let is_first = self.queue.is_empty() || !matters && self.queue.ahead_of(&attempt) == 0;
-        let is_free = self.running.len() < allowed as usize && is_first && room == Room::Free;
+        let is_within_limit = self.request_limit.wait_us(now, 0) == 0;
+        let has_room = room == Room::Free && is_within_limit;
+        let is_free = self.running.len() < allowed as usize && is_first && has_room;
         if is_free && !self.defers_queued(now, class) {
             self.counters.probes_saved += 1;
             let percent = self.pace.reported_percent(now);
@@ -57,6 +59,7 @@
         let attempt = self.in_time(now, attempt);
         let is_taken = self.admit(now, attempt.queue(now), true, &mut actions);
         self.counters.refused_cold += u64::from(!is_taken && room != Room::Free);
+        self.counters.refused_limited += u64::from(!is_taken && !is_within_limit);
         actions
     }
 
@@ -107,7 +110,8 @@
     ) -> bool {
         let service = self.limit.service_us(running);
         let ahead = self.queue.ahead_of(attempt);
-        let wait = (ahead + 1) as f64 * service / limit as f64;
+        let slot_wait = (ahead + 1) as f64 * service / limit as f64;
+        let wait = slot_wait.max(self.request_limit.wait_us(now, ahead) as f64);
         if self.cold.wait_us(now, ahead) > 0 {
             // Another upstream may bear it now. What waits here until more is borne comes late, and so do the calls
             // behind it.
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -43,6 +43,10 @@
     /// Whether the entry duty wants to know when the run takes much longer than usual.
     #[serde(rename = "k", default, skip_serializing_if = "is_false")]
     pub report_straggler: bool,
+    /// The requests a second that the upstream takes, as far as the entry duty knows: the home duty may have started anew
+    /// and not know it yet.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub known_limit: Option<RequestRate>,
     /// The client account among which slots are shared fairly; the home node reads it from the request beside the offer.
     #[serde(skip)]
     pub account: Option<Name>,
@@ -102,6 +106,9 @@
     /// Requests a second that the upstream takes from all nodes together, by its own word.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub request_limit: Option<RequestRate>,
+    /// How long until the upstream takes another request within its limit, in microseconds.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub limit_wait_us: u64,
     /// Whether the upstream or its node is leaving.
     #[serde(rename = "g")]
     pub leaving: bool,
--- a/components/home/tests/cold.rs
+++ b/components/home/tests/cold.rs
@@ -39,6 +39,7 @@
         suspicion: Suspicion::None,
         returned: false,
         report_straggler: false,
+        known_limit: None,
         account: None,
     }
 }
--- a/components/home/tests/decisions.rs
+++ b/components/home/tests/decisions.rs
@@ -108,6 +108,7 @@
             suspicion: Suspicion::None,
             returned: rng.random_bool(0.2),
             report_straggler: false,
+            known_limit: None,
             account: None,
         }
     }
--- a/components/home/tests/fair/duty.rs
+++ b/components/home/tests/fair/duty.rs
@@ -28,6 +28,7 @@
         suspicion: Suspicion::None,
         returned: false,
         report_straggler: false,
+        known_limit: None,
         account: Some(account.into()),
     }
 }
--- a/components/home/tests/fair/world.rs
+++ b/components/home/tests/fair/world.rs
@@ -284,6 +284,7 @@
             suspicion: Suspicion::None,
             returned: false,
             report_straggler: false,
+            known_limit: None,
             account: (self.way == Way::Turns).then(|| format!("account-{account}").into()),
         }
     }
--- a/components/home/tests/home.rs
+++ b/components/home/tests/home.rs
@@ -27,6 +27,7 @@
         suspicion: home::Suspicion::None,
         returned: false,
         report_straggler: false,
+        known_limit: None,
         account: None,
     }
 }
--- a/components/home/tests/overdue.rs
+++ b/components/home/tests/overdue.rs
@@ -26,6 +26,7 @@
         suspicion: Suspicion::None,
         returned,
         report_straggler: false,
+        known_limit: None,
         account: None,
     }
 }
--- a/components/home/tests/pace.rs
+++ b/components/home/tests/pace.rs
@@ -31,6 +31,7 @@
         suspicion: home::Suspicion::None,
         returned: false,
         report_straggler: false,
+        known_limit: None,
         account: None,
     }
 }
--- a/components/home/tests/stragglers.rs
+++ b/components/home/tests/stragglers.rs
@@ -38,6 +38,7 @@
         suspicion: Suspicion::None,
         returned: false,
         report_straggler: true,
+        known_limit: None,
         account: None,
     }
 }
@@ -287,6 +288,7 @@
     let mut site = Site::warm();
     let unasked = |seq| Offer {
         report_straggler: false,
+        known_limit: None,
         ..offer(seq)
     };
     let suspect = |seq| Offer {
--- a/components/model/src/world/entry_side.rs
+++ b/components/model/src/world/entry_side.rs
@@ -154,6 +154,7 @@
             suspicion: Suspicion::None,
             returned: request.tried.is_some_and(|tried| tried.is_return),
             report_straggler: self.policy.hedges() && class.repeatable && request.level == 0,
+            known_limit: None,
             account: self.account_of(request),
         };
         let from = request.vm;
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -26,6 +26,7 @@
             suspicion: home::Suspicion::None,
             returned: false,
             report_straggler: false,
+            known_limit: None,
             account: None,
         },
         key: None,
