An upstream that says in an answer that it leaves gets no new work

Callers saw: requests went to an upstream that was leaving, and some of them ended with it.

Cause: only registrations told that an upstream leaves. Its answers said so as well, and nobody read it.

Now: the node beside it takes such an answer like a registration as draining: its record says so to all nodes and the store, what waits is handed back, and later registrations of that start don't undo it. The answer carries the start to the entry node, which passes the start over for good, whatever a record says: the node beside the upstream may be killed before it has told anybody, and know nothing when it is back. Another start at the VM is not affected.

The state machines are tested in components/registry/tests.

--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use containment::{cleared, held, released, suspected, upstream_ended};
 pub use declarations::{declarations_sent, in_force, newer_there, revision_came, Origin};
-pub use notices::{bad_notice, request_limit};
+pub use notices::{bad_notice, leaving_noticed, request_limit};
 pub use purpose::Purpose;
 pub use registrations::{
     differs, found, leaves, not_beside, own_record, registered, still_stands, stored_for,
--- a/components/audit/src/notices.rs
+++ b/components/audit/src/notices.rs
@@ -2,7 +2,9 @@
 
 use crate::limit::{allowed, Kind};
 use crate::stats;
+use names::Name;
 use notices::{Problem, RequestRate};
+use registry::Incarnation;
 
 /// The answer to the request `id` has a header that can't be read.
 pub fn bad_notice(id: &str, problem: &Problem) {
@@ -49,3 +51,13 @@
         }
     }
 }
+
+/// An answer says that its upstream, which stands on `vm`, leaves.
+pub fn leaving_noticed(incarnation: &Incarnation, vm: &Name) {
+    tracing::info!(
+        instance = %incarnation.id,
+        born_ms = incarnation.born_ms,
+        vm = %vm,
+        "an upstream leaves by its answers"
+    );
+}
--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -33,7 +33,7 @@
     let start = pool.starts();
     let exchange = pool.exchange(&job.req, &terms);
     match node.clock.by(job.deadline + overrun_us, exchange).await {
-        Ok(Ok(answer)) => judge(node, job, expected.as_ref(), answer),
+        Ok(Ok(answer)) => judge(node, id, job, expected.as_ref(), answer),
         Ok(Err(Failure::NotSent(error))) => {
             stats::upstream_failed("not-sent");
             tracing::info!(id = %job.req.id, %error, "the upstream was not reached");
@@ -123,7 +123,8 @@
 /// Reads what a registered upstream says of itself in an answer.
 fn judge_registered(
     node: &Rc<Node>,
-    id: &str,
+    id: AttemptId,
+    job: &Job,
     registration: &Rc<Registration>,
     expected: Option<&Incarnation>,
     answer: Answer,
@@ -143,7 +144,10 @@
         }
         return (Verdict::Shed, None);
     }
-    upstream_notices::take_in(node, id, &answer);
+    let notice = upstream_notices::take_in(node, &job.req.id, &answer);
+    if let Some(expected) = expected.filter(|_| notice.leaving) {
+        upstream_notices::leaves(node, id, registration, expected);
+    }
     if let Some(percent) = reported_percent(node, &answer) {
         slowness(node, percent);
     }
@@ -190,12 +194,13 @@
 /// Reads the headers by which an upstream says that it leaves or did not start the request.
 fn judge(
     node: &Rc<Node>,
+    id: AttemptId,
     job: &Job,
     expected: Option<&Incarnation>,
     mut answer: Answer,
 ) -> (Verdict, Option<Answer>) {
     if let Some(registration) = &node.registration {
-        return judge_registered(node, &job.req.id, registration, expected, answer);
+        return judge_registered(node, id, job, registration, expected, answer);
     }
     upstream_notices::take_in(node, &job.req.id, &answer);
     let in_force = node.in_force();
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -67,6 +67,7 @@
     let job = Job {
         suspect: containment::is_suspect(node, &offer, &req),
         ended: None,
+        leaving: None,
         req,
         reply: reply.clone(),
         deadline: now + offer.remaining_us,
@@ -488,7 +489,18 @@
     with_home(node, |home| home.completed(now, id, verdict, kept));
     let load = node.load();
     match answer {
-        Some(answer) => end_job(node, id, Frame::Answered { id, answer, load }),
+        Some(answer) => {
+            let jobs = node.jobs.borrow();
+            let leaving = jobs.get(&id).and_then(|job| job.leaving.clone());
+            drop(jobs);
+            let frame = Frame::Answered {
+                id,
+                answer,
+                load,
+                leaving,
+            };
+            end_job(node, id, frame);
+        }
         None => {
             let ended = node.jobs.borrow().get(&id).and_then(|job| job.ended);
             end_job(node, id, Frame::Broken { id, load, ended });
--- a/components/daemon/src/jobs.rs
+++ b/components/daemon/src/jobs.rs
@@ -7,6 +7,7 @@
 use keys::KeyHash;
 use names::{BootId, Moment, Name};
 use quarantine::Suspect;
+use registry::Incarnation;
 use std::sync::Arc;
 use wire::Request;
 
@@ -35,6 +36,8 @@
     pub suspect: bool,
     /// What follows from the upstream's end, once it has ended while it ran this.
     pub ended: Option<Suspect>,
+    /// The start of the upstream that ran it, if its answer says that it leaves.
+    pub leaving: Option<Incarnation>,
     /// Tells the running exchange that nobody waits for it.
     pub cancel: Option<Sender<()>>,
 }
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -4,7 +4,8 @@
 use crate::entry_driver::{deliver, reported};
 use crate::node::Node;
 use crate::{
-    configuration, containment, coordinator, home_driver, recovery, registration, relay, watching,
+    configuration, containment, coordinator, home_driver, recovery, registration, relay,
+    upstream_notices, watching,
 };
 use audit::Origin;
 use entry::Event;
@@ -40,8 +41,16 @@
             reported(node, from, load);
             deliver(node, id, Event::Revoked(id));
         }
-        Frame::Answered { id, answer, load } => {
+        Frame::Answered {
+            id,
+            answer,
+            load,
+            leaving,
+        } => {
             reported(node, from, load);
+            if let Some(incarnation) = leaving {
+                upstream_notices::leaving_told(node, from, &incarnation);
+            }
             let error = answer.is_error();
             deliver(node, id, Event::Answered { id, answer, error });
         }
--- a/components/daemon/src/upstream_notices.rs
+++ b/components/daemon/src/upstream_notices.rs
@@ -1,15 +1,18 @@
 //! What the upstream beside this node says of itself in the headers of its answers.
 
 use crate::node::{Node, Whole};
+use crate::registration::{self, Registration};
 use audit::stats;
-use home::{Home, Offer};
-use names::{Moment, Name};
-use notices::HeaderNames;
+use home::{Earlier, Home, Offer};
+use names::{AttemptId, Moment, Name};
+use notices::{HeaderNames, Notice};
+use registry::Incarnation;
 use settings::Headers;
+use std::rc::Rc;
 use wire::Answer;
 
-/// Takes in what an answer to the request `id` says.
-pub fn take_in(node: &Node, id: &str, answer: &Answer) {
+/// Takes in what an answer to the request `id` says of the upstream's limit. Gives all that it says.
+pub fn take_in(node: &Node, id: &str, answer: &Answer) -> Notice {
     let (notice, problems) = notices::read(&answer.headers, &header_names(&node.cfg.headers));
     for problem in &problems {
         audit::bad_notice(id, problem);
@@ -17,6 +20,37 @@
     limit_told(node, id, "answer", |home, now| {
         home.limit_noticed(now, notice.rate)
     });
+    notice
+}
+
+/// Takes in that the start of the upstream that answered the attempt `id` leaves, and notes it for the entry node, which
+/// has to remember it also when this node is gone.
+pub fn leaves(
+    node: &Rc<Node>,
+    id: AttemptId,
+    registration: &Registration,
+    incarnation: &Incarnation,
+) {
+    if let Some(job) = node.jobs.borrow_mut().get_mut(&id) {
+        job.leaving = Some(incarnation.clone());
+    }
+    let is_news = registration.local.borrow_mut().drains(incarnation);
+    if is_news {
+        audit::leaving_noticed(incarnation, &node.cfg.vm);
+        registration::local_changed(node, registration, Earlier::Unknowing);
+    }
+}
+
+/// Takes in that an answer that came through the node on `vm` said that its upstream leaves.
+pub fn leaving_told(node: &Node, vm: &Name, incarnation: &Incarnation) {
+    let Some(registration) = &node.registration else {
+        return;
+    };
+    let mut fleet = registration.fleet.borrow_mut();
+    let is_news = fleet.upstream_leaves(vm, incarnation);
+    if is_news && *vm != node.cfg.vm {
+        audit::leaving_noticed(incarnation, vm);
+    }
 }
 
 /// Takes in what the node `from` knows of the upstream's limit, which an earlier run of this node has told it.
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -1,6 +1,7 @@
 //! All records that a node knows.
 
 use crate::digest::Digests;
+use crate::incarnation::Incarnation;
 use crate::record::{Record, Version};
 use names::Name;
 use std::collections::{BTreeMap, HashMap};
@@ -29,6 +30,9 @@
     records: BTreeMap<Name, Record>,
     /// VMs with a ready upstream, by service and hall.
     ready: HashMap<Name, BTreeMap<Name, Vec<Name>>>,
+    /// Starts of upstreams whose answers said that they leave, by VM. They are not ready, whatever a record says: the node
+    /// beside one may have started anew and not know it.
+    leaving: HashMap<Name, Incarnation>,
     digests: Digests,
 }
 
@@ -40,6 +44,7 @@
             me,
             records: BTreeMap::new(),
             ready: HashMap::new(),
+            leaving: HashMap::new(),
             digests: Digests::default(),
         };
         fleet.put(own);
@@ -131,6 +136,27 @@
         halls.map(|(hall, vms)| (hall, vms.as_slice()))
     }
 
+    /// Takes in that an answer said that this start of the upstream of `vm` leaves. Returns whether that is news.
+    pub fn upstream_leaves(&mut self, vm: &Name, incarnation: &Incarnation) -> bool {
+        let before = self.leaving.insert(vm.clone(), incarnation.clone());
+        if self
+            .records
+            .get(vm)
+            .is_some_and(|record| self.leaves(record))
+        {
+            self.unlist(vm);
+        }
+        before.as_ref() != Some(incarnation)
+    }
+
+    fn leaves(&self, record: &Record) -> bool {
+        let leaving = self.leaving.get(&record.vm);
+        let upstream = record.upstream.as_ref();
+        leaving
+            .zip(upstream)
+            .is_some_and(|(leaving, upstream)| upstream.incarnation().is(leaving))
+    }
+
     /// Digests of all records.
     pub fn digests(&self) -> &Digests {
         &self.digests
@@ -140,6 +166,7 @@
     pub fn forget(&mut self, vm: &Name) {
         if *vm != self.me {
             self.unlist(vm);
+            self.leaving.remove(vm);
             if let Some(record) = self.records.remove(vm) {
                 self.digests.toggle(&record);
             }
@@ -148,7 +175,8 @@
 
     fn put(&mut self, record: Record) -> Option<Record> {
         self.unlist(&record.vm);
-        if let Some(upstream) = record.upstream.as_ref().filter(|_| record.is_ready()) {
+        let is_ready = record.is_ready() && !self.leaves(&record);
+        if let Some(upstream) = record.upstream.as_ref().filter(|_| is_ready) {
             let halls = self.ready.entry(upstream.service.clone()).or_default();
             let vms = halls.entry(record.hall.clone()).or_default();
             vms.push(record.vm.clone());
--- a/components/registry/src/local.rs
+++ b/components/registry/src/local.rs
@@ -160,6 +160,22 @@
         }
     }
 
+    /// Takes in that a start leaves, by an answer that it gave: it gets no new work from now on, whatever its registrations
+    /// say. Returns whether that changed anything.
+    pub fn drains(&mut self, incarnation: &Incarnation) -> bool {
+        match self.current.as_mut() {
+            Some(current) if current.incarnation().is(incarnation) => {
+                let was_ready = current.state == State::Ready;
+                current.state = current.state.max(State::Draining);
+                was_ready
+            }
+            _ => {
+                self.end(incarnation.clone(), State::Draining, false);
+                false
+            }
+        }
+    }
+
     /// Takes in a start that was found by a look at its address or told by another node, unless
     /// something is known already. Returns whether it was taken.
     pub fn found(&mut self, instance: Instance) -> bool {
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -360,3 +360,45 @@
     assert_eq!(own.merge(later.clone()), Merged::Own(later.version));
     assert!(own.rise_above(later.version).version > later.version);
 }
+
+#[test]
+fn a_start_that_leaves_by_its_answers_is_drained_whatever_its_registrations_say() {
+    let mut local = Local::default();
+    local.heartbeat(NOW, born(5, State::Ready, 0));
+    assert!(!local.drains(&started(4)));
+    assert!(local.drains(&started(5)));
+    assert!(!local.drains(&started(5)));
+    assert_eq!(state_of(&local), Some((Some(5), State::Draining)));
+    local.heartbeat(NOW, born(5, State::Ready, 1));
+    assert_eq!(state_of(&local), Some((Some(5), State::Draining)));
+    local.heartbeat(NOW, born(6, State::Ready, 0));
+    assert_eq!(state_of(&local), Some((Some(6), State::Ready)));
+}
+
+#[test]
+fn a_start_that_left_before_it_registered_here_is_drained_when_it_does() {
+    let mut local = Local::default();
+    assert!(!local.drains(&started(5)));
+    local.heartbeat(NOW, born(5, State::Ready, 0));
+    assert_eq!(state_of(&local), Some((Some(5), State::Draining)));
+}
+
+/// The node beside a leaving upstream was killed before it had told anybody, and says anew that its upstream is ready.
+#[test]
+fn an_upstream_that_left_by_its_answers_is_not_ready_by_a_later_record_of_the_same_start() {
+    let mut fleet = Fleet::new(record("vm-0", 1, 0, None));
+    let ready = |fleet: &Fleet| fleet.ready("prices").flat_map(|(_, vms)| vms).count();
+    let start = |id: &str| Some(instance(id, State::Ready));
+    fleet.merge(record("vm-1", 1, 0, start("a")));
+    fleet.merge(record("vm-2", 1, 0, start("b")));
+    assert_eq!(ready(&fleet), 2);
+    let digest = fleet.digests().whole();
+    assert!(fleet.upstream_leaves(&Name::from("vm-1"), &incarnation("a")));
+    assert!(!fleet.upstream_leaves(&Name::from("vm-1"), &incarnation("a")));
+    assert_eq!(ready(&fleet), 1);
+    assert_eq!(fleet.digests().whole(), digest);
+    fleet.merge(record("vm-1", 2, 0, start("a")));
+    assert_eq!(ready(&fleet), 1);
+    fleet.merge(record("vm-1", 2, 1, start("c")));
+    assert_eq!(ready(&fleet), 2);
+}
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -7,7 +7,7 @@
 use membership::VmList;
 use names::{AttemptId, BootId};
 use quarantine::{Fingerprint, Suspect};
-use registry::{Record, Versions};
+use registry::{Incarnation, Record, Versions};
 use rollout::{Configuration, Summary};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -63,6 +63,9 @@
         answer: Arc<Answer>,
         /// State of the upstream.
         load: Load,
+        /// The start of the upstream that gave the answer, if it says that it leaves.
+        #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+        leaving: Option<Incarnation>,
     },
     /// Home to entry: the run takes much longer than usual.
     Straggles {
