Callers of a node that has just started wait for the records of the others as well

Callers saw: the first request to a node that had just been killed and started again was refused with no-upstream and told to come back after a second, while upstreams were there.

Cause: a caller waits for the first declarations, up to 250 ms after the start, but the records of the other nodes are read beside them and may come a moment later: in the lines kept of a red run the request is routed at 41.1329 s, refused at 41.1331 s, and the store's list of records is there at 41.1334 s. Class: a wait that ends when one of the two things that it needs has come.

Now the caller waits, within the same bound, until an upstream of its service is known or all records have been read.

--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -221,7 +221,7 @@
     let plan = Plan {
         tried,
         order,
-        candidates: registered(node, &service),
+        candidates: registered_soon(node, &service, deadline).await,
         treatment,
         req,
         key: None,
@@ -284,6 +284,27 @@
     }
 }
 
+/// The upstreams that registered for `service`. A node that has just started knows none in a moment: callers who come before
+/// that wait for them.
+async fn registered_soon(node: &Rc<Node>, service: &Name, deadline: Moment) -> Vec<Candidate> {
+    let first_read = *node.first_read.borrow();
+    let until = first_read.caller_waits_for_upstream_until().min(deadline);
+    loop {
+        let candidates = registered(node, service);
+        let now = node.now();
+        if !candidates.is_empty() || now >= until || knows_all_records(node) {
+            return candidates;
+        }
+        let limit = Duration::from_micros(until.since(now));
+        node.fleet_change.wait(limit).await;
+    }
+}
+
+fn knows_all_records(node: &Node) -> bool {
+    let registration = node.registration.as_ref();
+    registration.is_none_or(|registration| registration.has_listed.get())
+}
+
 /// The upstreams that registered for `service`, among which a request chooses.
 fn registered(node: &Rc<Node>, service: &Name) -> Vec<Candidate> {
     let Some(registration) = &node.registration else {
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -130,6 +130,8 @@
     pub blank_waiters: Waiting,
     /// Wakes them when declarations come into force or their first read ends.
     pub first_declarations: Wakeup,
+    /// Wakes callers that wait for an upstream when other nodes have become known.
+    pub fleet_change: Wakeup,
     /// Platform's object API.
     pub platform: Rc<Client>,
     /// The registered fleet; none where the platform lists the VMs.
@@ -216,6 +218,7 @@
             first_read: RefCell::new(FirstRead::new(clock.now())),
             blank_waiters: Waiting::default(),
             first_declarations: Wakeup::default(),
+            fleet_change: Wakeup::default(),
             platform: Rc::new(Client::new(cfg.platform.clone())),
             registration,
             containment: Containment::new(clock.now()),
@@ -389,6 +392,7 @@
         let rate = RetryRate::share(limit.ratio, limit.slack, nodes);
         self.entry.borrow_mut().set_retry_rate(rate);
         self.refresh_budget();
+        self.fleet_change.wake();
     }
 
     /// The upstreams that may serve `service`: declared, known to the platform and not leaving.
--- a/components/watch/src/first_read.rs
+++ b/components/watch/src/first_read.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// Until when a caller waits for an upstream of its service while the records of the other nodes are being read. They are
+    /// read beside the declarations, and either may come first.
+    pub fn caller_waits_for_upstream_until(&self) -> Moment {
+        self.started + BLANK_WAIT_US
+    }
+
     /// When a caller that waits until `until` looks again, if declarations do not come before: at the end of the time after
     /// the start, when it needs a place and the answer may have begun to arrive.
     pub fn next_look(&self, now: Moment, until: Moment) -> Moment {
