A second registration numbered 1 is not taken for a start's first

Cause: only a start's first registration tells that no earlier run of the node can have known it. It was recognised by the number 1, but numbers rise from 0 as well. Now 0 alone does; 1 is judged by how young the start is, as numbers up to 10 are. The decision moved to components/home, where it is tested.

--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -95,29 +95,13 @@
     Ok(true)
 }
 
-/// Number of a start's first registration: nobody heard of that start before.
-const FIRST_SEQUENCE: u64 = 1;
-/// A start that was never acknowledged has sent so many registrations at most within a second: it tries again a few
-/// times before it rests.
-const YOUNG_SEQUENCE: u64 = 10;
-
 /// Part of the time between two registrations in which an upstream that was acknowledged surely says nothing.
 const SILENT_PART: (u64, u64) = (2, 3);
 
 /// Whether an earlier run of this node may have sent work to the start whose registration came.
 fn earlier_run(node: &Node, sequence: u64, left_ms: u64) -> Earlier {
-    if sequence <= FIRST_SEQUENCE {
-        return Earlier::Unknowing;
-    }
-    let until = node.started;
-    if sequence > YOUNG_SEQUENCE {
-        return Earlier::Until(until);
-    }
-    Earlier::UnlessYoung {
-        until,
-        left_us: left_ms * MILLISECOND,
-        silent_us: node.cfg.registers_every_ms * MILLISECOND * SILENT_PART.0 / SILENT_PART.1,
-    }
+    let silent_us = node.cfg.registers_every_ms * MILLISECOND * SILENT_PART.0 / SILENT_PART.1;
+    Earlier::of_registration(sequence, node.started, left_ms * MILLISECOND, silent_us)
 }
 
 /// What became of a word of the upstream.
--- a/components/home/src/cold.rs
+++ b/components/home/src/cold.rs
@@ -52,6 +52,26 @@
     },
 }
 
+/// A start that was never acknowledged has sent so many registrations at most within a second: it tries again a few
+/// times before it rests.
+const YOUNG_REGISTRATIONS: u64 = 10;
+
+impl Earlier {
+    /// What follows from the first registration of a start that came here, by its number, which rises from 0 or 1.
+    /// `until`: when this run of the node began. `left_us` and `silent_us` as in [`Earlier::UnlessYoung`].
+    pub fn of_registration(sequence: u64, until: Moment, left_us: u64, silent_us: u64) -> Earlier {
+        match sequence {
+            0 => Earlier::Unknowing,
+            1..=YOUNG_REGISTRATIONS => Earlier::UnlessYoung {
+                until,
+                left_us,
+                silent_us,
+            },
+            _ => Earlier::Until(until),
+        }
+    }
+}
+
 /// Whether another attempt may start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Room {
--- a/components/home/tests/cold.rs
+++ b/components/home/tests/cold.rs
@@ -376,3 +376,18 @@
         }
     }
 }
+
+/// An upstream that numbers its registrations from 0 had its first one acknowledged by a node that was then killed. The node
+/// that started in its place took the second one for the first, and sent as much again to the cold upstream, which fell.
+#[test]
+fn a_second_registration_numbered_1_is_not_taken_for_the_first() {
+    let silent_us = 200 * MILLISECOND;
+    let second = Earlier::of_registration(1, START, COLD_US - 508 * MILLISECOND, silent_us);
+    let mut home = duty(false, second);
+    home.cold_reported(START, COLD_US - 508 * MILLISECOND);
+    assert!(matches!(home.cold().room(START, 0), Room::Full(_)));
+    // The first one of a start that numbers them from 1 comes when it is young.
+    let first = Earlier::of_registration(1, START, COLD_US, silent_us);
+    assert_eq!(duty(false, first).cold().room(START, 0), Room::Free);
+    assert_eq!(Earlier::of_registration(0, START, 0, 0), Earlier::Unknowing);
+}
