A request whose hall has lost its upstreams waits for a connection to another hall

Callers saw: while the only upstream of a hall had just ended and no connection to another hall was open, a request was refused as not run (503, down), though another hall could serve it. It was the next caller whose request found the connection that the first had caused to be opened.

Cause: a request chooses among the upstreams to which a connection is open; others come in only where there is none at all, and the own upstream always counts as open. Now one upstream of each hall without a connection stands in reserve: it is asked when the others are gone, not when they are busy, and not when opening a connection to it has failed lately.

--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -4,7 +4,7 @@
 use super::request::CallerRequest;
 use super::response::{self, Response};
 use super::returned::{self, Try};
-use crate::candidates::{self, Connections};
+use crate::candidates::{self, Connections, Drawn};
 use crate::containment;
 use crate::entry_driver::{run_call, Plan};
 use crate::links;
@@ -16,7 +16,7 @@
 use audit::stats::{self, Stage};
 use audit::Routed;
 use declarations::{Route, Service};
-use entry::{Candidate, Origin, Outcome, Price, Treatment};
+use entry::{Origin, Outcome, Price, Treatment};
 use futures_util::FutureExt;
 use home::{Reason, Refusal};
 use keys::KEY_DEADLINE_US;
@@ -133,6 +133,7 @@
         tried: None,
         order,
         candidates: node.candidates(&in_force, service),
+        reserve: Vec::new(),
         price: Price::of(ruled.priority, 0, true),
         treatment,
         req,
@@ -218,10 +219,12 @@
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
     let crossing = if is_inner { priority } else { ruled.priority };
+    let drawn = registered_soon(node, &service, deadline).await;
     let plan = Plan {
         tried,
         order,
-        candidates: registered_soon(node, &service, deadline).await,
+        candidates: drawn.candidates,
+        reserve: drawn.reserve,
         treatment,
         req,
         key: None,
@@ -286,14 +289,14 @@
 
 /// The upstreams that registered for `service`. A node that has just started knows none in a moment: callers who come before
 /// that wait for them.
-async fn registered_soon(node: &Rc<Node>, service: &Name, deadline: Moment) -> Vec<Candidate> {
+async fn registered_soon(node: &Rc<Node>, service: &Name, deadline: Moment) -> Drawn {
     let first_read = *node.first_read.borrow();
     let until = first_read.caller_waits_for_upstream_until().min(deadline);
     loop {
-        let candidates = registered(node, service);
+        let drawn = registered(node, service);
         let now = node.now();
-        if !candidates.is_empty() || now >= until || knows_all_records(node) {
-            return candidates;
+        if !drawn.candidates.is_empty() || now >= until || knows_all_records(node) {
+            return drawn;
         }
         let limit = Duration::from_micros(until.since(now));
         node.fleet_change.wait(limit).await;
@@ -306,21 +309,22 @@
 }
 
 /// The upstreams that registered for `service`, among which a request chooses.
-fn registered(node: &Rc<Node>, service: &Name) -> Vec<Candidate> {
+fn registered(node: &Rc<Node>, service: &Name) -> Drawn {
     let Some(registration) = &node.registration else {
-        return Vec::new();
+        return Drawn::default();
     };
     let now = node.now();
     let connections = Connections {
         is_evacuated: &|hall| registration.is_evacuated(now, hall),
         is_up: &|vm| links::is_up(node, vm),
         is_apart: &|vm| links::is_apart(node, vm),
+        has_failed: &|vm| links::has_failed(node, vm),
     };
     let drawn = candidates::registered(&registration.fleet.borrow(), service, &connections);
     for vm in &drawn.to_dial {
         links::dial(node, vm);
     }
-    drawn.candidates
+    drawn
 }
 
 /// The service in whose name calls from this VM are made, and what says so.
--- a/components/daemon/src/candidates.rs
+++ b/components/daemon/src/candidates.rs
@@ -28,6 +28,8 @@
     pub is_up: &'a dyn Fn(&Name) -> bool,
     /// Whether there is none to a node and none is being opened.
     pub is_apart: &'a dyn Fn(&Name) -> bool,
+    /// Whether opening one to a node has failed lately.
+    pub has_failed: &'a dyn Fn(&Name) -> bool,
     /// Whether the upstreams of a hall get no new work.
     pub is_evacuated: &'a dyn Fn(&Name) -> bool,
 }
@@ -38,6 +40,9 @@
 pub struct Drawn {
     /// The upstreams.
     pub candidates: Vec<Candidate>,
+    /// One of each other hall to which no connection is open. When the only upstream of the own hall had just ended, its
+    /// requests were refused until a connection to another hall was open.
+    pub reserve: Vec<Candidate>,
     /// The nodes.
     pub to_dial: Vec<Name>,
 }
@@ -64,6 +69,11 @@
         drawn
             .candidates
             .extend(draw(&own.vm, &reached, most, same_hall));
+        if !same_hall && reached.is_empty() {
+            let open = vms.iter().filter(|vm| !(connections.has_failed)(vm));
+            let open: Vec<&Name> = open.collect();
+            drawn.reserve.extend(draw(&own.vm, &open, 1, same_hall));
+        }
         if !same_hall && reached.len() < far_connected {
             let apart = vms.iter().filter(|vm| (connections.is_apart)(vm));
             let apart: Vec<&Name> = apart.collect();
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -225,6 +225,7 @@
             tried: None,
             order: None,
             candidates: self.candidates(),
+            reserve: Vec::new(),
             treatment,
             req: self.relay.req.clone(),
             key: Some(self.key),
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -51,6 +51,8 @@
 pub struct Plan {
     /// Upstreams that may serve it.
     pub candidates: Vec<Candidate>,
+    /// Upstreams to which no connection is open, for when none of those takes work any more.
+    pub reserve: Vec<Candidate>,
     /// What the policy says.
     pub treatment: Treatment,
     /// The request.
@@ -77,7 +79,8 @@
         plan.deadline,
         plan.candidates,
     )
-    .with_price(price);
+    .with_price(price)
+    .with_reserve(plan.reserve);
     let call = match plan.order {
         Some(order) => call.with_order(order),
         None => call,
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -39,6 +39,8 @@
     treatment: Treatment,
     deadline: Moment,
     candidates: Vec<Candidate>,
+    /// Upstreams to which no connection is open, for when none of the candidates takes work any more.
+    reserve: Vec<Candidate>,
     state: State,
     refused_by: Vec<Name>,
     closed: Vec<Name>,
@@ -83,6 +85,7 @@
             treatment,
             deadline,
             candidates,
+            reserve: Vec::new(),
             state: State::Idle,
             refused_by: Vec::new(),
             closed: Vec::new(),
@@ -114,6 +117,12 @@
         self
     }
 
+    /// Sets upstreams to which no connection is open. An offer to one waits for its connection.
+    pub fn with_reserve(mut self, reserve: Vec<Candidate>) -> Call<A> {
+        self.reserve = reserve;
+        self
+    }
+
     /// Sets that an upstream ended while it ran a copy of the request, and the VMs at which it may run, the best
     /// first.
     pub fn with_order(mut self, order: Vec<Name>) -> Call<A> {
@@ -200,6 +209,9 @@
             None => (self.pick(now, may_queue, entry), None),
         };
         self.suspicion = suspicion.unwrap_or_default();
+        if picked.is_none() && self.take_reserve() {
+            return self.next(now, entry);
+        }
         let Some(to) = picked else {
             let reason = if self.candidates.is_empty() {
                 Reason::NoUpstream
--- a/components/entry/src/call/offers.rs
+++ b/components/entry/src/call/offers.rs
@@ -4,7 +4,7 @@
 use crate::choice::{Candidate, Rule};
 use crate::event::{Action, Event};
 use crate::shared::Entry;
-use home::Suspicion;
+use home::{Reason, Refusal, Suspicion};
 use names::{AttemptId, Moment, Name};
 
 /// Offers that ask for a free slot at once, before one that may queue.
@@ -56,6 +56,19 @@
         entry.choose(now, &open, self.price, may_queue)
     }
 
+    /// Adds the upstreams without a connection to the candidates, if these are gone rather than busy. Returns whether there
+    /// are any.
+    pub(super) fn take_reserve(&mut self) -> bool {
+        let is_busy = |refusal: Refusal| refusal.reason == Reason::Busy;
+        if self.suspect.is_some() || self.last_refusal.is_some_and(is_busy) {
+            return false;
+        }
+        let reserve = std::mem::take(&mut self.reserve);
+        let has_any = !reserve.is_empty();
+        self.candidates.extend(reserve);
+        has_any
+    }
+
     /// A suspect that found no room goes on to the next VM in its order.
     pub(super) fn was_busy(&mut self, vm: Name) {
         if let Some(suspect) = &mut self.suspect {
--- a/components/entry/tests/priced.rs
+++ b/components/entry/tests/priced.rs
@@ -297,3 +297,41 @@
     entry.reported(NOW, &vm, load(0, 0, 100));
     assert_eq!(entry.view(&vm).known_limit, None);
 }
+
+/// What a call does when its only candidate refuses it, and an upstream without a connection is in reserve.
+fn after_a_refusal(reason: Reason) -> Vec<Action<u64>> {
+    let mut entry = Entry::new(BootId(1), Rule::Priced, 7);
+    let treatment = Treatment {
+        repeatable: false,
+        priority: 5,
+        attempts: 1,
+        arrivals: 1,
+        origin: Origin::Client,
+    };
+    let candidates = vec![candidate("near", true)];
+    let mut call = Call::new("s".into(), treatment, NOW + 9_000_000, candidates)
+        .with_reserve(vec![candidate("far", false)]);
+    let mut actions = call.step(NOW, Event::Begin, &mut entry);
+    while let [Action::Offer { id, to, .. }] = &actions[..] {
+        if to.as_str() == "far" {
+            break;
+        }
+        let refusal = Refusal {
+            reason,
+            retry_after_ms: 10,
+        };
+        actions = call.step(NOW, Event::Refused(*id, refusal), &mut entry);
+    }
+    actions
+}
+
+#[test]
+fn an_upstream_without_a_connection_is_asked_when_the_others_are_gone_and_not_when_they_are_busy() {
+    assert!(goes_to(&after_a_refusal(Reason::Down), "far"));
+    assert!(goes_to(&after_a_refusal(Reason::Leaving), "far"));
+    let busy = after_a_refusal(Reason::Busy);
+    assert!(matches!(
+        &busy[..],
+        [Action::Finish(Outcome::NotRun(refusal))] if refusal.reason == Reason::Busy
+    ));
+}
