--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -195,6 +195,7 @@
     ) {
         let node = self.node;
         let left = self.call.deadline().since(node.now());
+        let view = node.entry.borrow().view(&to);
         let offer = Offer {
             id,
             service: self.req.service.clone(),
@@ -208,7 +209,7 @@
             suspicion,
             returned: self.is_return,
             report_straggler: self.reports_straggler(),
-            known_limit: node.entry.borrow().view(&to).known_limit,
+            known_limit: view.known_limit,
             account: None,
         };
         let local = to == node.cfg.vm;
@@ -216,7 +217,6 @@
         if repeat {
             stats::repeat_offered();
         }
-        let view = node.entry.borrow().view(&to);
         let age_us = node.now().since(view.reported);
         audit::offered(&self.req.id, &offer, &to, &view, age_us);
         self.attempts.push(id);
--- a/components/daemon/src/upstream_notices.rs
+++ b/components/daemon/src/upstream_notices.rs
@@ -76,14 +76,13 @@
     source: &str,
     take_in: impl FnOnce(&mut Home<Whole>, Moment) -> bool,
 ) {
-    let now = node.now();
-    let before = node.load().request_limit;
-    let is_changed = match node.home.borrow_mut().as_mut() {
-        Some(home) => take_in(home, now),
-        None => false,
+    let mut home = node.home.borrow_mut();
+    let Some(home) = home.as_mut() else {
+        return;
     };
-    if is_changed {
-        let limit = node.load().request_limit;
+    let before = home.request_limit();
+    if take_in(home, node.now()) {
+        let limit = home.request_limit();
         audit::request_limit(id, source, before, limit);
         stats::request_limit(limit);
     }
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -17,7 +17,7 @@
 use crate::request_limit::RequestLimit;
 use crate::stragglers::Stragglers;
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
-use notices::RateNotice;
+use notices::{RateNotice, RequestRate};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::HashMap;
@@ -240,7 +240,7 @@
             slow_percent: self.pace.reported_percent(now),
             held_us: self.held_us(now),
             cold_wait_us: self.cold.wait_us(now, 0),
-            request_limit: self.request_limit.in_force(),
+            request_limit: self.request_limit(),
             limit_wait_us: self.request_limit.wait_us(now, self.queue.len()),
             leaving: self.leaving,
         }
@@ -478,6 +478,11 @@
         self.request_limit.noticed(now, notice)
     }
 
+    /// The requests a second that the upstream takes, by its own word.
+    pub fn request_limit(&self) -> Option<RequestRate> {
+        self.request_limit.in_force()
+    }
+
     /// Takes in a limit that the sender of an offer knows. Returns whether it is in force now and was not before.
     pub fn limit_recalled(&mut self, now: Moment, offer: &Offer) -> bool {
         let limit = offer.known_limit;
--- a/components/home/src/request_limit.rs
+++ b/components/home/src/request_limit.rs
@@ -17,7 +17,7 @@
 /// As many requests as the limit makes in this time may start at once, and one in any case, in microseconds.
 const BURST_US: u64 = SECOND / 2;
 /// One request may start after this time whatever the limit is, in microseconds: only an answer tells that it has ended.
-pub const LONGEST_PAUSE_US: u64 = 10 * SECOND;
+const LONGEST_PAUSE_US: u64 = 10 * SECOND;
 
 /// What the upstream takes, and what was started there.
 #[derive(Debug, Clone, Default)]
