An upstream without a connection is in reserve also where others of its hall are connected

Seen: the listed test was red once in nine whole runs of its file, lines kept. ordinary-13 entered at node 1, whose own upstream had just ended, was handed back by node 0 and not sent at node 4, whose upstreams had ended as well, and was refused (503, down).

Now one upstream of each other hall to which no connection is open is in reserve.

--- a/components/daemon/src/candidates.rs
+++ b/components/daemon/src/candidates.rs
@@ -40,8 +40,8 @@
 pub struct Drawn {
     /// The upstreams.
     pub candidates: Vec<Candidate>,
-    /// One of each other hall to which no connection is open. When the only upstream of the own hall had just ended, its
-    /// requests were refused until a connection to another hall was open.
+    /// One of each other hall to which no connection is open. When all connected upstreams had just ended, requests were
+    /// refused until a connection to another one was open.
     pub reserve: Vec<Candidate>,
     /// The nodes.
     pub to_dial: Vec<Name>,
@@ -69,10 +69,12 @@
         drawn
             .candidates
             .extend(draw(&own.vm, &reached, most, same_hall));
-        if !same_hall && reached.is_empty() {
-            let open = vms.iter().filter(|vm| !(connections.has_failed)(vm));
-            let open: Vec<&Name> = open.collect();
-            drawn.reserve.extend(draw(&own.vm, &open, 1, same_hall));
+        if !same_hall {
+            let is_unreached = |vm: &&Name| !is_reached(vm) && !(connections.has_failed)(vm);
+            let unreached: Vec<&Name> = vms.iter().filter(is_unreached).collect();
+            drawn
+                .reserve
+                .extend(draw(&own.vm, &unreached, 1, same_hall));
         }
         if !same_hall && reached.len() < far_connected {
             let apart = vms.iter().filter(|vm| (connections.is_apart)(vm));
