A connection reset as an upstream's port closes is looked into again

Callers saw: a request that had ended an upstream was given to the next one at once, as after a broken exchange, and ended that one too.

Cause: whether an upstream has ended is read from a new connection to its port. Any error but a refusal meant 'no'. While a port closes, a connection that waits to be taken is reset. Now that is looked into again, like one that is taken and closed.

--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -58,6 +58,28 @@
     pub repeatable: bool,
 }
 
+/// What a connection that failed to open says of the port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Port {
+    /// Nobody listens there.
+    Closed,
+    /// Whoever listened is closing it: a connection that waits to be taken then is reset.
+    Closing,
+    /// Nothing.
+    Unknown,
+}
+
+impl Port {
+    /// Reads the error with which a connection failed to open.
+    pub fn of_connect_error(kind: ErrorKind) -> Port {
+        match kind {
+            ErrorKind::ConnectionRefused => Port::Closed,
+            ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted => Port::Closing,
+            _ => Port::Unknown,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     since: Moment,
@@ -175,14 +197,19 @@
     pub async fn has_ended(&self) -> bool {
         for _ in 0..CLOSING_LOOKS {
             let connecting = TcpStream::connect(self.address.get());
-            let mut stream = match timeout(REFUSAL_TIMEOUT, connecting).await {
-                Ok(Ok(stream)) => stream,
-                Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
+            match timeout(REFUSAL_TIMEOUT, connecting).await {
+                Ok(Ok(mut stream)) => {
+                    let mut byte = [0];
+                    if timeout(CLOSING, stream.read(&mut byte)).await.is_err() {
+                        return false;
+                    }
+                }
+                Ok(Err(error)) => match Port::of_connect_error(error.kind()) {
+                    Port::Closed => return true,
+                    Port::Closing => {}
+                    Port::Unknown => return false,
+                },
                 Err(_) => return false,
-            };
-            let mut byte = [0];
-            if timeout(CLOSING, stream.read(&mut byte)).await.is_err() {
-                return false;
             }
             task::sleep(CLOSING_PAUSE).await;
         }
