A long wait for a request limit is believed for a second at most

An entry node that had heard of a wait of ten seconds (a limit of 0) passed the upstream over for all of it, and refused requests that only that upstream of another hall could serve, though the limit had ended meanwhile by an answer to another node's request. Found in reading the change. The test failed before.

Run on it: the tests of entry, home's request_limit, limits, leaving and other_halls.

--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -15,6 +15,8 @@
 const SLOWNESS_KEPT_US: u64 = 1_000 * MILLISECOND;
 /// The word that an upstream is leaving holds for so long.
 const LEAVING_KEPT_US: u64 = 5_000 * MILLISECOND;
+/// A longer wait for a request limit is not believed: the limit may end meanwhile, by an answer to another node's request.
+const LIMIT_WAIT_KEPT_US: u64 = 1_000 * MILLISECOND;
 /// Service time assumed of an upstream of which nothing is known.
 const UNKNOWN_SERVICE_US: u64 = 5 * MILLISECOND;
 /// Cost of an error in terms of waiting, in microseconds.
@@ -99,7 +101,7 @@
     /// How long until the upstream takes another request within its limit, in microseconds.
     fn limit_wait_us(&self, age: u64) -> f64 {
         let wait = self.load.map_or(0, |load| load.limit_wait_us);
-        wait.saturating_sub(age) as f64
+        wait.min(LIMIT_WAIT_KEPT_US).saturating_sub(age) as f64
     }
 
     /// A report of a long queue holds for as long as the queue takes to drain.
--- a/components/entry/tests/priced.rs
+++ b/components/entry/tests/priced.rs
@@ -335,3 +335,30 @@
         [Action::Finish(Outcome::NotRun(refusal))] if refusal.reason == Reason::Busy
     ));
 }
+
+/// A limit had ended, and an entry node that had last heard of a wait of ten seconds refused what the upstream had room for.
+#[test]
+fn a_long_wait_for_a_limit_is_not_believed_longer_than_a_second() {
+    let vm = Name::from("far");
+    let mut entry = Entry::new(BootId(1), Rule::Priced, 7);
+    entry.reported(NOW, &vm, limited(0, 10_000));
+    let treatment = Treatment {
+        repeatable: true,
+        priority: 5,
+        attempts: 2,
+        arrivals: 2,
+        origin: Origin::Client,
+    };
+    let price = Price {
+        objective_us: Some(180 * MILLISECOND),
+        ..Price::default()
+    };
+    let mut offers_at = |now| {
+        let candidates = vec![candidate("far", false)];
+        let call = Call::<u64>::new("s".into(), treatment.clone(), now + 9_000_000, candidates);
+        call.with_price(price).step(now, Event::Begin, &mut entry)
+    };
+    let soon = offers_at(NOW + 500 * MILLISECOND);
+    assert!(matches!(&soon[..], [Action::Finish(Outcome::NotRun(_))]));
+    assert!(goes_to(&offers_at(NOW + 1_001 * MILLISECOND), "far"));
+}
--- a/components/home/src/request_limit.rs
+++ b/components/home/src/request_limit.rs
@@ -1,7 +1,7 @@
 //! How many requests a second the upstream takes, by its own word, and how many were started.
 //!
-//! The load that this answers: an upstream in need takes far less than its slots would start, while its service has as
-//! many callers as before. What comes beyond its limit goes to other upstreams, waits for its turn where it can be in
+//! The load that this answers: an overloaded upstream asks for far less than its slots would start, while its service has
+//! as many callers as before. What comes beyond its limit goes to other upstreams, waits for its turn where it can be in
 //! time, or is refused at once.
 //!
 //! An upstream names a limit in each answer for as long as it holds. Answers overtake one another on their connections, so
