--- a/review/2/case.py
+++ b/review/2/case.py
@@ -73,9 +73,9 @@
         await new.start()
         all_servers.append(new)
         await asyncio.sleep(2.0)
-    late.kill()
-    await asyncio.sleep(0.5)
-    late.start()
+        late.kill()
+        await asyncio.sleep(0.5)
+        late.start()
     await asyncio.sleep(6)
     for task in tasks:
         task.cancel()
