--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,19 +16,19 @@
 ZONES = ["seinajoki-hall"] * 4 + ["vaasa-hall"] * 4 + ["kokkola-hall"] * 4
 GAP_S = 1.0
 GRACE_S = 6.0
-# `sample-result` on the site: unsafe, deadline 3,000 ms, work 290 ms (1,700 ms at most), and a quarter
-# of the time a server works five times as long: 520 ms become 2,600 ms.
-DEADLINE_MS = 3000
-WORK_S = 0.29
-LONG_WORK_S = 2.6
+# `sample-result` of maitokierto-pohjanmaa-grown: unsafe, deadline 5,000 ms, work 420 ms in the mean and
+# 2,500 ms at most. The longest runs are more frequent here than there.
+DEADLINE_MS = 5000
+WORK_S = 0.42
+LONG_WORK_S = 2.5
 LONG_SHARE = 0.25
 PAUSE_S = 0.1
 
 
 def config():
     def route(service, kind):
-        return {"host": HOST, "path_prefix": "/%s/" % service, "kind": kind, "timeout": "3s",
-                "target_latency": "800ms", "priority": 0, "service": service, "max_attempts": 2}
+        return {"host": HOST, "path_prefix": "/%s/" % service, "kind": kind, "timeout": "5s",
+                "target_latency": "1200ms", "priority": 0, "service": service, "max_attempts": 2}
 
     service = {"health_path": "/health", "max_connections": 260}
     return {
@@ -40,7 +40,7 @@
 
 
 class Shared(Server):
-    """A server that shares its machine with others: some runs take longer than usual."""
+    """A sound server; a share of the requests needs the most work of their class."""
 
     async def respond(self, first, headers, body, writer):
         self.work_s = LONG_WORK_S if random.random() < LONG_SHARE else WORK_S
--- a/review/standins/site_standin.py
+++ b/review/standins/site_standin.py
@@ -483,7 +483,8 @@
             asyncio.get_running_loop().add_signal_handler(which, task.cancel)
         try:
             broken = await asyncio.wait_for(task, 110)
-        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Exit code 1 is for a broken rule only.
             site.log.add("could not run: %r" % error)
             print("could not run: %r" % error, file=sys.stderr)
             return 2
