Log and count each attempt that a planned stop interrupts

A stop that timed out logged only how many requests were left. It could not be told whether they waited for a slot, ran at this node's upstream or ran elsewhere, nor for how long. Each interrupted attempt now has a line with its duty, service, VM, age and run time, bounded like other lines, and drumwheel_stop_interrupted_total counts them by duty.

--- a/components/audit/src/limit.rs
+++ b/components/audit/src/limit.rs
@@ -23,9 +23,10 @@
     Hedged,
     BadNotice,
     RequestLimit,
+    Stop,
 }
 
-const KINDS: usize = 12;
+const KINDS: usize = 13;
 
 thread_local! {
     static LIMITERS: RefCell<([Limiter; KINDS], Option<Clock>)> =
--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -56,6 +56,11 @@
     counter!("drumwheel_late_total", "kind" => kind).increment(1);
 }
 
+/// A planned stop ended while `duty` waited for an attempt.
+pub fn stop_interrupted(duty: &'static str) {
+    counter!("drumwheel_stop_interrupted_total", "duty" => duty).increment(1);
+}
+
 /// An attempt ran but gave no complete answer.
 pub fn upstream_failed(kind: &'static str) {
     counter!("drumwheel_upstream_failures_total", "kind" => kind).increment(1);
--- /dev/null
+++ b/components/audit/src/stop.rs
@@ -0,0 +1,39 @@
+//! Log lines of the planned stop.
+
+use crate::limit::{allowed, Kind};
+use crate::stats;
+use names::{AttemptId, Name, MILLISECOND};
+
+/// An attempt that is in progress when a stopping node exits.
+#[derive(Debug, Clone, Copy)]
+pub struct Unfinished<'a> {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Which duty of this node waits for its end: `entry` or `home`.
+    pub duty: &'static str,
+    /// Service of the request.
+    pub service: &'a Name,
+    /// VM at which it runs.
+    pub vm: &'a Name,
+    /// Time since it was offered, in microseconds.
+    pub age_us: u64,
+    /// Time for which it has been running at the upstream, in microseconds; none if it has not
+    /// started or if that is unknown at this node.
+    pub run_us: Option<u64>,
+}
+
+/// The planned stop ends while an attempt is in progress.
+pub fn stop_interrupts(unfinished: &Unfinished<'_>) {
+    stats::stop_interrupted(unfinished.duty);
+    if allowed(Kind::Stop) {
+        tracing::warn!(
+            attempt = %unfinished.attempt,
+            duty = unfinished.duty,
+            service = %unfinished.service,
+            vm = %unfinished.vm,
+            age_ms = unfinished.age_us / MILLISECOND,
+            run_ms = unfinished.run_us.map(|us| us / MILLISECOND),
+            "planned stop interrupts an attempt"
+        );
+    }
+}
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -6,6 +6,7 @@
 use crate::registration;
 use async_std::prelude::*;
 use async_std::task;
+use audit::Unfinished;
 use signal_hook::consts::signal::{SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 use std::rc::Rc;
@@ -73,10 +74,36 @@
     if idle {
         tracing::info!("planned stop complete");
     } else {
+        log_unfinished(node);
         tracing::warn!(left, "planned stop timed out with work in progress");
     }
 }
 
+/// Logs the attempts that end because the process exits.
+fn log_unfinished(node: &Node) {
+    let now = node.now();
+    for (id, waiter) in node.waiters.borrow().iter() {
+        audit::stop_interrupts(&Unfinished {
+            attempt: *id,
+            duty: "entry",
+            service: &waiter.service,
+            vm: &waiter.vm,
+            age_us: now.since(waiter.offered_at),
+            run_us: None,
+        });
+    }
+    for (id, job) in node.jobs.borrow().iter() {
+        audit::stop_interrupts(&Unfinished {
+            attempt: *id,
+            duty: "home",
+            service: &job.req.service,
+            vm: &node.cfg.vm,
+            age_us: now.since(job.arrived_at),
+            run_us: job.started_at.map(|at| now.since(at)),
+        });
+    }
+}
+
 async fn save_keys_in_time(node: &Rc<Node>) {
     let result = async_std::future::timeout(SAVE_KEYS_TIMEOUT, boot_record::save_keys(node)).await;
     match result {
