Planned stop: one plan decides what a stopping node accepts and how long it may run

What callers saw: a request that reached a node 3.0 to 3.2 s after SIGTERM, with a deadline of 5 s and a run of 2.5 s, was accepted, passed on and run, and its connection was closed 5.4 s after the signal, while its upstream went on. With a grace period of 3 s the node still accepted requests when it was killed. After 3.2 s every request was refused, also short ones while the node waited for a long one, and also the calls that a request in progress made, which then failed.

Cause: the end of the intake (linger + 1 s) and the end of the work (nine tenths of the grace period) were two spans that nothing tied to each other, and neither knew what a request needs. The offers that a stopping node made and took carried the caller's whole deadline. Ruled out: a wait for a slot (0.3 to 220 ms in the nine cut requests; 7 of them waited less than 40 ms), a second offer (each was offered once), the home's own stop (their runs ended good, 0.2 to 0.4 s after the cut).

Change: components/shutdown makes one plan from the signal, the grace period and the linger. A request is accepted if the longest that requests of its class took in the last 30 to 60 s (or, unknown, its whole limit) ends within the plan; after the intake only if it ends within the work accepted before, so that the stop takes no longer. Calls made for a request in progress are accepted as long as they end in time. The same check stands before every offer of the entry duty (first, second, hedged), before every start at the home duty (offers and queue) and at the coordinator of a key. Upstreams get no deadline beyond the plan, so that they end the work themselves. An attempt that still waits for a slot at another VM when it could not end in time any more is revoked by a query, and its caller is told that it has not run.

--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -36,7 +36,7 @@
     Routed,
 };
 pub use startup_records::{StartupCount, StartupRecords};
-pub use stop::{stop_interrupts, Unfinished};
+pub use stop::{stop_interrupts, stop_refuses, Unfinished};
 pub use store::{
     declarations_read, halls_evacuated, object_unreadable, platform_called, records_listed,
     store_has_older_version, store_restored, vm_suspended,
--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -56,6 +56,11 @@
     counter!("drumwheel_late_total", "kind" => kind).increment(1);
 }
 
+/// A stopping node refused a caller's request.
+pub fn stop_refused(cause: &'static str) {
+    counter!("drumwheel_stop_refused_total", "cause" => cause).increment(1);
+}
+
 /// A planned stop ended while `duty` waited for an attempt.
 pub fn stop_interrupted(duty: &'static str) {
     counter!("drumwheel_stop_interrupted_total", "duty" => duty).increment(1);
--- a/components/audit/src/stop.rs
+++ b/components/audit/src/stop.rs
@@ -2,7 +2,8 @@
 
 use crate::limit::{allowed, Kind};
 use crate::stats;
-use names::{AttemptId, Name, MILLISECOND};
+use names::{AttemptId, Moment, Name, MILLISECOND};
+use shutdown::{Arrival, Intake, Refused};
 
 /// An attempt that is in progress when a stopping node exits.
 #[derive(Debug, Clone, Copy)]
@@ -37,3 +38,20 @@
         );
     }
 }
+
+/// A stopping node refuses a caller's request.
+pub fn stop_refuses(id: &str, now: Moment, arrival: &Arrival, intake: &Intake, refused: Refused) {
+    stats::stop_refused(refused.as_str());
+    if allowed(Kind::Stop) {
+        let plan = intake.plan();
+        tracing::info!(
+            id,
+            cause = refused.as_str(),
+            since_signal_ms = now.since(plan.signal()) / MILLISECOND,
+            remaining_ms = plan.work_end().since(now) / MILLISECOND,
+            longest_ms = arrival.longest_us.map(|us| us / MILLISECOND),
+            limit_ms = arrival.limit_us / MILLISECOND,
+            "stopping node refuses a request"
+        );
+    }
+}
--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -8,6 +8,7 @@
 mod response;
 mod returned;
 mod serve;
+mod stopping;
 
 pub use admission::run_lease_renewals;
 pub use connection::run;
--- a/components/daemon/src/callers/serve.rs
+++ b/components/daemon/src/callers/serve.rs
@@ -4,6 +4,7 @@
 use super::request::CallerRequest;
 use super::response::{self, Response};
 use super::returned::{self, Try};
+use super::stopping;
 use crate::candidates::{self, ConnectionStates, Selection};
 use crate::containment;
 use crate::entry_driver::{run_call, CallPlan};
@@ -33,9 +34,6 @@
 use std::time::Duration;
 use wire::{RelayOutcome, Request};
 
-/// Retry delay sent to callers of a node that is about to exit, in milliseconds: a restart takes
-/// about this long.
-const CLOSING_RETRY_MS: u64 = 300;
 /// Added to the priority of a request for the calls made by upstreams on its behalf, which ranks
 /// them above all client requests: when such a call is refused, the slot time that its request has
 /// used is lost.
@@ -83,9 +81,6 @@
     mut call: CallerRequest,
     disconnected: impl Future<Output = ()>,
 ) -> RelayOutcome {
-    if node.closing.get() {
-        return closing_outcome(&call);
-    }
     let Some(in_force) = wait_for_revision(node, &call).await else {
         return unconfigured_outcome(&call);
     };
@@ -110,7 +105,11 @@
     let Some(deadline) = deadline(node, &policy_treatment, &call) else {
         return late_outcome(&call);
     };
-    let admitted = match admit(node, &in_force, &mut call, service.open, deadline).await {
+    if let Err(outcome) = stopping::admit(node, &call, &service.name, deadline) {
+        return outcome;
+    }
+    let wait_until = node.entry.borrow().work_deadline(deadline);
+    let admitted = match admit(node, &in_force, &mut call, service.open, wait_until).await {
         Ok(admitted) => admitted,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
@@ -142,8 +141,9 @@
         req,
         key: None,
         deadline,
+        longest_us: node.entry.borrow().longest_us(&service.name),
     };
-    let outcome = run_unkeyed(node, plan, disconnected).await;
+    let outcome = run_unkeyed(node, plan, &service.name, disconnected).await;
     return_unused_token(node, admitted, &outcome);
     outcome
 }
@@ -191,7 +191,11 @@
     let Some(deadline) = deadline(node, policy_treatment, &call) else {
         return late_outcome(&call);
     };
-    let admitted = match admit(node, in_force, &mut call, route.open, deadline).await {
+    if let Err(outcome) = stopping::admit(node, &call, &route.name, deadline) {
+        return outcome;
+    }
+    let wait_until = node.entry.borrow().work_deadline(deadline);
+    let admitted = match admit(node, in_force, &mut call, route.open, wait_until).await {
         Ok(admitted) => admitted,
         Err(refusal) => return RelayOutcome::NotRun(refusal),
     };
@@ -232,7 +236,7 @@
     } else {
         policy_treatment.priority
     };
-    let selection = wait_for_candidates(node, &service, deadline).await;
+    let selection = wait_for_candidates(node, &service, wait_until).await;
     let plan = CallPlan {
         caller_try,
         suspect_order,
@@ -242,13 +246,14 @@
         req,
         key: None,
         deadline,
+        longest_us: node.entry.borrow().longest_us(&route.name),
         price: Price::of(
             crossing_priority,
             route.objective_ms * MILLISECOND,
             is_upstream_call,
         ),
     };
-    let outcome = run_unkeyed(node, plan, disconnected).await;
+    let outcome = run_unkeyed(node, plan, &route.name, disconnected).await;
     return_unused_token(node, admitted, &outcome);
     outcome
 }
@@ -401,14 +406,6 @@
     not_run(Reason::Deadline, PAUSED_RETRY_MS)
 }
 
-/// A node that is about to exit accepts no requests any more; its successor or another node will.
-fn closing_outcome(call: &CallerRequest) -> RelayOutcome {
-    if call.key.is_some() {
-        return RelayOutcome::Unknown(Reason::Leaving);
-    }
-    not_run(Reason::Leaving, CLOSING_RETRY_MS)
-}
-
 /// A node without a configuration can't determine whether an earlier try with the same key ran.
 fn unconfigured_outcome(call: &CallerRequest) -> RelayOutcome {
     if call.key.is_some() {
@@ -493,21 +490,35 @@
     req: Arc<Request>,
     deadline: Moment,
 ) -> RelayOutcome {
-    let deadline = deadline.min(node.now() + MAX_KEY_DEADLINE_US);
+    let began = node.now();
+    let service = req.service.clone();
+    let deadline = deadline.min(began + MAX_KEY_DEADLINE_US);
     let relay = Relay {
-        remaining_us: deadline.since(node.now()),
+        remaining_us: deadline.since(began),
         waited_us: node.paused_for_us(),
         key,
         priority,
         revision: in_force.configuration.head.revision,
         req,
     };
-    relay::run(node, in_force, relay, deadline).await
+    let outcome = relay::run(node, in_force, relay, deadline).await;
+    record_duration(node, &service, began, &outcome);
+    outcome
+}
+
+/// Records how long a successful request of the class took.
+fn record_duration(node: &Node, class: &Name, began: Moment, outcome: &RelayOutcome) {
+    if matches!(outcome, RelayOutcome::Answered(answer) if !answer.is_error()) {
+        let now = node.now();
+        let mut entry = node.entry.borrow_mut();
+        entry.record_duration(now, class, now.since(began));
+    }
 }
 
 async fn run_unkeyed(
     node: &Rc<Node>,
     plan: CallPlan,
+    class: &Name,
     disconnected: impl Future<Output = ()>,
 ) -> RelayOutcome {
     let began = node.now();
@@ -518,13 +529,9 @@
         Some(Outcome::Unknown(reason)) => RelayOutcome::Unknown(reason),
         None => RelayOutcome::Unknown(Reason::Lost),
     };
-    let outcome_name = outcome_name(&outcome);
-    stats::record_latency(
-        Stage::Total,
-        &service,
-        outcome_name,
-        node.now().since(began),
-    );
+    let took_us = node.now().since(began);
+    stats::record_latency(Stage::Total, &service, outcome_name(&outcome), took_us);
+    record_duration(node, class, began, &outcome);
     outcome
 }
 
--- a/components/daemon/src/coordinator.rs
+++ b/components/daemon/src/coordinator.rs
@@ -241,6 +241,7 @@
             req: self.relay.req.clone(),
             key: Some(self.key),
             deadline: self.deadline,
+            longest_us: node.entry.borrow().longest_us(&self.relay.req.service),
             price: Price::of(self.relay.priority, 0, true),
         };
         let result = run_call(node, plan, pending()).await;
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -14,6 +14,7 @@
 use keys::KeyHash;
 use names::{AttemptId, Moment, Name};
 use quarantine::Verdict;
+use shutdown::{need_us, Plan};
 use std::future::Future;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -61,6 +62,8 @@
     pub key: Option<KeyHash>,
     /// The caller's deadline.
     pub deadline: Moment,
+    /// The longest that such requests have taken recently, in microseconds.
+    pub longest_us: Option<u64>,
     /// The caller's try; set if its objective counts from its first try.
     pub caller_try: Option<Try>,
     /// Prices for the selection of an upstream.
@@ -85,6 +88,7 @@
         plan.candidates,
     )
     .with_price(price)
+    .with_longest(plan.longest_us)
     .with_reserve(plan.reserve);
     let call = match plan.suspect_order {
         Some(order) => call.with_suspect_order(order),
@@ -203,8 +207,11 @@
         suspicion: Suspicion,
     ) {
         let node = self.node;
-        let remaining_us = self.call.deadline().since(node.now());
-        let view = node.entry.borrow().view(&to);
+        let now = node.now();
+        let entry = node.entry.borrow();
+        let remaining_us = entry.work_deadline(self.call.deadline()).since(now);
+        let view = entry.view(&to);
+        drop(entry);
         let offer = Offer {
             id,
             service: self.req.service.clone(),
@@ -232,8 +239,11 @@
         let waiter = Waiter {
             tx: self.tx.clone(),
             vm: to.clone(),
-            offered_at: node.now(),
+            offered_at: now,
             service: self.req.service.clone(),
+            deadline: self.call.deadline(),
+            longest_us: self.call.longest_us(),
+            is_fenced: false,
             sent_to_boot: local.then_some(node.boot),
         };
         node.waiters.borrow_mut().insert(id, waiter);
@@ -278,6 +288,28 @@
     }
 }
 
+/// Revokes the attempts at other nodes that have not started and could not end before the planned
+/// stop any more. Their callers can be told at once that the request has not run.
+pub fn revoke_unfinishable(node: &Rc<Node>, plan: &Plan) {
+    let now = node.now();
+    let mut due = Vec::new();
+    for (id, waiter) in node.waiters.borrow_mut().iter_mut() {
+        let need_us = need_us(waiter.longest_us, waiter.deadline.since(now));
+        if waiter.is_fenced || waiter.vm == node.cfg.vm || plan.fits(now, need_us) {
+            continue;
+        }
+        waiter.is_fenced = true;
+        due.push((*id, waiter.vm.clone(), waiter.sent_to_boot.is_some()));
+    }
+    for (id, vm, is_sent) in due {
+        if is_sent {
+            links::query(node, &vm, id);
+        } else if links::withdraw(node, id) {
+            deliver(node, id, Event::NotSent(id));
+        }
+    }
+}
+
 /// Applies the upstream state reported with an answer or a refusal.
 pub fn on_load_report(node: &Rc<Node>, vm: &Name, load: Load) {
     let now = node.now();
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -48,8 +48,10 @@
     reply: Reply,
 ) {
     let now = node.now();
+    let deadline = now + offer.remaining_us;
     let offer = Offer {
         account: fair_share_account(node, &req),
+        remaining_us: node.entry.borrow().work_deadline(deadline).since(now),
         ..offer
     };
     if let Some(refusal) = containment::early_refusal(node, &offer, &req) {
--- a/components/daemon/src/jobs.rs
+++ b/components/daemon/src/jobs.rs
@@ -73,6 +73,12 @@
     pub offered_at: Moment,
     /// The requested service.
     pub service: Name,
+    /// The caller's deadline.
+    pub deadline: Moment,
+    /// The longest that such requests have taken recently, in microseconds.
+    pub longest_us: Option<u64>,
+    /// Whether the home duty was asked to revoke it unless it has started.
+    pub is_fenced: bool,
     /// Boot of the home node; set once any byte of the offer may have left this node.
     pub sent_to_boot: Option<BootId>,
 }
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -27,6 +27,7 @@
 use returning::CallerRetries;
 use rollout::{Fetch, InForce, Rollout, Summary};
 use settings::Settings;
+use shutdown::{Intake, Plan};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -152,8 +153,8 @@
     pub platform_state: RefCell<PlatformState>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
-    /// Whether a planned stop has reached the phase in which callers are refused.
-    pub closing: Cell<bool>,
+    /// Which requests of callers are accepted, once a planned stop has begun.
+    pub intake: RefCell<Option<Intake>>,
     /// Whether a planned stop has reached the phase in which the upstream gets no new work.
     pub drained_by_stop: Cell<bool>,
     /// Whether an operator has drained the upstream.
@@ -230,7 +231,7 @@
             splits: RefCell::default(),
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
-            closing: Cell::new(false),
+            intake: RefCell::default(),
             drained_by_stop: Cell::new(false),
             drained_by_operator: Cell::new(false),
             drained_by_upstream: Cell::new(false),
@@ -254,6 +255,20 @@
         self.clock.now()
     }
 
+    /// Begins a planned stop: from now on all duties follow its plan.
+    pub fn begin_shutdown(&self, plan: Plan) {
+        self.stopping.set(true);
+        *self.intake.borrow_mut() = Some(Intake::new(plan));
+        self.entry.borrow_mut().begin_shutdown(plan);
+    }
+
+    /// Refuses callers' requests from now on.
+    pub fn close_intake(&self) {
+        if let Some(intake) = self.intake.borrow_mut().as_mut() {
+            intake.close();
+        }
+    }
+
     /// Whether the process seems to have been paused and no tick has run since.
     pub fn was_paused(&self) -> bool {
         self.now().since(self.last_tick.get()) > PAUSE_US
--- a/components/daemon/src/relay.rs
+++ b/components/daemon/src/relay.rs
@@ -9,6 +9,7 @@
 use keys::ranked;
 use names::{AttemptId, Moment, Name};
 use rollout::InForce;
+use shutdown::need_us;
 use std::rc::Rc;
 use std::sync::Arc;
 use wire::{Frame, RelayOutcome, Request};
@@ -53,7 +54,8 @@
 ) -> RelayOutcome {
     let mut reason = Reason::NoUpstream;
     for coordinator in ranking(in_force, &relay) {
-        relay.remaining_us = deadline.since(node.now());
+        let work_deadline = node.entry.borrow().work_deadline(deadline);
+        relay.remaining_us = work_deadline.since(node.now());
         let result = if coordinator == node.cfg.vm {
             RelayResult::Outcome(coordinator::coordinate(node, relay.clone()).await)
         } else {
@@ -88,12 +90,22 @@
     let node = node.clone();
     node.open_calls.set(node.open_calls.get() + 1);
     local::spawn(async move {
-        let outcome = coordinator::coordinate(&node, relay).await;
+        let outcome = match ends_before_stop(&node, &relay) {
+            true => coordinator::coordinate(&node, relay).await,
+            false => RelayOutcome::Unknown(Reason::Leaving),
+        };
         reply.send(&node, Frame::Relayed { id, outcome });
         node.open_calls.set(node.open_calls.get() - 1);
     });
 }
 
+/// Whether the request ends before a planned stop of this node does.
+fn ends_before_stop(node: &Node, relay: &Relay) -> bool {
+    let entry = node.entry.borrow();
+    let longest_us = entry.longest_us(&relay.req.service);
+    entry.may_offer(node.now(), need_us(longest_us, relay.remaining_us))
+}
+
 /// Handles the result of a relay.
 pub fn on_relayed(node: &Rc<Node>, id: AttemptId, result: RelayResult) {
     let delivered = node
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -1,22 +1,21 @@
 //! Planned stop of a node.
 
 use crate::boot_record;
+use crate::entry_driver;
 use crate::home_driver;
 use crate::node::Node;
 use crate::registration;
 use async_std::prelude::*;
 use async_std::task;
 use audit::Unfinished;
+use futures_util::future::join;
+use names::{Moment, MILLISECOND};
+use shutdown::{Limits, Plan};
 use signal_hook::consts::signal::{SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// After the upstream gets no new work, callers' connections are kept open for this long; each
-/// answer asks to close.
-const CLOSE_GRACE: Duration = Duration::from_millis(1_000);
-/// Fraction of the maximum duration of a stop that is reserved for its last steps.
-const CLEANUP_FRACTION: f64 = 0.1;
 /// Interval of checks for whether all requests have ended.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout for removing this node's record from the platform. Other nodes tolerate a record that is
@@ -30,52 +29,103 @@
     Signals::new([SIGTERM, SIGINT])
 }
 
-/// Waits for a stop signal and then ends the node's work. Returns when the process may exit.
+/// Waits for a stop signal and then ends the node's work. Returns when the process may exit. Further
+/// signals change nothing.
 pub async fn run(node: Rc<Node>, mut signals: Signals) {
     signals.next().await;
     stop(&node).await;
 }
 
 async fn stop(node: &Rc<Node>) {
-    let limit_ms = node.live.borrow().stop_wait_ms;
-    let limit = Duration::from_millis(limit_ms).mul_f64(1.0 - CLEANUP_FRACTION);
-    let linger = Duration::from_millis(node.cfg.linger_ms);
+    let plan = begin(node);
+    wait_until(node, plan.drain()).await;
+    drain(node);
+    wait_until(node, plan.intake_end()).await;
     tracing::info!(
-        ?linger,
-        ?limit,
+        open = node.open_calls.get(),
+        "requests that would prolong the stop are refused"
+    );
+    wait_for(node, &plan, is_idle, plan.cleanup()).await;
+    node.close_intake();
+    // The last steps fit into the grace period also when work is still in progress.
+    let (_, is_complete) = join(clean_up(node), wait_for(node, &plan, is_idle, plan.exit())).await;
+    if is_complete {
+        tracing::info!("planned stop complete");
+    } else {
+        log_unfinished(node);
+        let left = node.open_calls.get();
+        tracing::warn!(left, "planned stop timed out with work in progress");
+    }
+}
+
+/// Makes the plan of the stop from the settings in force.
+fn begin(node: &Rc<Node>) -> Plan {
+    let now = node.now();
+    let limits = {
+        let live = node.live.borrow();
+        Limits {
+            grace_us: live.stop_wait_ms * MILLISECOND,
+            linger_us: node.cfg.linger_ms * MILLISECOND,
+        }
+    };
+    let plan = Plan::new(now, limits);
+    node.begin_shutdown(plan);
+    home_driver::with_home(node, |home| home.begin_shutdown(now, plan));
+    tracing::info!(
+        grace_ms = limits.grace_us / MILLISECOND,
+        linger_ms = limits.linger_us / MILLISECOND,
+        work_ms = plan.work_end().since(now) / MILLISECOND,
         open = node.open_calls.get(),
         "planned stop started"
     );
-    let started = node.now();
-    node.stopping.set(true);
-    task::sleep(linger).await;
+    plan
+}
+
+/// Gives the upstream no new work from now on.
+fn drain(node: &Rc<Node>) {
     node.drained_by_stop.set(true);
     home_driver::update_drain_state(node);
     if let Some(registration) = &node.registration {
         registration::publish(node, registration);
     }
-    task::sleep(CLOSE_GRACE).await;
-    // Callers that still send requests on open connections would keep the stop from ending.
-    node.closing.set(true);
-    tracing::info!(
-        open = node.open_calls.get(),
-        "no further requests are accepted"
-    );
-    let deadline = started + limit.as_micros() as u64;
-    while !is_idle(node) && node.now() < deadline {
+}
+
+async fn wait_until(node: &Node, moment: Moment) {
+    task::sleep(node.clock.time_until(moment)).await;
+}
+
+/// Waits until `is_done`, until `deadline` at the latest. Returns whether it is.
+async fn wait_for(
+    node: &Rc<Node>,
+    plan: &Plan,
+    is_done: fn(&Node) -> bool,
+    deadline: Moment,
+) -> bool {
+    while !is_done(node) {
+        if node.now() >= deadline {
+            return false;
+        }
+        entry_driver::revoke_unfinishable(node, plan);
         task::sleep(IDLE_CHECK_INTERVAL).await;
     }
-    let left = node.open_calls.get();
-    let idle = is_idle(node);
+    true
+}
+
+/// The last steps of the stop: removes this node's record from the platform, or saves the
+/// idempotency keys for its successor.
+async fn clean_up(node: &Rc<Node>) {
     match &node.registration {
         Some(registration) => registration::withdraw(node, registration, WITHDRAW_TIMEOUT).await,
         None => save_keys_in_time(node).await,
     }
-    if idle {
-        tracing::info!("planned stop complete");
-    } else {
-        log_unfinished(node);
-        tracing::warn!(left, "planned stop timed out with work in progress");
+}
+
+async fn save_keys_in_time(node: &Rc<Node>) {
+    let result = async_std::future::timeout(SAVE_KEYS_TIMEOUT, boot_record::save_keys(node)).await;
+    match result {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => tracing::warn!(%error, "the idempotency keys were not saved"),
+        Err(_) => tracing::warn!("saving the idempotency keys timed out"),
     }
 }
 
@@ -104,20 +154,12 @@
     }
 }
 
-async fn save_keys_in_time(node: &Rc<Node>) {
-    let result = async_std::future::timeout(SAVE_KEYS_TIMEOUT, boot_record::save_keys(node)).await;
-    match result {
-        Ok(Ok(())) => {}
-        Ok(Err(error)) => tracing::warn!(%error, "the idempotency keys were not saved"),
-        Err(_) => tracing::warn!("saving the idempotency keys timed out"),
-    }
+/// Whether no request is in progress.
+fn is_idle(node: &Node) -> bool {
+    is_home_idle(node) && node.open_calls.get() == 0
 }
 
-fn is_idle(node: &Rc<Node>) -> bool {
-    let home_idle = node
-        .home
-        .borrow()
-        .as_ref()
-        .is_none_or(|home| home.is_idle());
-    home_idle && node.open_calls.get() == 0
+fn is_home_idle(node: &Node) -> bool {
+    let home = node.home.borrow();
+    home.as_ref().is_none_or(|home| home.is_idle())
 }
--- a/components/entry/src/call.rs
+++ b/components/entry/src/call.rs
@@ -62,6 +62,8 @@
     has_certain_refusal: bool,
     late_events: u64,
     price: Price,
+    /// The longest that such requests have taken recently, in microseconds.
+    longest_us: Option<u64>,
     /// VMs at which the request may run after an upstream has terminated while running it.
     suspect: Option<Suspect>,
     suspicion: Suspicion,
@@ -104,6 +106,7 @@
             has_certain_refusal: false,
             late_events: 0,
             price: Price::default(),
+            longest_us: None,
             suspect: None,
             suspicion: Suspicion::None,
             offered_at: Moment(0),
@@ -119,6 +122,13 @@
         self
     }
 
+    /// Sets the longest that such requests have taken recently, in microseconds; none if that is
+    /// unknown. A stopping node makes no offer that may take longer than it has left.
+    pub fn with_longest(mut self, longest_us: Option<u64>) -> Call<A> {
+        self.longest_us = longest_us;
+        self
+    }
+
     /// Sets the upstreams without an open connection. An offer to one of them waits for the
     /// connection.
     pub fn with_reserve(mut self, reserve: Vec<Candidate>) -> Call<A> {
@@ -159,6 +169,16 @@
         self.deadline
     }
 
+    /// The longest that such requests have taken recently, in microseconds; none if that is unknown.
+    pub fn longest_us(&self) -> Option<u64> {
+        self.longest_us
+    }
+
+    /// The time that the request may need from now on, in microseconds.
+    pub fn need_us(&self, now: Moment) -> u64 {
+        shutdown::need_us(self.longest_us, self.deadline.since(now))
+    }
+
     /// Handles an event and returns the actions to carry out.
     pub fn step(&mut self, now: Moment, event: Event<A>, entry: &mut Entry) -> Vec<Action<A>> {
         if self.is_done() {
@@ -201,6 +221,9 @@
         if now >= self.deadline {
             return self.give_up(Reason::Deadline, entry);
         }
+        if !entry.may_offer(now, self.need_us(now)) {
+            return self.give_up(Reason::Leaving, entry);
+        }
         if self.offers >= MAX_OFFERS || self.queue_offers >= MAX_QUEUE_OFFERS {
             return self.give_up(Reason::Busy, entry);
         }
@@ -465,6 +488,7 @@
         }
         let retry_after_ms = match reason {
             Reason::Busy => BUSY_RETRY_AFTER_MS,
+            Reason::Leaving => shutdown::RETRY_AFTER_MS,
             _ => DEFAULT_RETRY_AFTER_MS,
         };
         let refusal = self.last_refusal.unwrap_or(Refusal {
--- a/components/entry/src/call/hedge.rs
+++ b/components/entry/src/call/hedge.rs
@@ -121,7 +121,7 @@
             hedged: None,
             to: None,
             since_offer_us: now.since(self.offered_at),
-            remaining_us: self.deadline.since(now),
+            remaining_us: entry.work_deadline(self.deadline).since(now),
             expected_us: None,
             load_age_us: None,
             since_busy_us: entry.since_busy_us(now, &self.service),
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -9,6 +9,7 @@
 use notices::RequestRate;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use shutdown::{Durations, Plan};
 use std::collections::{HashMap, HashSet};
 
 /// How long an upstream with an unresponsive node is avoided, in microseconds.
@@ -26,6 +27,10 @@
     dependencies: HashSet<Name>,
     shortage: Shortage,
     retry_config: RetryBudgetConfig,
+    /// Durations of answered requests, by class.
+    durations: Durations<Name>,
+    /// The planned stop of this node, once it has begun.
+    shutdown: Option<Plan>,
     rng: SmallRng,
 }
 
@@ -42,6 +47,8 @@
             dependencies: HashSet::new(),
             shortage: Shortage::default(),
             retry_config: RetryBudgetConfig::default(),
+            durations: Durations::default(),
+            shutdown: None,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -50,6 +57,33 @@
         self.rule
     }
 
+    /// Begins the planned stop of this node: offers are made only while the request can end in
+    /// time.
+    pub fn begin_shutdown(&mut self, plan: Plan) {
+        self.shutdown = Some(plan);
+    }
+
+    /// Records how long an answered request of the class took, in microseconds.
+    pub fn record_duration(&mut self, now: Moment, class: &Name, us: u64) {
+        self.durations.record(now, class, us);
+    }
+
+    /// The longest that requests of the class have taken recently, in microseconds; none if that is
+    /// unknown.
+    pub fn longest_us(&self, class: &Name) -> Option<u64> {
+        self.durations.longest_us(class)
+    }
+
+    /// The deadline for the upstream of a request whose caller waits until `deadline`.
+    pub fn work_deadline(&self, deadline: Moment) -> Moment {
+        self.shutdown.map_or(deadline, |plan| plan.limit(deadline))
+    }
+
+    /// Whether a request that may need `need_us` may be offered now.
+    pub fn may_offer(&self, now: Moment, need_us: u64) -> bool {
+        self.shutdown.is_none_or(|plan| plan.fits(now, need_us))
+    }
+
     /// Applies a load report of the upstream's home duty.
     pub fn on_report(&mut self, now: Moment, vm: &Name, load: Load) {
         let view = self.view_mut(vm);
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -20,6 +20,7 @@
 use notices::{RateNotice, RequestRate};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use shutdown::{Durations, Plan};
 use std::collections::HashMap;
 
 /// Maximum number of queued attempts per slot.
@@ -40,6 +41,10 @@
     queue: Queue,
     records: Records<A>,
     leaving: bool,
+    /// The planned stop of this node, once it has begun.
+    shutdown: Option<Plan>,
+    /// Durations of successful runs, by class.
+    durations: Durations<Class>,
     slowdown: Slowdown,
     stragglers: Stragglers,
     cold_limiter: ColdLimiter,
@@ -65,6 +70,8 @@
             running: HashMap::new(),
             queue: Queue::default(),
             leaving: false,
+            shutdown: None,
+            durations: Durations::default(),
             slowdown: Slowdown::default(),
             stragglers: Stragglers::default(),
             cold_limiter: ColdLimiter::default(),
@@ -149,6 +156,7 @@
             let percent = attempt.state().slow_percent;
             self.slowdown
                 .record_run(attempt.class(), service_us, percent);
+            self.durations.record(now, &attempt.class(), service_us);
         }
         self.stragglers
             .ended(&attempt, service_us, verdict, &self.slowdown);
@@ -183,6 +191,7 @@
         let mut actions = Vec::new();
         self.records.tick(now);
         self.refuse_expired(now, &mut actions);
+        self.revoke_unfinishable(now, &mut actions);
         self.revoke_if_slow(now, &mut actions);
         self.dispatch(now, &mut actions);
         actions.extend(self.report_stragglers(now));
@@ -209,6 +218,14 @@
         Some((now.since(attempt.state().at), typical_us))
     }
 
+    /// Begins the planned stop of this node: attempts start only while they can end in time.
+    pub fn begin_shutdown(&mut self, now: Moment, plan: Plan) -> Vec<Action> {
+        self.shutdown = Some(plan);
+        let mut actions = Vec::new();
+        self.revoke_unfinishable(now, &mut actions);
+        actions
+    }
+
     /// Refuses new offers and revokes the queue. Running attempts continue.
     pub fn start_drain(&mut self, now: Moment) -> Vec<Action> {
         self.leaving = true;
@@ -290,6 +307,7 @@
     /// free before the next one.
     fn dispatch(&mut self, now: Moment, actions: &mut Vec<Action>) {
         self.refuse_past_deadline(now, actions);
+        self.revoke_unfinishable(now, actions);
         self.start_queued(now, actions);
         self.refuse_expired(now, actions);
     }
@@ -385,6 +403,31 @@
         }
     }
 
+    /// Whether a run of this class that begins now ends before the planned stop does. `limit_us` is
+    /// the time until its deadline.
+    fn ends_before_stop(&self, now: Moment, class: Class, limit_us: u64) -> bool {
+        let Some(plan) = self.shutdown else {
+            return true;
+        };
+        let longest_us = self.durations.longest_us(&class);
+        plan.fits(now, shutdown::need_us(longest_us, limit_us))
+    }
+
+    /// Revokes queued attempts that can't end before the planned stop does.
+    fn revoke_unfinishable(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        if self.shutdown.is_none() || self.queue.is_empty() {
+            return;
+        }
+        let unfinishable = self.queue.ids_where(|attempt| {
+            let limit_us = attempt.deadline().since(now);
+            !self.ends_before_stop(now, attempt.class(), limit_us)
+        });
+        for id in unfinishable {
+            self.revoke(now, id);
+            actions.push(Action::Revoke(id));
+        }
+    }
+
     fn revoke_all(&mut self, now: Moment, actions: &mut Vec<Action>) {
         for id in self.queue.ids() {
             self.revoke(now, id);
@@ -465,6 +508,7 @@
         self.concurrency_limit = ConcurrencyLimit::new(self.cfg.slots);
         self.slowdown = Slowdown::default();
         self.stragglers.forget_run_times();
+        self.durations.clear();
         self.cold_limiter.replaced(prior_starts);
         self.request_limit
             .replaced(prior_starts == PriorStarts::SameIdentity);
--- a/components/home/src/duty/admission.rs
+++ b/components/home/src/duty/admission.rs
@@ -96,6 +96,13 @@
         if offer.remaining_us == 0 {
             return Some(Reason::Deadline);
         }
+        let class = Class {
+            level: offer.level,
+            repeatable: offer.repeatable,
+        };
+        if !self.ends_before_stop(now, class, offer.remaining_us) {
+            return Some(Reason::Leaving);
+        }
         let down_since = self.down_since?;
         let may_retry = now.since(down_since) >= DOWN_RETRY_INTERVAL_US && self.running.is_empty();
         (!may_retry).then_some(Reason::Down)
--- a/components/home/src/queue.rs
+++ b/components/home/src/queue.rs
@@ -226,7 +226,8 @@
         self.ids_where(|attempt| attempt.deadline() <= now)
     }
 
-    fn ids_where(&self, predicate: impl Fn(&Attempt<Queued>) -> bool) -> Vec<AttemptId> {
+    /// The attempts that satisfy the predicate.
+    pub(crate) fn ids_where(&self, predicate: impl Fn(&Attempt<Queued>) -> bool) -> Vec<AttemptId> {
         let found = self.attempts().filter(|attempt| predicate(attempt));
         found.map(|attempt| attempt.id()).collect()
     }
