Planned stop: read the settings again before the plan is made

What callers saw: a grace period that was shortened just before a stop was not in force; the node stopped by the old one, and was killed while it still had work. linger was fixed at the start of the process.

Cause: the settings file is polled once a second and SIGHUP only marks the next poll, so a SIGTERM in that second met the old values; linger_ms was not among the settings that can change.

Change: the stop reads the file once before it makes its plan, and linger is reloaded like the grace period. The reader of the file is a type of its own, shared by the poll and the stop.

--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -42,6 +42,7 @@
 use platform::Adapter;
 use ready::Readiness;
 use registration::Registration;
+use reload::Reloader;
 use settings::Settings;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -73,9 +74,10 @@
         spawn_duties(&node, callers, peers, rx);
         let reloaded = node.clone();
         let on_change = move || reloaded.fleet_changed();
-        local::spawn(reload::run(node.live.clone(), source, on_change));
+        let reloader = Rc::new(Reloader::new(node.live.clone(), source));
+        local::spawn(reload::run(reloader.clone(), on_change));
         local::spawn(served);
-        stop::run(node, signals).await;
+        stop::run(node, signals, &reloader).await;
         Ok(())
     })
 }
--- a/components/daemon/src/reload.rs
+++ b/components/daemon/src/reload.rs
@@ -35,6 +35,9 @@
     pub retries: RetryLimit,
     /// Time limit of a planned stop, in milliseconds.
     pub stop_wait_ms: u64,
+    /// Time during a planned stop for which the upstream still receives new requests, in
+    /// milliseconds.
+    pub linger_ms: u64,
 }
 
 impl Live {
@@ -45,37 +48,62 @@
             upstream: cfg.upstream,
             retries: cfg.retries,
             stop_wait_ms: cfg.stop_wait_ms,
+            linger_ms: cfg.linger_ms,
         }
     }
 }
 
-/// Polls the file for as long as the node runs: updates `live` from it, and calls `changed` when
-/// the values have changed and after each SIGHUP.
-pub async fn run(live: Rc<RefCell<Live>>, source: Source, changed: impl Fn()) {
-    let requested = Rc::new(RefCell::new(false));
-    local::spawn(watch_signal(requested.clone()));
-    let mut last_problems = String::new();
-    loop {
-        task::sleep(POLL_INTERVAL).await;
-        let by_signal = requested.replace(false);
-        match source() {
+/// Reads the settings file and updates [`Live`] from it.
+pub struct Reloader {
+    live: Rc<RefCell<Live>>,
+    source: Source,
+    /// The problems at the last read, which are logged once.
+    last_problems: RefCell<String>,
+}
+
+impl Reloader {
+    /// Updates `live` from `source`.
+    pub fn new(live: Rc<RefCell<Live>>, source: Source) -> Reloader {
+        Reloader {
+            live,
+            source,
+            last_problems: RefCell::default(),
+        }
+    }
+
+    /// Reads the file now. Returns whether state that is derived from the settings has to be
+    /// updated: when the values have changed, and if the read was requested by a signal.
+    pub fn reload(&self, by_signal: bool) -> bool {
+        match (self.source)() {
             Ok(cfg) => {
-                last_problems.clear();
-                if apply(&live, &cfg, by_signal) {
-                    changed();
-                }
+                self.last_problems.take();
+                apply(&self.live, &cfg, by_signal)
             }
             Err(problems) => {
                 let problems = problems.to_string();
+                let last_problems = self.last_problems.replace(problems.clone());
                 if by_signal || problems != last_problems {
                     tracing::warn!(%problems, "invalid settings file; the previous settings stay in force");
                 }
-                last_problems = problems;
+                false
             }
         }
     }
 }
 
+/// Polls the file for as long as the node runs, and calls `changed` when the values have changed and
+/// after each SIGHUP.
+pub async fn run(reloader: Rc<Reloader>, changed: impl Fn()) {
+    let requested = Rc::new(RefCell::new(false));
+    local::spawn(watch_signal(requested.clone()));
+    loop {
+        task::sleep(POLL_INTERVAL).await;
+        if reloader.reload(requested.replace(false)) {
+            changed();
+        }
+    }
+}
+
 /// Returns whether state that is derived from the settings has to be updated.
 fn apply(live: &RefCell<Live>, cfg: &Settings, by_signal: bool) -> bool {
     let next = Live::from_settings(cfg);
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -5,6 +5,7 @@
 use crate::home_driver;
 use crate::node::Node;
 use crate::registration;
+use crate::reload::Reloader;
 use async_std::prelude::*;
 use async_std::task;
 use audit::Unfinished;
@@ -31,8 +32,10 @@
 
 /// Waits for a stop signal and then ends the node's work. Returns when the process may exit. Further
 /// signals change nothing.
-pub async fn run(node: Rc<Node>, mut signals: Signals) {
+pub async fn run(node: Rc<Node>, mut signals: Signals, reloader: &Reloader) {
     signals.next().await;
+    // The settings may have changed since they were read last.
+    reloader.reload(false);
     stop(&node).await;
 }
 
@@ -65,7 +68,7 @@
         let live = node.live.borrow();
         Limits {
             grace_us: live.stop_wait_ms * MILLISECOND,
-            linger_us: node.cfg.linger_ms * MILLISECOND,
+            linger_us: live.linger_ms * MILLISECOND,
         }
     };
     let plan = Plan::new(now, limits);
