Planned stop: refuse a request whose body does not arrive instead of waiting for it

What callers saw: a request whose head had been read and whose body had not arrived kept a stopping node from exiting until nine tenths of the grace period; then its connection was closed without an answer.

Cause: such a request counted as accepted work, although nothing had been decided about it, and the reader of its body did not follow the stop.

Change: a request is accepted once its body has arrived. Those that are incomplete when no accepted work is left, or when the last steps begin, are answered 503 (not run) at once, and the node exits.

--- a/components/daemon/src/callers/reading.rs
+++ b/components/daemon/src/callers/reading.rs
@@ -5,6 +5,7 @@
 use super::request::{self, BadRequest, CallerRequest, Limits};
 use super::response;
 use super::serve;
+use super::stopping;
 use crate::local;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
@@ -55,6 +56,24 @@
     }
 }
 
+/// Guard that counts a request as incomplete until its body has arrived.
+struct IncompleteRequest(Rc<Node>);
+
+impl IncompleteRequest {
+    fn new(node: Rc<Node>) -> IncompleteRequest {
+        node.incomplete_requests
+            .set(node.incomplete_requests.get() + 1);
+        IncompleteRequest(node)
+    }
+}
+
+impl Drop for IncompleteRequest {
+    fn drop(&mut self) {
+        let count = self.0.incomplete_requests.get();
+        self.0.incomplete_requests.set(count - 1);
+    }
+}
+
 /// Why no further request is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadEnd {
@@ -109,23 +128,27 @@
         let open = OpenCall::new(node.clone());
         let method = head.method.clone();
         let is_last = request::has_token(&head.headers, "connection", "close");
-        match self.read_request(head, limits).await {
-            Ok(call) => self.serve(call, method, is_last, open).await,
-            Err(bad) => {
+        let incomplete = IncompleteRequest::new(node.clone());
+        let read = self.read_request_while_open(head, limits).await;
+        drop(incomplete);
+        let res = match read {
+            Some(Ok(call)) => return self.serve(call, method, is_last, open).await,
+            Some(Err(bad)) => {
                 stats::bad_input("caller");
-                let (tx, answer) = async_channel::bounded(1);
-                let res = response::bad_request(&bad);
-                tx.try_send(BufferedAnswer::new(self.usage.clone(), res))
-                    .ok();
-                self.push_slot(ResponseSlot::Request {
-                    method,
-                    is_last: true,
-                    answer,
-                    open,
-                })?;
-                Err(ReadEnd::Finished)
+                response::bad_request(&bad)
             }
-        }
+            None => response::for_outcome(&node.cfg.headers, stopping::not_run()),
+        };
+        let (tx, answer) = async_channel::bounded(1);
+        tx.try_send(BufferedAnswer::new(self.usage.clone(), res))
+            .ok();
+        self.push_slot(ResponseSlot::Request {
+            method,
+            is_last: true,
+            answer,
+            open,
+        })?;
+        Err(ReadEnd::Finished)
     }
 
     /// Waits for the first bytes of a request.
@@ -171,6 +194,22 @@
         Err(ReadEnd::Finished)
     }
 
+    /// Reads the rest of a request; none if its body has not arrived when this node, which is
+    /// stopping, accepts no more requests.
+    async fn read_request_while_open(
+        &mut self,
+        head: RequestHead,
+        limits: Limits,
+    ) -> Option<Result<CallerRequest, BadRequest>> {
+        let node = self.node.clone();
+        let reading = pin!(self.read_request(head, limits));
+        let intake_closed = pin!(node.wait_for_intake_close());
+        match select(reading, intake_closed).await {
+            Either::Left((read, _)) => Some(read),
+            Either::Right(_) => None,
+        }
+    }
+
     async fn read_request(
         &mut self,
         head: RequestHead,
--- a/components/daemon/src/callers/stopping.rs
+++ b/components/daemon/src/callers/stopping.rs
@@ -40,7 +40,7 @@
 }
 
 /// The outcome of a request that was refused because this node is stopping.
-fn not_run() -> RelayOutcome {
+pub fn not_run() -> RelayOutcome {
     RelayOutcome::NotRun(Refusal {
         reason: Reason::Leaving,
         retry_after_ms: shutdown::RETRY_AFTER_MS,
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -33,6 +33,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use upstream::Pool;
 use watch::{FirstRead, Timing, WaitingCallers, Watch};
 use wire::{Answer, RelayOutcome};
@@ -70,6 +71,9 @@
 /// Separates the id of a request from the suffix in the ids of calls made on its behalf.
 const CHILD_SEPARATOR: char = '.';
 
+/// Interval of checks for the end of the intake, besides the wake-up.
+const INTAKE_CHECK_INTERVAL: Duration = Duration::from_secs(60);
+
 /// The state that the tasks of a node share. One thread runs them all, so no lock is needed. A
 /// borrow is never held across an `await`.
 pub struct Node {
@@ -155,6 +159,8 @@
     pub stopping: Cell<bool>,
     /// Which requests of callers are accepted, once a planned stop has begun.
     pub intake: RefCell<Option<Intake>>,
+    /// Wakes tasks that wait for the end of the intake.
+    pub intake_closed: Wakeup,
     /// Whether a planned stop has reached the phase in which the upstream gets no new work.
     pub drained_by_stop: Cell<bool>,
     /// Whether an operator has drained the upstream.
@@ -169,6 +175,8 @@
     pub checking_pause: Cell<bool>,
     /// Callers' requests and relays in progress.
     pub open_calls: Cell<usize>,
+    /// Those of them whose body has not arrived yet.
+    pub incomplete_requests: Cell<usize>,
     /// Open connections of callers.
     pub caller_connections: Cell<usize>,
     /// Connections of peers that have not authenticated themselves.
@@ -232,6 +240,7 @@
             platform_state: RefCell::default(),
             stopping: Cell::new(false),
             intake: RefCell::default(),
+            intake_closed: Wakeup::default(),
             drained_by_stop: Cell::new(false),
             drained_by_operator: Cell::new(false),
             drained_by_upstream: Cell::new(false),
@@ -239,6 +248,7 @@
             unclean_until: Cell::new(Moment(0)),
             checking_pause: Cell::new(false),
             open_calls: Cell::new(0),
+            incomplete_requests: Cell::new(0),
             caller_connections: Cell::new(0),
             unauthenticated_peers: Cell::new(0),
             live: Rc::new(RefCell::new(Live::from_settings(&cfg))),
@@ -262,11 +272,20 @@
         self.entry.borrow_mut().begin_shutdown(plan);
     }
 
-    /// Refuses callers' requests from now on.
+    /// Refuses callers' requests from now on, also those whose body is still arriving.
     pub fn close_intake(&self) {
         if let Some(intake) = self.intake.borrow_mut().as_mut() {
             intake.close();
         }
+        self.intake_closed.wake();
+    }
+
+    /// Waits until [`Node::close_intake`].
+    pub async fn wait_for_intake_close(&self) {
+        let is_closed = || self.intake.borrow().as_ref().is_some_and(Intake::is_closed);
+        while !is_closed() {
+            self.intake_closed.wait(INTAKE_CHECK_INTERVAL).await;
+        }
     }
 
     /// Whether the process seems to have been paused and no tick has run since.
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -48,7 +48,7 @@
         open = node.open_calls.get(),
         "requests that would prolong the stop are refused"
     );
-    wait_for(node, &plan, is_idle, plan.cleanup()).await;
+    wait_for(node, &plan, has_no_work, plan.cleanup()).await;
     node.close_intake();
     // The last steps fit into the grace period also when work is still in progress.
     let (_, is_complete) = join(clean_up(node), wait_for(node, &plan, is_idle, plan.exit())).await;
@@ -157,6 +157,12 @@
     }
 }
 
+/// Whether no accepted work is in progress. Requests whose body is still arriving are not accepted
+/// yet.
+fn has_no_work(node: &Node) -> bool {
+    is_home_idle(node) && node.open_calls.get() == node.incomplete_requests.get()
+}
+
 /// Whether no request is in progress.
 fn is_idle(node: &Node) -> bool {
     is_home_idle(node) && node.open_calls.get() == 0
--- a/components/shutdown/src/intake.rs
+++ b/components/shutdown/src/intake.rs
@@ -98,4 +98,9 @@
     pub fn close(&mut self) {
         self.is_closed = true;
     }
+
+    /// Whether callers' requests are refused in any case.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed
+    }
 }
