Planned stop: the last steps end within the grace period

What callers saw: on a platform that answers slowly, a node whose platform lists the VMs ran on after its grace period and was killed while it saved its idempotency keys. Its successor then refuses keyed requests as uncertain for the key window.

Cause: saving the keys had a timeout of its own, 3 s, and removing the record one of 0.5 s, both after the work had ended at nine tenths of the grace period, whatever that is.

Change: both have what the plan leaves until the exit (the record 0.5 s at most). Once the keys are saved, the node grants no further ones: work may go on beside the last steps now, and a key granted after the save would be unknown to the successor.

--- a/components/daemon/src/boot_record.rs
+++ b/components/daemon/src/boot_record.rs
@@ -32,9 +32,7 @@
 pub async fn run(node: Rc<Node>) {
     let started = node.now();
     let mut pause = MIN_PAUSE_MS;
-    node.claims
-        .borrow_mut()
-        .set_uncertain_until(Moment(u64::MAX));
+    suspend_grants(&node);
     loop {
         match record_boot(&node).await {
             Ok(true) => return,
@@ -77,6 +75,13 @@
     }
 }
 
+/// Grants no keys from now on: another node that claims one is told that it may have been used.
+pub fn suspend_grants(node: &Rc<Node>) {
+    node.claims
+        .borrow_mut()
+        .set_uncertain_until(Moment(u64::MAX));
+}
+
 /// All keys that this boot coordinated, granted or ran within the key window.
 pub fn used_keys(node: &Rc<Node>) -> Vec<KeyHash> {
     let keys = node.keys.borrow();
@@ -146,9 +151,7 @@
         return;
     }
     tracing::warn!("the process was paused");
-    node.claims
-        .borrow_mut()
-        .set_uncertain_until(Moment(u64::MAX));
+    suspend_grants(node);
     local::spawn(run_after_pause(node.clone()));
 }
 
--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -22,8 +22,6 @@
 /// Timeout for removing this node's record from the platform. Other nodes tolerate a record that is
 /// left there.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout for writing the idempotency keys to the platform.
-const SAVE_KEYS_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Installs the handler of stop signals.
 pub fn signals() -> std::io::Result<Signals> {
@@ -51,7 +49,11 @@
     wait_for(node, &plan, has_no_work, plan.cleanup()).await;
     node.close_intake();
     // The last steps fit into the grace period also when work is still in progress.
-    let (_, is_complete) = join(clean_up(node), wait_for(node, &plan, is_idle, plan.exit())).await;
+    let (_, is_complete) = join(
+        clean_up(node, &plan),
+        wait_for(node, &plan, is_idle, plan.exit()),
+    )
+    .await;
     if is_complete {
         tracing::info!("planned stop complete");
     } else {
@@ -116,17 +118,21 @@
 
 /// The last steps of the stop: removes this node's record from the platform, or saves the
 /// idempotency keys for its successor.
-async fn clean_up(node: &Rc<Node>) {
+async fn clean_up(node: &Rc<Node>, plan: &Plan) {
+    let limit = node.clock.time_until(plan.exit());
     match &node.registration {
-        Some(registration) => registration::withdraw(node, registration, WITHDRAW_TIMEOUT).await,
-        None => save_keys_in_time(node).await,
+        Some(registration) => {
+            registration::withdraw(node, registration, limit.min(WITHDRAW_TIMEOUT)).await
+        }
+        None => save_keys_in_time(node, limit).await,
     }
 }
 
-async fn save_keys_in_time(node: &Rc<Node>) {
-    let result = async_std::future::timeout(SAVE_KEYS_TIMEOUT, boot_record::save_keys(node)).await;
+async fn save_keys_in_time(node: &Rc<Node>, limit: Duration) {
+    let result = async_std::future::timeout(limit, boot_record::save_keys(node)).await;
     match result {
-        Ok(Ok(())) => {}
+        // Keys that were granted from now on would be missing in the saved ones.
+        Ok(Ok(())) => boot_record::suspend_grants(node),
         Ok(Err(error)) => tracing::warn!(%error, "the idempotency keys were not saved"),
         Err(_) => tracing::warn!("saving the idempotency keys timed out"),
     }
--- a/node/tests/node/fleet.rs
+++ b/node/tests/node/fleet.rs
@@ -53,6 +53,7 @@
     pub peers: SocketAddr,
     /// Address for operators.
     pub operators: SocketAddr,
+    platform: SocketAddr,
     dir: PathBuf,
 }
 
@@ -64,6 +65,15 @@
 
     /// Like [`Fleet::start`], with a platform that delays each answer by `slow_ms`.
     pub fn start_on_slow_platform(name: &str, upstream_kind: UpstreamKind, slow_ms: u64) -> Fleet {
+        Fleet::launch(name, upstream_kind, slow_ms, "")
+    }
+
+    /// Like [`Fleet::start`], with further settings of the section `limits`.
+    pub fn start_with_limits(name: &str, upstream_kind: UpstreamKind, limits: &str) -> Fleet {
+        Fleet::launch(name, upstream_kind, 0, limits)
+    }
+
+    fn launch(name: &str, upstream_kind: UpstreamKind, slow_ms: u64, limits: &str) -> Fleet {
         let dir = std::env::temp_dir().join(format!("drumwheel-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the test");
         let platform = free_address();
@@ -80,7 +90,7 @@
             "[node]\nvm = vm-1\nhall = north\n\n[listen]\ncallers = {callers}\npeers = {peers}\n\
              operators = {operators}\n\n[upstream]\naddress = {upstream}\nslots = 4\n\n\
              [platform]\naddresses = {platform}\n\n[peers]\nkey = {FLEET_KEY}\n\n\
-             [limits]\nbody_bytes = 65536\n\n[log]\nlevel = warn\n"
+             [limits]\nbody_bytes = 65536\n{limits}\n[log]\nlevel = warn\n"
         );
         std::fs::write(&settings, text).expect("settings");
         let node = Command::new(env!("CARGO_BIN_EXE_drumwheel-node"))
@@ -93,6 +103,7 @@
             callers,
             peers,
             operators,
+            platform,
             dir,
         };
         fleet.wait_until_ready();
@@ -131,6 +142,11 @@
             .sum()
     }
 
+    /// From now on, the platform delays each answer by `slow_ms`.
+    pub fn slow_platform(&self, slow_ms: u64) {
+        control(self.platform, &format!("slow/{slow_ms}"), "");
+    }
+
     /// Starts a planned stop of the node.
     pub fn terminate(&self) {
         let pid = self.node.id().to_string();
--- a/node/tests/node/stop.rs
+++ b/node/tests/node/stop.rs
@@ -40,6 +40,23 @@
     assert!(fleet.wait(), "the node exits with success");
 }
 
+/// Guards against a stop that outlasts its grace period because the platform is slow to save the
+/// keys.
+#[test]
+fn stop_outlasts_its_grace_period_while_keys_are_saved() {
+    let limits = "stop_wait_ms = 2000\n";
+    let mut fleet = Fleet::start_with_limits("stop-keys", UpstreamKind::Working(10_000), limits);
+    fleet.slow_platform(10_000);
+    let signal = Instant::now();
+    fleet.terminate();
+    assert!(fleet.wait(), "the node exits with success");
+    assert!(
+        signal.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        signal.elapsed()
+    );
+}
+
 #[test]
 fn stopping_node_starts_no_new_work() {
     let fleet = Fleet::start("stopping", UpstreamKind::Working(1_500_000));
