Registry: an upstream that registers rarely is not replaced between two registrations

Found in the search for spans that must fit each other and stand in two places. What callers would see: where upstreams register less often than every 1.5 s, two delayed registrations of an earlier incarnation, 4 s apart, make it current while the running one has not been heard of only because its next registration is not due; work is then addressed to an instance that is gone.

Cause: the confirmation time is a constant that was derived from an interval of 1.5 s, and the interval is a setting (registers_every).

Change: the confirmation time is two intervals and a second, 4 s at least. Deployments that register every 1.5 s keep 4 s.

--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -22,7 +22,7 @@
 use era::Eras;
 use evacuation::Evacuations;
 use home::PriorStarts;
-use names::{BootId, Moment, Name};
+use names::{BootId, Moment, Name, MILLISECOND};
 use platform::Adapter;
 use quarantine::Fingerprint;
 use registry::{
@@ -87,7 +87,9 @@
         };
         Registration {
             adapter,
-            local: RefCell::default(),
+            local: RefCell::new(LocalUpstream::registering_every(
+                cfg.registers_every_ms * MILLISECOND,
+            )),
             fleet: RefCell::new(Fleet::new(own)),
             has_read_records: Cell::new(false),
             eras: RefCell::new(Eras::new(boot.0)),
--- a/components/registry/src/local.rs
+++ b/components/registry/src/local.rs
@@ -13,10 +13,11 @@
 /// Maximum number of ended incarnations that are remembered.
 const MAX_ENDED: usize = 64;
 /// An incarnation that reports an earlier start than the current one becomes current when it has
-/// registered for this time, in microseconds, without a registration of the current one in between:
-/// it is the successor, and its clock was set back. Two heartbeat intervals of 1.5 s, plus 1 s for
-/// a late registration.
+/// registered for at least this time, in microseconds, without a registration of the current one in
+/// between: it is the successor, and its clock was set back.
 pub const CONFIRMATION_US: u64 = 4 * SECOND;
+/// How late a registration of the current incarnation may be, in microseconds.
+const LATE_REGISTRATION_US: u64 = SECOND;
 
 /// One registration of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -89,15 +90,39 @@
 }
 
 /// The local upstream of this node.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct LocalUpstream {
     current: Option<Instance>,
     sequence: u64,
     ended: VecDeque<Ended>,
     unconfirmed: Option<Unconfirmed>,
+    /// For how long another incarnation has to register before it becomes current, in microseconds.
+    confirmation_us: u64,
+}
+
+impl Default for LocalUpstream {
+    fn default() -> LocalUpstream {
+        LocalUpstream::registering_every(0)
+    }
 }
 
 impl LocalUpstream {
+    /// An upstream that has not registered yet. Upstreams register every `interval_us`
+    /// microseconds; 0 if that is unknown.
+    pub fn registering_every(interval_us: u64) -> LocalUpstream {
+        // The current incarnation may miss one registration.
+        let silence_us = interval_us
+            .saturating_mul(2)
+            .saturating_add(LATE_REGISTRATION_US);
+        LocalUpstream {
+            current: None,
+            sequence: 0,
+            ended: VecDeque::new(),
+            unconfirmed: None,
+            confirmation_us: silence_us.max(CONFIRMATION_US),
+        }
+    }
+
     /// The current incarnation, in any state.
     pub fn current(&self) -> Option<&Instance> {
         self.current.as_ref()
@@ -303,7 +328,7 @@
         let before = self.unconfirmed.as_mut();
         match before.filter(|known| known.incarnation == incarnation) {
             Some(known) if known.sequence >= heartbeat.sequence => HeartbeatOutcome::Doubted,
-            Some(known) if now.since(known.since) >= CONFIRMATION_US => {
+            Some(known) if now.since(known.since) >= self.confirmation_us => {
                 self.on_successor(heartbeat)
             }
             Some(known) => {
--- a/components/registry/tests/registry.rs
+++ b/components/registry/tests/registry.rs
@@ -1,6 +1,6 @@
 //! Tests of the local upstream's state and of the merging of records.
 
-use names::{BootId, Moment, Name};
+use names::{BootId, Moment, Name, SECOND};
 use registry::{
     Change, DepartureOutcome, Fleet, Heartbeat, HeartbeatOutcome, Incarnation, Instance,
     LocalUpstream, MergeOutcome, Record, State, Version, CONFIRMATION_US,
@@ -154,6 +154,20 @@
     assert_eq!(state_of(&local), Some((Some(100), State::Ready)));
 }
 
+/// Guards against a confirmation time that is shorter than the interval of registrations.
+#[test]
+fn incarnation_that_registers_rarely_is_replaced_between_two_registrations() {
+    let interval_us = 5 * SECOND;
+    let mut local = LocalUpstream::registering_every(interval_us);
+    local.on_heartbeat(NOW, heartbeat_born(200, State::Ready, 3));
+    local.on_heartbeat(NOW + 1, heartbeat_born(100, State::Ready, 50));
+    let late = NOW + 1 + CONFIRMATION_US;
+    let verdict = local.on_heartbeat(late, heartbeat_born(100, State::Ready, 51));
+    assert_eq!(verdict, HeartbeatOutcome::Doubted);
+    let verdict = local.on_heartbeat(NOW + interval_us, heartbeat_born(200, State::Ready, 4));
+    assert_eq!(verdict, HeartbeatOutcome::Taken(Change::None));
+}
+
 #[test]
 fn incarnation_that_was_wrongly_replaced_resumes_with_its_next_registration() {
     let mut local = LocalUpstream::default();
