Watch: declarations are confirmed often enough for the bound on withdrawn keys

Found in the search for spans that must fit each other and stand in two places. What callers would see: where withdrawn keys must be rejected sooner than changes must be in force, a node rejects every request with a key between two confirmations of its declarations, because they are older than the bound on keys.

Cause: the interval of confirmations is derived from in_force_within alone; the age that keys allow is withdrawn_within.

Change: the interval is derived from the shorter one.

Evidence: declarations_are_confirmed_less_often_than_withdrawn_keys_require checks the bound for three pairs; the accessor is new, so the test did not exist before. Not run: a node with such settings.

--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -512,7 +512,7 @@
 }
 
 fn watch(cfg: &Settings, now: Moment, boot: BootId) -> Watch {
-    let timing = Timing::for_bound(cfg.in_force_within_ms * MILLISECOND);
+    let timing = Timing::for_bound(cfg.declarations_age_bound_ms() * MILLISECOND);
     Watch::new(cfg.vm.clone(), timing, now, cfg.first_start, boot.0)
 }
 
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -170,6 +170,13 @@
 }
 
 impl Settings {
+    /// The bound on the age of the declarations that a node uses, in milliseconds: the time within
+    /// which changes must be in force or, if that is shorter, withdrawn keys be rejected.
+    pub fn declarations_age_bound_ms(&self) -> u64 {
+        let withdrawn_within_ms = self.accounts.withdrawn_within_ms.unwrap_or(u64::MAX);
+        self.in_force_within_ms.min(withdrawn_within_ms)
+    }
+
     /// Reads and checks the file at `path`; reports all problems at once.
     pub fn load(path: &Path) -> Result<Settings, Problems> {
         let file = path.display().to_string();
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -53,3 +53,18 @@
     let problems = Settings::parse("node.ini", &with_duplicate).expect_err("a duplicate key");
     insta::assert_snapshot!(problems.to_string());
 }
+
+/// Guards against a node that confirms its declarations too rarely for the bound on withdrawn keys
+/// and rejects every key in between.
+#[test]
+fn declarations_are_confirmed_less_often_than_withdrawn_keys_require() {
+    let bound_ms = |accounts: &str| {
+        let platform = "[platform]\nin_force_within = 12s\n";
+        let text = VALID.replace("[platform]\n", platform) + "\n[accounts]\n" + accounts;
+        let cfg = Settings::parse("node.ini", &text).expect("valid settings");
+        cfg.declarations_age_bound_ms()
+    };
+    assert_eq!(bound_ms(""), 12_000);
+    assert_eq!(bound_ms("withdrawn_within = 3s\n"), 3_000);
+    assert_eq!(bound_ms("withdrawn_within = 20s\n"), 12_000);
+}
