Quota: the renewal interval and the restart window follow the lease duration

Three constants in three files (1,500 ms twice, 500 ms in another crate) had to fit each other. The two others are now derived from the duration of a lease; the values stay the same. No fault is known from it; components/quota: all tests green.

--- a/components/daemon/src/callers/admission.rs
+++ b/components/daemon/src/callers/admission.rs
@@ -8,7 +8,7 @@
 use audit::stats;
 use home::{Reason, Refusal};
 use names::{Moment, MILLISECOND};
-use quota::{Admission, Peers, Quotas, Token};
+use quota::{Admission, Peers, Quotas, Token, LEASE_RENEWAL_US};
 use rollout::InForce;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,9 +18,8 @@
 /// Retry delay sent to callers whose key can't be verified or whose limit isn't known now, in
 /// milliseconds: about the time that a node needs to receive updates after it was cut off.
 const UNCONFIRMED_RETRY_MS: u64 = 500;
-/// Interval at which leases of this node's share are renewed: a third of the lease duration, so
-/// that one may be lost.
-const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which leases of this node's share are renewed.
+const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_micros(LEASE_RENEWAL_US);
 /// Interval between tries until leases are granted, and between checks whether any account is
 /// limited.
 const LEASE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
--- a/components/quota/src/collector.rs
+++ b/components/quota/src/collector.rs
@@ -2,14 +2,15 @@
 
 use crate::bounds::Bounds;
 use crate::bucket::Bucket;
+use crate::lender::LEASE_US;
 use accounts::Limit;
-use names::{Moment, Name, MILLISECOND, SECOND};
+use names::{Moment, Name, SECOND};
 use std::collections::HashMap;
 
 /// A restarted holder gets restart tokens for the shares leased to it within this time, in
 /// microseconds. A node that restarts alone gets no lease within this time, since the previous
 /// leases must expire first.
-const RESTART_WINDOW_US: u64 = 1_500 * MILLISECOND;
+const RESTART_WINDOW_US: u64 = LEASE_US;
 /// Maximum number of accounts for which tokens are kept.
 const MAX_BUCKETS: usize = 100_000;
 
--- a/components/quota/src/lender.rs
+++ b/components/quota/src/lender.rs
@@ -3,7 +3,9 @@
 use names::{Moment, Name, MILLISECOND, SECOND};
 
 /// Duration of a lease, in microseconds; each [`LeaseGranter::renew`] starts it anew.
-const LEASE_US: u64 = 1_500 * MILLISECOND;
+pub(crate) const LEASE_US: u64 = 1_500 * MILLISECOND;
+/// Interval at which leases are renewed, in microseconds: one renewal may be lost.
+pub const LEASE_RENEWAL_US: u64 = LEASE_US / 3;
 /// Margin between the expiry of a lease and a lease of the same share to another holder, in
 /// microseconds. It covers the transit time of the message, which the receiver doesn't know.
 const TRANSIT_US: u64 = 100 * MILLISECOND;
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -16,6 +16,6 @@
 
 pub use bounds::Bounds;
 pub use collector::{NoToken, TokenHolder};
-pub use lender::{Lease, LeaseGranter, JOIN_DELAY_US};
+pub use lender::{Lease, LeaseGranter, JOIN_DELAY_US, LEASE_RENEWAL_US};
 pub use message::{Answer, Message};
 pub use quotas::{Admission, Peers, Quotas, Token};
