--- a/node/tests/node/stop.rs
+++ b/node/tests/node/stop.rs
@@ -40,6 +40,28 @@
     assert!(fleet.wait(), "the node exits with success");
 }
 
+/// Guards against a keyed request whose answer is lost in a stop, and against a later one that runs
+/// although the node stops.
+#[test]
+fn keyed_request_loses_its_answer_in_a_planned_stop() {
+    let fleet = Fleet::start("stop-keyed", UpstreamKind::Working(1_500_000));
+    let mut stream = connect(fleet.callers);
+    stream
+        .write_all(
+            b"POST / HTTP/1.1\r\nHost: one.example\r\nIdempotency-Key: first\r\n\
+              Content-Length: 0\r\n\r\n",
+        )
+        .expect("the request is sent");
+    wait_for_metric(&fleet, "drumwheel_in_flight");
+    fleet.terminate();
+    wait_for_metric(&fleet, "drumwheel_leaving");
+    let response = fleet.request("POST", "Idempotency-Key: second\r\n", "x");
+    let outcome = header(&response, "drumwheel-outcome");
+    assert!(matches!(outcome, Some("not-run" | "unknown")), "{response}");
+    assert_eq!(fleet.metric("drumwheel_started"), 1.0);
+    assert!(read_all(&mut stream).starts_with("HTTP/1.1 200"));
+}
+
 /// Guards against a stop that outlasts its grace period because the platform is slow to save the
 /// keys.
 #[test]
