Planned stop: attempts that wait elsewhere are revoked from the signal on

What callers saw: with a grace period of 3 s and requests of 2.5 s, a request that waited for a slot at another node when its own node got the signal went on waiting until its queue gave it up, 0.6 s after the signal, though it could begin no later than 0.2 s after it. Had a slot become free in between, it would have been cut.

Cause: the revocation of such attempts ran only after the intake had ended, which is a moment of its own again: where the grace period is short, the last possible start lies before it.

Change: the check runs every 20 ms from the signal on.

--- a/components/daemon/src/stop.rs
+++ b/components/daemon/src/stop.rs
@@ -3,6 +3,7 @@
 use crate::boot_record;
 use crate::entry_driver;
 use crate::home_driver;
+use crate::local;
 use crate::node::Node;
 use crate::registration;
 use crate::reload::Reloader;
@@ -17,8 +18,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Interval of checks for whether all requests have ended.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval of checks for whether all requests have ended, and for attempts to revoke.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout for removing this node's record from the platform. Other nodes tolerate a record that is
 /// left there.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(500);
@@ -39,6 +40,7 @@
 
 async fn stop(node: &Rc<Node>) {
     let plan = begin(node);
+    local::spawn(run_revocations(node.clone(), plan));
     wait_until(node, plan.drain()).await;
     drain(node);
     wait_until(node, plan.intake_end()).await;
@@ -46,14 +48,10 @@
         open = node.open_calls.get(),
         "requests that would prolong the stop are refused"
     );
-    wait_for(node, &plan, has_no_work, plan.cleanup()).await;
+    wait_for(node, has_no_work, plan.cleanup()).await;
     node.close_intake();
     // The last steps fit into the grace period also when work is still in progress.
-    let (_, is_complete) = join(
-        clean_up(node, &plan),
-        wait_for(node, &plan, is_idle, plan.exit()),
-    )
-    .await;
+    let (_, is_complete) = join(clean_up(node, &plan), wait_for(node, is_idle, plan.exit())).await;
     if is_complete {
         tracing::info!("planned stop complete");
     } else {
@@ -100,22 +98,24 @@
 }
 
 /// Waits until `is_done`, until `deadline` at the latest. Returns whether it is.
-async fn wait_for(
-    node: &Rc<Node>,
-    plan: &Plan,
-    is_done: fn(&Node) -> bool,
-    deadline: Moment,
-) -> bool {
+async fn wait_for(node: &Node, is_done: fn(&Node) -> bool, deadline: Moment) -> bool {
     while !is_done(node) {
         if node.now() >= deadline {
             return false;
         }
-        entry_driver::revoke_unfinishable(node, plan);
-        task::sleep(IDLE_CHECK_INTERVAL).await;
+        task::sleep(CHECK_INTERVAL).await;
     }
     true
 }
 
+/// Revokes the attempts of this node that could not end before the stop, until the process exits.
+async fn run_revocations(node: Rc<Node>, plan: Plan) {
+    loop {
+        entry_driver::revoke_unfinishable(&node, &plan);
+        task::sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// The last steps of the stop: removes this node's record from the platform, or saves the
 /// idempotency keys for its successor.
 async fn clean_up(node: &Rc<Node>, plan: &Plan) {
