Planned stop: an attempt that waits at the node's own upstream is revoked like the others

The logs of a red run: the late requests waited at the home duty of the stopping node itself, which hands back what can't end by the run times that it knows, and it had only run requests of 20 ms. The entry duty, which knew 2.5 s, left attempts at its own home out.

Change: the entry duty has them handed back too.

What remains: a home duty knows the runs of its own upstream only; an offer from another node that needs longer than any run there is accepted while it stops.

--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -288,21 +288,23 @@
     }
 }
 
-/// Revokes the attempts at other nodes that have not started and could not end before the planned
-/// stop any more. Their callers can be told at once that the request has not run.
+/// Revokes the attempts that have not started and could not end before the planned stop any more.
+/// Their callers can be told at once that the request has not run.
 pub fn revoke_unfinishable(node: &Rc<Node>, plan: &Plan) {
     let now = node.now();
     let mut due = Vec::new();
     for (id, waiter) in node.waiters.borrow_mut().iter_mut() {
         let need_us = need_us(waiter.longest_us, waiter.deadline.since(now));
-        if waiter.is_fenced || waiter.vm == node.cfg.vm || plan.fits(now, need_us) {
+        if waiter.is_fenced || plan.fits(now, need_us) {
             continue;
         }
         waiter.is_fenced = true;
         due.push((*id, waiter.vm.clone(), waiter.sent_to_boot.is_some()));
     }
     for (id, vm, is_sent) in due {
-        if is_sent {
+        if vm == node.cfg.vm {
+            home_driver::revoke(node, id);
+        } else if is_sent {
             links::query(node, &vm, id);
         } else if links::withdraw(node, id) {
             deliver(node, id, Event::NotSent(id));
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -181,6 +181,18 @@
     }
 }
 
+/// Hands back an attempt if it is queued.
+pub fn revoke(node: &Rc<Node>, id: AttemptId) {
+    let now = node.now();
+    with_home(node, |home| match home.is_queued(id) {
+        true => {
+            home.cancel(now, id);
+            vec![Action::Revoke(id)]
+        }
+        false => Vec::new(),
+    });
+}
+
 /// Refuses a queued attempt; a running one is aborted if it may run more than once.
 pub fn withdraw(node: &Rc<Node>, id: AttemptId, refusal: Refusal) {
     let is_queued = |home: &Home<SharedAnswer>| home.is_queued(id);
