Planned stop: a keyed request without its body is told that its outcome is unknown

A request whose body had not arrived was answered "not run" also if it carried an idempotency key, with which an earlier try may have run elsewhere; complete requests with a key are told "unknown" there. Red before: keyed_request_without_its_body_is_told_not_run (outcome not-run).

--- a/components/daemon/src/callers/reading.rs
+++ b/components/daemon/src/callers/reading.rs
@@ -128,6 +128,7 @@
         let open = OpenCall::new(node.clone());
         let method = head.method.clone();
         let is_last = request::has_token(&head.headers, "connection", "close");
+        let has_key = http1::header_value(&head.headers, request::KEY_HEADER).is_some();
         let incomplete = IncompleteRequest::new(node.clone());
         let read = self.read_request_while_open(head, limits).await;
         drop(incomplete);
@@ -137,7 +138,7 @@
                 stats::bad_input("caller");
                 response::bad_request(&bad)
             }
-            None => response::for_outcome(&node.cfg.headers, stopping::not_run()),
+            None => response::for_outcome(&node.cfg.headers, stopping::refusal(has_key)),
         };
         let (tx, answer) = async_channel::bounded(1);
         tx.try_send(BufferedAnswer::new(self.usage.clone(), res))
--- a/components/daemon/src/callers/stopping.rs
+++ b/components/daemon/src/callers/stopping.rs
@@ -26,21 +26,16 @@
     };
     intake.admit(now, &arrival).map_err(|refused| {
         audit::stop_refuses(&call.id, now, &arrival, intake, refused);
-        refusal(call)
+        refusal(call.key.is_some())
     })
 }
 
 /// The outcome of a request that a stopping node does not accept; another node or this node's
-/// successor will. Whether an earlier try with the same key ran is unknown here.
-fn refusal(call: &CallerRequest) -> RelayOutcome {
-    match call.key {
-        Some(_) => RelayOutcome::Unknown(Reason::Leaving),
-        None => not_run(),
+/// successor will. Whether an earlier try with the same idempotency key ran is unknown here.
+pub fn refusal(has_key: bool) -> RelayOutcome {
+    if has_key {
+        return RelayOutcome::Unknown(Reason::Leaving);
     }
-}
-
-/// The outcome of a request that was refused because this node is stopping.
-pub fn not_run() -> RelayOutcome {
     RelayOutcome::NotRun(Refusal {
         reason: Reason::Leaving,
         retry_after_ms: shutdown::RETRY_AFTER_MS,
--- a/node/tests/node/stop.rs
+++ b/node/tests/node/stop.rs
@@ -62,6 +62,23 @@
     assert!(read_all(&mut stream).starts_with("HTTP/1.1 200"));
 }
 
+/// Guards against "not run" for a key with which an earlier try may have run.
+#[test]
+fn keyed_request_without_its_body_is_told_not_run() {
+    let fleet = Fleet::start("stop-keyed-body", UpstreamKind::Working(10_000));
+    let mut stream = connect(fleet.callers);
+    stream
+        .write_all(
+            b"POST / HTTP/1.1\r\nHost: one.example\r\nIdempotency-Key: first\r\n\
+              Content-Length: 10\r\n\r\npart",
+        )
+        .expect("the request is sent");
+    std::thread::sleep(Duration::from_millis(200));
+    fleet.terminate();
+    let response = read_all(&mut stream);
+    assert_eq!(header(&response, "drumwheel-outcome"), Some("unknown"));
+}
+
 /// Guards against a stop that outlasts its grace period because the platform is slow to save the
 /// keys.
 #[test]
