Log the instance that an offer means and the one that it runs at

The log lines of an attempt named the VM only. They could not tell whether the entry duty meant another upstream than the one that ran the request, or the home duty itself took the new upstream for the old one. Both lines now carry the instance, as each duty knows it.

--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -6,7 +6,7 @@
 use home::{AccountLoad, Load, Offer, Reason, Refusal};
 use names::{AttemptId, Name};
 use notices::RequestRate;
-use registry::LocalService;
+use registry::{Incarnation, LocalService};
 use wire::{RelayOutcome, Request};
 
 /// A request whose route and service are known.
@@ -119,15 +119,23 @@
     }
 }
 
-/// An attempt was offered to an upstream's local node. `view` is what was known of the upstream,
-/// `age_us` its age.
-pub fn request_offered(id: &str, offer: &Offer, to: &Name, view: &UpstreamView, age_us: u64) {
+/// An attempt was offered to an upstream's local node. `upstream` is the incarnation that was chosen,
+/// `view` what was known of it, `age_us` its age.
+pub fn request_offered(
+    id: &str,
+    offer: &Offer,
+    to: &Name,
+    upstream: Option<&Incarnation>,
+    view: &UpstreamView,
+    age_us: u64,
+) {
     if allowed(Kind::Offered) {
         let load = view.load.unwrap_or_default();
         tracing::info!(
             id,
             attempt = %offer.id,
             to = %to,
+            instance = upstream.map_or("-", |upstream| upstream.id.as_str()),
             may_queue = offer.may_queue,
             repeat = offer.repeat,
             returned = offer.returned,
@@ -194,36 +202,48 @@
     }
 }
 
-/// The home duty decided about an attempt. `slowdown_age_us` is the age of the upstream's reported
-/// slowdown; none when it has never reported one. `account` is the account whose share of the slots
-/// the attempt uses; none where slots are not shared among accounts.
-pub fn attempt_decided(
-    id: &str,
-    attempt: AttemptId,
-    decision: &str,
-    reason: Option<Reason>,
-    load: Load,
-    slowdown_age_us: Option<u64>,
-    account: Option<(&Name, AccountLoad)>,
-) {
+/// A decision of the home duty about an attempt.
+#[derive(Debug)]
+pub struct AttemptDecision<'a> {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What was decided.
+    pub decision: &'a str,
+    /// Why it was refused, if it was.
+    pub reason: Option<Reason>,
+    /// The incarnation of the upstream that the attempt is for.
+    pub upstream: Option<&'a Incarnation>,
+    /// State of the upstream.
+    pub load: Load,
+    /// Age of the upstream's reported slowdown in microseconds; none when it has never reported one.
+    pub slowdown_age_us: Option<u64>,
+    /// The account whose share of the slots the attempt uses; none where slots are not shared among
+    /// accounts.
+    pub account: Option<(&'a Name, AccountLoad)>,
+}
+
+/// The home duty decided about an attempt of the request `id`.
+pub fn attempt_decided(id: &str, decided: &AttemptDecision<'_>) {
     if allowed(Kind::Home) {
-        let account_load = account.map(|(_, load)| load);
+        let load = decided.load;
+        let account_load = decided.account.map(|(_, load)| load);
         tracing::info!(
             id,
-            attempt = %attempt,
-            decision,
-            reason = reason.map_or("-", Reason::as_str),
+            attempt = %decided.attempt,
+            decision = decided.decision,
+            reason = decided.reason.map_or("-", Reason::as_str),
+            instance = decided.upstream.map_or("-", |upstream| upstream.id.as_str()),
             in_flight = load.in_flight,
             queued = load.queued,
             limit = load.limit,
             service_ms = load.service_us / 1_000,
             slow_percent = load.slow_percent,
-            pace_age_ms = slowdown_age_us.map(|age_us| age_us / 1_000),
+            pace_age_ms = decided.slowdown_age_us.map(|age_us| age_us / 1_000),
             held_ms = load.deferred_us / 1_000,
             cold_wait_ms = load.cold_wait_us / 1_000,
             request_limit = load.request_limit.map(RequestRate::per_s),
             limit_wait_ms = load.request_limit.map(|_| load.limit_wait_us / 1_000),
-            account = account.map(|(name, _)| name.as_str()),
+            account = decided.account.map(|(name, _)| name.as_str()),
             account_running = account_load.map(|load| load.running),
             account_queued = account_load.map(|load| load.queued),
             "attempt decided"
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -6,6 +6,7 @@
 use crate::home_driver;
 use crate::links::{self, Reply};
 use crate::node::{Node, SharedAnswer, Waiter};
+use crate::registration;
 use async_channel::{Receiver, Sender};
 use audit::stats::{self, Stage};
 use entry::{Action, Call, Candidate, Event, Origin, Outcome, Price, Treatment, RETURN_TIME_US};
@@ -234,7 +235,8 @@
             stats::repeat_offered();
         }
         let age_us = node.now().since(view.reported_at);
-        audit::request_offered(&self.req.id, &offer, &to, &view, age_us);
+        let upstream = registration::upstream_of(node, &to);
+        audit::request_offered(&self.req.id, &offer, &to, upstream.as_ref(), &view, age_us);
         self.attempts.push(id);
         let waiter = Waiter {
             tx: self.tx.clone(),
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -13,6 +13,7 @@
 use crate::upstream_notices;
 use async_std::task;
 use audit::stats::{self, Stage};
+use audit::AttemptDecision;
 use budget::Act;
 use futures_util::future::{select, Either};
 use home::{
@@ -452,16 +453,20 @@
         .get(&id)
         .and_then(|job| fair_share_account(node, &job.req));
     let account_load = home.as_ref().map(|home| home.account_load(&account));
-    let account = account.as_ref().zip(account_load);
-    audit::attempt_decided(
-        caller_id,
-        id,
+    let upstream = node
+        .registration
+        .as_deref()
+        .and_then(registration::local_incarnation);
+    let decided = AttemptDecision {
+        attempt: id,
         decision,
         reason,
+        upstream: upstream.as_ref(),
         load,
         slowdown_age_us,
-        account,
-    );
+        account: account.as_ref().zip(account_load),
+    };
+    audit::attempt_decided(caller_id, &decided);
 }
 
 fn end_job(node: &Rc<Node>, id: AttemptId, frame: Frame) {
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -242,3 +242,11 @@
     let local = registration.local.borrow();
     local.current().map(Instance::incarnation)
 }
+
+/// The incarnation of the upstream on `vm`, as far as this node knows; none where the platform lists
+/// the VMs.
+pub fn upstream_of(node: &Node, vm: &Name) -> Option<Incarnation> {
+    let fleet = node.registration.as_ref()?.fleet.borrow();
+    let upstream = fleet.record(vm)?.upstream.as_ref()?;
+    Some(upstream.incarnation())
+}
