Offers name the upstream that they mean, and its local node compares

What callers saw: requests for one service got a 200 from a server of another (ROUTE), within half a second after a node had started while the upstream on some VM had been replaced in the 20 s before.

Cause: whoever acted on a record of another VM was believed. The store's record of a VM is rewritten 10 to 20 s after its upstream has changed, so a node that starts reads the former service; the home duty ran whatever it was offered, and put the identity of the server that was there now in the request, so that the server's own check passed. Ruled out from the logs: a lost announcement (the nodes that ran had the new record within 1 ms), and an old view at the home node (it started the request at the new instance).

Change: the frame of an offer carries the incarnation that the entry duty chose. LocalUpstream::receive_offer compares service and incarnation before the home duty sees the offer; another one is refused, not run, with the record of the node that refuses. The entry node merges it before it goes on with the request, compares its other records with that node at once, and may offer again if the upstream there is of the service. The incarnation is bound to the attempt, so a node of an earlier version, which names none, is served if the service matches and refused otherwise. Both new fields are optional: earlier nodes read the frames as before.

--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -32,8 +32,8 @@
 };
 pub use requests::{
     attempt_decided, call_ended, caller_changed, cold_state_changed, hedge_decided, no_route,
-    over_limit, probe_failed, request_denied, request_offered, request_routed, straggler_detected,
-    AttemptDecision, Routed,
+    offer_misdirected, over_limit, probe_failed, request_denied, request_offered, request_routed,
+    straggler_detected, AttemptDecision, Routed,
 };
 pub use startup_records::{StartupCount, StartupRecords};
 pub use stop::{stop_interrupts, stop_refuses, Unfinished};
--- a/components/audit/src/requests.rs
+++ b/components/audit/src/requests.rs
@@ -6,7 +6,7 @@
 use home::{AccountLoad, Load, Offer, Reason, Refusal};
 use names::{AttemptId, Name};
 use notices::RequestRate;
-use registry::{Incarnation, LocalService};
+use registry::{Incarnation, Instance, LocalService, Misdirection};
 use wire::{RelayOutcome, Request};
 
 /// A request whose route and service are known.
@@ -156,6 +156,33 @@
     }
 }
 
+/// An offer from the node on `from` was refused, because its entry duty chose another upstream than
+/// the local one, `current`.
+pub fn offer_misdirected(
+    id: &str,
+    offer: &Offer,
+    from: &Name,
+    chosen: Option<&Incarnation>,
+    current: Option<&Instance>,
+    misdirection: Misdirection,
+) {
+    if allowed(Kind::Home) {
+        tracing::info!(
+            id,
+            attempt = %offer.id,
+            from = %from,
+            mismatch = misdirection.as_str(),
+            service = %offer.service,
+            instance = chosen.map_or("-", |chosen| chosen.id.as_str()),
+            born_ms = chosen.and_then(|chosen| chosen.born_ms),
+            current_service = current.map_or("-", |current| current.service.as_str()),
+            current_instance = current.map_or("-", |current| current.id.as_str()),
+            current_born_ms = current.and_then(|current| current.born_ms),
+            "offer refused: another upstream is here"
+        );
+    }
+}
+
 /// An attempt has run longer than the 90th percentile of comparable runs; this is reported to its
 /// entry duty.
 pub fn straggler_detected(
--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -17,6 +17,12 @@
     counter!("drumwheel_attempts_refused_total", "reason" => reason).increment(1);
 }
 
+/// An offer reached a home duty whose upstream is not the one that was chosen. `mismatch`: what
+/// differs.
+pub fn offer_misdirected(mismatch: &'static str) {
+    counter!("drumwheel_offers_misdirected_total", "mismatch" => mismatch).increment(1);
+}
+
 /// A caller retried a request that had been refused.
 pub fn caller_retried() {
     counter!("drumwheel_callers_returned_total").increment(1);
--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -3,7 +3,7 @@
 use crate::activation;
 use crate::callers::Try;
 use crate::containment;
-use crate::home_driver;
+use crate::home_driver::{self, Offered};
 use crate::links::{self, Reply};
 use crate::node::{Node, SharedAnswer, Waiter};
 use crate::registration;
@@ -249,10 +249,16 @@
             sent_to_boot: local.then_some(node.boot),
         };
         node.waiters.borrow_mut().insert(id, waiter);
+        let offered = Offered {
+            offer,
+            key: self.key,
+            req: self.req.clone(),
+            upstream,
+        };
         if local {
-            home_driver::on_offer(node, &to, offer, self.key, self.req.clone(), Reply::Local);
+            home_driver::on_offer(node, &to, offered, Reply::Local);
         } else {
-            links::offer(node, &to, offer, self.key, self.req.clone());
+            links::offer(node, &to, offered);
         }
     }
 
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -22,12 +22,16 @@
 };
 use keys::{ClaimReply, KeyHash};
 use names::{AttemptId, BootId, Name, MILLISECOND};
+use registry::Incarnation;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use wire::{Answer, Frame, Request};
 
+/// Retry-after value of an attempt that was offered to another upstream than the local one, in
+/// milliseconds. The entry node knows the upstream from now on.
+const MISDIRECTED_RETRY_AFTER_MS: u64 = 100;
 /// Retry-after value of an attempt that is refused before the home duty sees it, in milliseconds.
 const EARLY_REFUSAL_RETRY_AFTER_MS: u64 = 1_000;
 /// Interval of attempts to connect to the successor of a draining upstream.
@@ -39,15 +43,31 @@
 /// Tick interval while the queue is empty.
 const IDLE_TICK: Duration = Duration::from_millis(20);
 
+/// An attempt as it is sent to a home duty.
+#[derive(Debug, Clone)]
+pub struct Offered {
+    /// The offer.
+    pub offer: Offer,
+    /// Idempotency key of the request, hashed.
+    pub key: Option<KeyHash>,
+    /// The request.
+    pub req: Arc<Request>,
+    /// Incarnation of the upstream that the entry duty chose, if it names one.
+    pub upstream: Option<Incarnation>,
+}
+
 /// Handles an offer from the node on `from` as the home duty decides.
-pub fn on_offer(
-    node: &Rc<Node>,
-    from: &Name,
-    offer: Offer,
-    key: Option<KeyHash>,
-    req: Arc<Request>,
-    reply: Reply,
-) {
+pub fn on_offer(node: &Rc<Node>, from: &Name, offered: Offered, reply: Reply) {
+    let Offered {
+        offer, key, req, ..
+    } = offered;
+    let upstream = match receive(node, from, &offer, &req, offered.upstream.as_ref()) {
+        Ok(upstream) => upstream,
+        Err(refusal) => {
+            refuse_early(node, offer.id, refusal, &reply);
+            return;
+        }
+    };
     let now = node.now();
     let deadline = now + offer.remaining_us;
     let offer = Offer {
@@ -72,6 +92,7 @@
         termination: None,
         leaving: None,
         req,
+        upstream,
         reply: reply.clone(),
         deadline: now + offer.remaining_us,
         key,
@@ -101,6 +122,31 @@
     }
 }
 
+/// The incarnation of the local upstream for which an offer is meant; none where the platform lists
+/// the VMs. An offer for another upstream is refused, with this node's record as the correction.
+fn receive(
+    node: &Rc<Node>,
+    from: &Name,
+    offer: &Offer,
+    req: &Request,
+    chosen: Option<&Incarnation>,
+) -> Result<Option<Incarnation>, Refusal> {
+    let Some(registration) = &node.registration else {
+        return Ok(None);
+    };
+    let local = registration.local.borrow();
+    local
+        .receive_offer(&offer.service, chosen)
+        .map_err(|misdirection| {
+            stats::offer_misdirected(misdirection.as_str());
+            audit::offer_misdirected(&req.id, offer, from, chosen, local.current(), misdirection);
+            Refusal {
+                reason: Reason::NoUpstream,
+                retry_after_ms: MISDIRECTED_RETRY_AFTER_MS,
+            }
+        })
+}
+
 /// Why an attempt is refused before the home duty sees it, if it is.
 fn early_refusal(
     node: &Rc<Node>,
@@ -138,8 +184,20 @@
     if let Some(home) = node.home.borrow_mut().as_mut() {
         home.query(now, id, node.boot);
     }
-    let load = node.load();
-    reply.send(node, Frame::Refused { id, refusal, load });
+    reply.send(node, refused_frame(node, id, refusal));
+}
+
+/// The frame that refuses an attempt. A node that offered it to an upstream which is not here gets
+/// this node's record, which names the one that is.
+fn refused_frame(node: &Rc<Node>, id: AttemptId, refusal: Refusal) -> Frame {
+    let registration = node.registration.as_ref();
+    let current = registration.filter(|_| refusal.reason == Reason::NoUpstream);
+    Frame::Refused {
+        id,
+        refusal,
+        load: node.load(),
+        current: current.map(|registration| Box::new(registration.fleet.borrow().own().clone())),
+    }
 }
 
 /// Answers a query about an attempt that was offered to `boot`.
@@ -408,8 +466,7 @@
                 false => "refused",
             };
             log_decision(node, id, decision, Some(refusal.reason));
-            let load = node.load();
-            end_job(node, id, Frame::Refused { id, refusal, load });
+            end_job(node, id, refused_frame(node, id, refusal));
         }
         Action::Revoke(id) => {
             log_decision(node, id, "handed back", None);
@@ -453,15 +510,12 @@
         .get(&id)
         .and_then(|job| fair_share_account(node, &job.req));
     let account_load = home.as_ref().map(|home| home.account_load(&account));
-    let upstream = node
-        .registration
-        .as_deref()
-        .and_then(registration::local_incarnation);
+    let upstream = jobs.get(&id).and_then(|job| job.upstream.as_ref());
     let decided = AttemptDecision {
         attempt: id,
         decision,
         reason,
-        upstream: upstream.as_ref(),
+        upstream,
         load,
         slowdown_age_us,
         account: account.as_ref().zip(account_load),
--- a/components/daemon/src/jobs.rs
+++ b/components/daemon/src/jobs.rs
@@ -16,6 +16,9 @@
 pub struct Job {
     /// The request.
     pub req: Arc<Request>,
+    /// Incarnation of the upstream that its entry duty chose. The request runs at no other one. None
+    /// where the platform lists the VMs.
+    pub upstream: Option<Incarnation>,
     /// Where its result is sent.
     pub reply: Reply,
     /// The caller's deadline on this node's clock.
--- a/components/daemon/src/links/frames.rs
+++ b/components/daemon/src/links/frames.rs
@@ -2,6 +2,7 @@
 
 use super::Reply;
 use crate::entry_driver::{deliver, on_load_report};
+use crate::home_driver::Offered;
 use crate::node::Node;
 use crate::{
     configuration, containment, coordinator, home_driver, recovery, registration, relay,
@@ -10,7 +11,8 @@
 use audit::Origin;
 use entry::Event;
 use home::QueryReply;
-use names::Name;
+use names::{AttemptId, Name};
+use registry::Record;
 use std::rc::Rc;
 use std::sync::Arc;
 use wire::Frame;
@@ -19,8 +21,19 @@
 pub fn on_frame(node: &Rc<Node>, from: &Name, frame: Frame, reply: &Reply) {
     match frame {
         Frame::Offer {
-            offer, key, req, ..
-        } => home_driver::on_offer(node, from, offer, key, req, reply.clone()),
+            offer,
+            key,
+            req,
+            upstream,
+        } => {
+            let offered = Offered {
+                offer,
+                key,
+                req,
+                upstream,
+            };
+            home_driver::on_offer(node, from, offered, reply.clone());
+        }
         Frame::Claim { id, key } => coordinator::on_claim(node, from, id, key, reply),
         Frame::Claimed { id, reply } => coordinator::on_claim_reply(node, id, reply),
         Frame::Recover { id } => recovery::on_recover(node, from, id, reply),
@@ -33,9 +46,20 @@
         Frame::Ask { id, boot } => home_driver::on_query(node, id, boot, reply.clone()),
         Frame::Cancel { id } => home_driver::cancel(node, id),
         Frame::Heartbeat => reply.send(node, Frame::Alive { load: node.load() }),
-        Frame::Refused { id, refusal, load } => {
+        Frame::Refused {
+            id,
+            refusal,
+            load,
+            current,
+        } => {
+            let is_corrected =
+                current.is_some_and(|current| correct_view(node, id, *current, reply));
             on_load_report(node, from, load);
-            deliver(node, id, Event::Refused(id, refusal));
+            let event = match is_corrected {
+                true => Event::Revoked(id),
+                false => Event::Refused(id, refusal),
+            };
+            deliver(node, id, event);
         }
         Frame::Revoked { id, load } => {
             on_load_report(node, from, load);
@@ -158,10 +182,23 @@
     }
 }
 
-fn on_query_reply(
-    node: &Rc<Node>,
-    id: names::AttemptId,
-    reply: QueryReply<crate::node::SharedAnswer>,
-) {
+/// Applies the record with which the node on `record.vm` refused an attempt that was for another
+/// upstream than its own. Returns whether its upstream is of the requested service, so that the
+/// request may be offered there again.
+fn correct_view(node: &Rc<Node>, id: AttemptId, record: Record, reply: &Reply) -> bool {
+    let Some(registration) = node.registration.clone() else {
+        return false;
+    };
+    let vm = record.vm.clone();
+    if vm != node.cfg.vm {
+        registration::on_misdirected(node, &registration, record, reply);
+    }
+    let waiters = node.waiters.borrow();
+    waiters
+        .get(&id)
+        .is_some_and(|waiter| registration::serves(node, &vm, &waiter.service))
+}
+
+fn on_query_reply(node: &Rc<Node>, id: AttemptId, reply: QueryReply<crate::node::SharedAnswer>) {
     deliver(node, id, Event::QueryReplied(id, reply));
 }
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::coordinator;
 use crate::entry_driver;
+use crate::home_driver::Offered;
 use crate::node::{Node, PendingQueries};
 use crate::recovery;
 use crate::relay::{self, RelayResult};
@@ -19,13 +20,11 @@
 use audit::stats;
 use declarations::MAX_BUNDLE_BYTES;
 use entry::Event;
-use home::Offer;
-use keys::{ClaimReply, KeyHash};
+use keys::ClaimReply;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
-use wire::{Frame, Request, MAX_FRAME_OVERHEAD};
+use wire::{Frame, MAX_FRAME_OVERHEAD};
 
 /// Maximum number of frames queued for one connection. A connection whose queue is full counts as
 /// broken. Memory for the queue is allocated as frames arrive, since a node has hundreds of
@@ -133,8 +132,14 @@
 }
 
 /// Offers an attempt to another node.
-pub fn offer(node: &Rc<Node>, to: &Name, offer: Offer, key: Option<KeyHash>, req: Arc<Request>) {
-    transmit(node, to, Frame::Offer { offer, key, req });
+pub fn offer(node: &Rc<Node>, to: &Name, offered: Offered) {
+    let frame = Frame::Offer {
+        offer: offered.offer,
+        key: offered.key,
+        req: offered.req,
+        upstream: offered.upstream,
+    };
+    transmit(node, to, frame);
 }
 
 /// Queries another node about an attempt that was sent to it.
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -10,7 +10,8 @@
 pub use door::serve as serve_registrations;
 pub use offer::store_for_peer;
 pub use peers::{
-    on_buckets, on_digest, on_record, on_versions, run_dials, send_to_other_halls, Source,
+    on_buckets, on_digest, on_misdirected, on_record, on_versions, run_dials, send_to_other_halls,
+    Source,
 };
 pub use records::{read_quarantined, run as run_records, withdraw};
 
@@ -250,3 +251,14 @@
     let upstream = fleet.record(vm)?.upstream.as_ref()?;
     Some(upstream.incarnation())
 }
+
+/// Whether the upstream on `vm` is of `service` and accepts new work, as far as this node knows.
+pub fn serves(node: &Node, vm: &Name, service: &Name) -> bool {
+    let Some(registration) = &node.registration else {
+        return false;
+    };
+    let fleet = registration.fleet.borrow();
+    let record = fleet.record(vm).filter(|record| record.is_ready());
+    let upstream = record.and_then(|record| record.upstream.as_ref());
+    upstream.is_some_and(|upstream| upstream.service == *service)
+}
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -185,6 +185,25 @@
     }
 }
 
+/// Merges the record with which a node refused an offer for an upstream that is not there. This
+/// node's other records may be as old, so it compares them with that node at once.
+pub fn on_misdirected(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    record: Record,
+    reply: &Reply,
+) {
+    let sender = record.vm.clone();
+    on_record(
+        node,
+        registration,
+        record,
+        Source::Announced(&sender, reply),
+    );
+    let digest = registration.fleet.borrow().digests().combined();
+    reply.send_best_effort(node, Frame::RecordsDigest(digest));
+}
+
 /// Sends a VM's node two records with one version, of which it wrote at most one. The node then
 /// announces its present record with a version above both. If a false record were kept, the VM's
 /// upstream would get no work from the nodes that have read it.
--- a/components/home/src/message.rs
+++ b/components/home/src/message.rs
@@ -136,7 +136,7 @@
     Shed,
     /// The attempt is older than the home duty's records.
     Stale,
-    /// No upstream of the service is known.
+    /// No upstream of the service is known, or another upstream is on the VM that was asked.
     NoUpstream,
     /// No service is declared under this name.
     NoService,
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod incarnation;
 mod local;
+mod misdirected;
 mod record;
 mod spread;
 
@@ -20,6 +21,7 @@
 pub use local::{
     Change, DepartureOutcome, Heartbeat, HeartbeatOutcome, LocalUpstream, CONFIRMATION_US,
 };
+pub use misdirected::Misdirection;
 pub use record::{Instance, Record, State, Version};
 pub use spread::{
     announcement_targets, can_defer, compare, contacts, cross_hall_contacts, is_replaced,
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -38,6 +38,10 @@
         key: Option<KeyHash>,
         /// The request.
         req: Arc<Request>,
+        /// Incarnation of the upstream that was chosen. None from a node of an earlier version, and
+        /// where the platform lists the VMs.
+        #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+        upstream: Option<Incarnation>,
     },
     /// Home to entry: the attempt has not run and never will.
     Refused {
@@ -47,6 +51,9 @@
         refusal: Refusal,
         /// State of the upstream.
         load: Load,
+        /// The sender's record, if another upstream was offered the attempt than the one there.
+        #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+        current: Option<Box<Record>>,
     },
     /// Home to entry: the attempt was removed from the queue without having run.
     Revoked {
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -1,8 +1,11 @@
 //! Encoding of frames and handshakes, with valid and malformed input.
 
-use home::{Load, Offer};
+use home::{Load, Offer, Reason, Refusal};
+use keys::KeyHash;
 use names::{AttemptId, BootId};
 use proptest::prelude::*;
+use registry::{Incarnation, Record, Version};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use wire::{decode, decode_message, encode, Frame, Handshake, Hello, Request, Welcome};
 
@@ -40,6 +43,7 @@
             id: "-".to_string(),
             account: None,
         }),
+        upstream: None,
     }
 }
 
@@ -158,3 +162,94 @@
         prop_assert_eq!(envelope.frame, frame);
     }
 }
+
+/// Frames of nodes that do not name the upstream they mean.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierFrame {
+    Offer {
+        offer: Offer,
+        key: Option<KeyHash>,
+        req: Request,
+    },
+    Refused {
+        id: AttemptId,
+        refusal: Refusal,
+        load: Load,
+    },
+}
+
+fn earlier_offer() -> EarlierFrame {
+    let Frame::Offer { offer, req, .. } = offer(vec![7]) else {
+        panic!("an offer");
+    };
+    EarlierFrame::Offer {
+        offer,
+        key: None,
+        req: Arc::unwrap_or_clone(req),
+    }
+}
+
+#[test]
+fn offer_of_an_earlier_version_is_not_read() {
+    let envelope = wire::Envelope {
+        sent_us: 42,
+        frame: earlier_offer(),
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&envelope, &mut bytes).expect("a frame");
+    let read = decode("peer", &bytes).expect("a valid frame");
+    assert_eq!(read.frame, offer(vec![7]));
+}
+
+#[test]
+fn node_of_an_earlier_version_does_not_read_frames_that_name_the_upstream() {
+    let Frame::Offer {
+        offer, key, req, ..
+    } = offer(vec![7])
+    else {
+        panic!("an offer");
+    };
+    let named = Frame::Offer {
+        offer,
+        key,
+        req,
+        upstream: Some(Incarnation {
+            id: "i-1".into(),
+            born_ms: Some(9),
+        }),
+    };
+    let id = AttemptId {
+        boot: BootId(7),
+        seq: 9,
+    };
+    let refusal = Refusal {
+        reason: Reason::NoUpstream,
+        retry_after_ms: 100,
+    };
+    let record = Record {
+        vm: "vm-1".into(),
+        hall: "hall-a".into(),
+        peers: "10.0.0.1:7".to_string(),
+        boot: BootId(7),
+        version: Version::default(),
+        serving: true,
+        upstream: None,
+        quarantined: Vec::new(),
+    };
+    let load = Load::default();
+    let refused = Frame::Refused {
+        id,
+        refusal,
+        load,
+        current: Some(Box::new(record)),
+    };
+    for (frame, earlier) in [
+        (named, earlier_offer()),
+        (refused, EarlierFrame::Refused { id, refusal, load }),
+    ] {
+        let bytes = encode(42, &frame);
+        let read: wire::Envelope<EarlierFrame> = ciborium::from_reader(bytes.as_slice())
+            .expect("a frame that the earlier version reads");
+        assert_eq!(read.frame, earlier);
+    }
+}
