An attempt runs only at the upstream that it was offered to

What callers saw: a request that waited for a slot, or for a connection, while the upstream on the VM was replaced ran at the new upstream, of another service or not.

Cause: the exchange looked up the local upstream when it began, and named that one in the request. What had been offered before the change started after it.

Change: the attempt keeps the incarnation that it was accepted for. An exchange begins only while this one is the local upstream, the pool sends nothing over a connection that was opened for another one, and the request names this one. An attempt for a former upstream is refused, not run (Verdict::Replaced), without counting against the new upstream.

--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -29,11 +29,11 @@
     };
     let remaining = node.clock.time_until(job.deadline);
     let overrun_us = node.cfg.overrun_ms * MILLISECOND;
-    let expected = node
-        .registration
-        .as_deref()
-        .and_then(registration::local_incarnation);
-    let options = options(node, id, job, remaining, expected.as_ref());
+    if !is_for_current_upstream(node, job) {
+        return (Verdict::Replaced, None);
+    }
+    let expected = job.upstream.as_ref();
+    let options = options(node, id, job, remaining, expected);
     let incarnation = pool.incarnation_count();
     let exchange = pool.exchange(&job.req, &options);
     match node
@@ -41,7 +41,7 @@
         .timeout_at(job.deadline + overrun_us, exchange)
         .await
     {
-        Ok(Ok(answer)) => evaluate_answer(node, id, job, expected.as_ref(), answer),
+        Ok(Ok(answer)) => evaluate_answer(node, id, job, expected, answer),
         Ok(Err(Failure::NotSent(error))) => {
             stats::upstream_failed("not-sent");
             tracing::info!(id = %job.req.id, %error, "the upstream was not reached");
@@ -55,11 +55,9 @@
                 at: node.now(),
                 cause: error,
             };
-            (
-                classify_break(node, &pool, expected.as_ref(), failure).await,
-                None,
-            )
+            (classify_break(node, &pool, expected, failure).await, None)
         }
+        Ok(Err(Failure::Replaced)) => (Verdict::Replaced, None),
         Err(_) => {
             stats::upstream_failed("overrun");
             (Verdict::Broken, None)
@@ -67,6 +65,16 @@
     }
 }
 
+/// Whether the upstream that the attempt is for is still the local one.
+fn is_for_current_upstream(node: &Node, job: &Job) -> bool {
+    let Some(registration) = &node.registration else {
+        return true;
+    };
+    let local = registration::local_incarnation(registration);
+    let mut chosen = job.upstream.iter();
+    local.is_some_and(|local| chosen.any(|chosen| chosen.matches(&local)))
+}
+
 /// A broken exchange.
 struct BrokenExchange {
     /// Number of the incarnation that it was with.
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -564,7 +564,10 @@
 fn finish(node: &Rc<Node>, id: AttemptId, verdict: Verdict, answer: Option<Answer>) {
     let now = node.now();
     log_decision(node, id, verdict.as_str(), None);
-    if matches!(verdict, Verdict::Shed | Verdict::NotSent) {
+    if matches!(
+        verdict,
+        Verdict::Shed | Verdict::NotSent | Verdict::Replaced
+    ) {
         let jobs = node.jobs.borrow();
         if let Some(key) = jobs.get(&id).and_then(|job| job.key) {
             node.claims.borrow_mut().attempt_not_run(key, id);
--- a/components/daemon/src/look.rs
+++ b/components/daemon/src/look.rs
@@ -58,6 +58,7 @@
         Ok(Err(Failure::NotSent(error) | Failure::Broken(error))) => {
             return failed(&error.to_string());
         }
+        Ok(Err(Failure::Replaced)) => return failed("another upstream has replaced this one"),
         Err(_) => return failed("no answer in time"),
     };
     read_answer(node, &registration, &answer)
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -180,6 +180,9 @@
                 self.down_since = Some(now);
                 self.refuse(now, id, Reason::Down, &mut actions);
             }
+            Verdict::Replaced => {
+                self.refuse(now, id, Reason::NoUpstream, &mut actions);
+            }
         }
         self.dispatch(now, &mut actions);
         actions
--- a/components/home/src/limit.rs
+++ b/components/home/src/limit.rs
@@ -47,6 +47,9 @@
     Ended,
     /// No byte of the request reached the upstream.
     NotSent,
+    /// Another upstream took the place of the one that the attempt was for, before any byte of the
+    /// request was sent.
+    Replaced,
     /// The attempt was cancelled while it ran.
     Cancelled,
 }
@@ -61,6 +64,7 @@
             Verdict::Broken => "broken",
             Verdict::Ended => "upstream ended",
             Verdict::NotSent => "not sent",
+            Verdict::Replaced => "upstream replaced",
             Verdict::Cancelled => "cancelled",
         }
     }
@@ -117,7 +121,7 @@
                 self.ramp = cold_slots(self.slots);
                 self.cold_since = Some(now);
             }
-            Verdict::Cancelled => {}
+            Verdict::Replaced | Verdict::Cancelled => {}
         }
     }
 
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -46,6 +46,8 @@
 pub enum Failure {
     /// No byte of the request was sent to the upstream.
     NotSent(Error),
+    /// No byte of the request was sent, because another incarnation has replaced the upstream.
+    Replaced,
     /// The upstream may have run the request, but there is no complete response.
     Broken(Error),
 }
@@ -149,6 +151,9 @@
             .acquire(options.repeatable)
             .await
             .map_err(Failure::NotSent)?;
+        if self.incarnation_count.get() != incarnation {
+            return Err(Failure::Replaced);
+        }
         let writer = connection.stream().clone();
         let outcome = {
             let writing = pin!(write_all(writer, &bytes));
