A request limit ends with the upstream that advertised it

What callers saw: 503 busy at an upstream that has no limit, after a limited one on its VM had been replaced while the VM's node was down.

Cause: an entry node keeps the limit of each VM, since the VM's node may have restarted and not know it, and sends it with its offers. It did not keep whose limit it was, so the next upstream on the VM got it too.

Change: the view of a VM names the upstream; another identifier drops the limit. An upstream that starts again under its identifier keeps it, as at the home duty.

--- a/components/daemon/src/entry_driver.rs
+++ b/components/daemon/src/entry_driver.rs
@@ -209,7 +209,11 @@
     ) {
         let node = self.node;
         let now = node.now();
-        let entry = node.entry.borrow();
+        let upstream = registration::upstream_of(node, &to);
+        let mut entry = node.entry.borrow_mut();
+        if let Some(upstream) = &upstream {
+            entry.set_upstream(&to, &upstream.id);
+        }
         let remaining_us = entry.work_deadline(self.call.deadline()).since(now);
         let view = entry.view(&to);
         drop(entry);
@@ -235,7 +239,6 @@
             stats::repeat_offered();
         }
         let age_us = node.now().since(view.reported_at);
-        let upstream = registration::upstream_of(node, &to);
         audit::request_offered(&self.req.id, &offer, &to, upstream.as_ref(), &view, age_us);
         self.attempts.push(id);
         let waiter = Waiter {
@@ -323,7 +326,12 @@
 /// Applies the upstream state reported with an answer or a refusal.
 pub fn on_load_report(node: &Rc<Node>, vm: &Name, load: Load) {
     let now = node.now();
-    node.entry.borrow_mut().on_report(now, vm, load);
+    let upstream = registration::upstream_of(node, vm);
+    let mut entry = node.entry.borrow_mut();
+    if let Some(upstream) = upstream {
+        entry.set_upstream(vm, &upstream.id);
+    }
+    entry.on_report(now, vm, load);
 }
 
 /// Delivers an event to the call that waits for the attempt; counts it as late when there is none.
--- a/components/entry/src/choice.rs
+++ b/components/entry/src/choice.rs
@@ -80,6 +80,8 @@
     pub reported_at: Moment,
     /// Until when the upstream's local node counts as unresponsive.
     pub unresponsive_until: Moment,
+    /// Identifier of the upstream, once it is known.
+    pub upstream: Option<Name>,
     /// The last request limit that the upstream advertised, also to an earlier run of its local
     /// node.
     pub known_limit: Option<RequestRate>,
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -93,6 +93,20 @@
         view.offers_since_report = 0;
     }
 
+    /// Records which upstream is on a VM. The request limit of another one that was there before is
+    /// dropped.
+    pub fn set_upstream(&mut self, vm: &Name, id: &Name) {
+        let view = self.view_mut(vm);
+        let before = view.upstream.as_ref();
+        if before == Some(id) {
+            return;
+        }
+        if before.is_some() {
+            view.known_limit = None;
+        }
+        view.upstream = Some(id.clone());
+    }
+
     /// Marks an upstream as draining, or as no longer draining.
     pub fn set_draining(&mut self, now: Moment, vm: &Name, draining: bool) {
         let view = self.view_mut(vm);
