An early refusal is not sent for an attempt that has begun

refuse_early told the entry node "not run" whatever the home duty knew of the attempt. An offer is sent once, so no caller has seen this; a second copy of an offer whose first one runs would have been told wrongly once its upstream was replaced. It is ignored now, as at the home duty.

The digest that follows a misdirected offer is sent only where its refusal brought a newer record: a burst of offers asks for one comparison.

--- a/components/daemon/src/exchange.rs
+++ b/components/daemon/src/exchange.rs
@@ -70,9 +70,10 @@
     let Some(registration) = &node.registration else {
         return true;
     };
-    let local = registration::local_incarnation(registration);
-    let mut chosen = job.upstream.iter();
-    local.is_some_and(|local| chosen.any(|chosen| chosen.matches(&local)))
+    match (&job.upstream, registration::local_incarnation(registration)) {
+        (Some(chosen), Some(local)) => chosen.matches(&local),
+        _ => false,
+    }
 }
 
 /// A broken exchange.
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -177,13 +177,20 @@
 }
 
 /// Refuses an attempt that the home duty has not seen. The query makes the home duty record it as
-/// not run, which later queries then find.
+/// not run, which later queries then find. A second offer of an attempt that has begun is ignored.
 fn refuse_early(node: &Rc<Node>, id: AttemptId, refusal: Refusal, reply: &Reply) {
-    stats::attempt_refused(refusal.reason.as_str());
     let now = node.now();
-    if let Some(home) = node.home.borrow_mut().as_mut() {
-        home.query(now, id, node.boot);
+    let mut home = node.home.borrow_mut();
+    let known = home.as_mut().map(|home| home.query(now, id, node.boot));
+    drop(home);
+    if !matches!(
+        known,
+        None | Some(QueryReply::Revoked | QueryReply::Forgotten)
+    ) {
+        stats::late_event("offer");
+        return;
     }
+    stats::attempt_refused(refusal.reason.as_str());
     reply.send(node, refused_frame(node, id, refusal));
 }
 
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -194,6 +194,7 @@
     reply: &Reply,
 ) {
     let sender = record.vm.clone();
+    let before = registration.fleet.borrow().digests().combined();
     on_record(
         node,
         registration,
@@ -201,7 +202,9 @@
         Source::Announced(&sender, reply),
     );
     let digest = registration.fleet.borrow().digests().combined();
-    reply.send_best_effort(node, Frame::RecordsDigest(digest));
+    if digest != before {
+        reply.send_best_effort(node, Frame::RecordsDigest(digest));
+    }
 }
 
 /// Sends a VM's node two records with one version, of which it wrote at most one. The node then
