http1: consuming a part of a message no longer moves the rest

What callers saw: a node that answered nobody while it read a body in chunks of one byte; the body of the allowed size cost seconds.

Cause: each chunk's size, data and line end were drained from the front of the receive buffer, which moved all that lay behind them.

Change: a buffer with an offset; bytes are moved only when more are read.

A property test reads one message in drawn splits.

--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -1,5 +1,6 @@
 //! Reading messages from one connection.
 
+use crate::buffer::Buffer;
 use crate::framing::Framing;
 use crate::head::{parse_request, parse_response, RequestHead, ResponseHead};
 use async_std::io::Read;
@@ -13,6 +14,8 @@
 /// Maximum length of the line with the size of a chunk, and of a trailer, in bytes.
 const MAX_CHUNK_LINE: usize = 1_024;
 
+const LINE_END: &[u8] = b"\r\n";
+
 /// Why a message could not be read.
 #[derive(Debug)]
 pub enum Fault {
@@ -49,7 +52,7 @@
 #[derive(Debug)]
 pub struct Connection<S> {
     stream: S,
-    buf: Vec<u8>,
+    buf: Buffer,
 }
 
 impl<S: Read + Unpin> Connection<S> {
@@ -57,7 +60,7 @@
     pub fn new(stream: S) -> Connection<S> {
         Connection {
             stream,
-            buf: Vec::new(),
+            buf: Buffer::default(),
         }
     }
 
@@ -78,8 +81,8 @@
     /// Reads the next request head; `None` if the peer closed the connection between messages.
     pub async fn request_head(&mut self, max_bytes: usize) -> Result<Option<RequestHead>, Fault> {
         loop {
-            if let Some((head, length)) = parse_request(&self.buf)? {
-                self.buf.drain(..length);
+            if let Some((head, length)) = parse_request(self.buf.bytes())? {
+                self.buf.consume(length);
                 return Ok(Some(head));
             }
             if self.buf.len() > max_bytes {
@@ -99,9 +102,9 @@
     /// Reads the head of the next response. Interim (1xx) responses are skipped.
     pub async fn response_head(&mut self, max_bytes: usize) -> Result<ResponseHead, Fault> {
         loop {
-            match parse_response(&self.buf)? {
+            match parse_response(self.buf.bytes())? {
                 Some((head, length)) => {
-                    self.buf.drain(..length);
+                    self.buf.consume(length);
                     if head.status >= 200 {
                         return Ok(head);
                     }
@@ -128,15 +131,18 @@
     }
 
     async fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, Fault> {
+        self.fill_to(length).await?;
+        Ok(self.buf.take(length))
+    }
+
+    /// Reads until the buffer holds `length` bytes.
+    async fn fill_to(&mut self, length: usize) -> Result<(), Fault> {
         while self.buf.len() < length {
             if self.fill().await? == 0 {
                 return Err(Fault::Truncated);
             }
         }
-        if self.buf.len() == length {
-            return Ok(std::mem::take(&mut self.buf));
-        }
-        Ok(self.buf.drain(..length).collect())
+        Ok(())
     }
 
     async fn read_chunks(&mut self, max_bytes: u64) -> Result<Vec<u8>, Fault> {
@@ -150,18 +156,21 @@
             if size > max_bytes || body.len() as u64 + size > max_bytes {
                 return Err(Fault::BodyTooLong(max_bytes));
             }
-            body.extend(self.read_exact(size as usize).await?);
-            if self.read_exact(2).await? != b"\r\n" {
+            self.fill_to(size as usize + 2).await?;
+            let (data, rest) = self.buf.bytes().split_at(size as usize);
+            if !rest.starts_with(LINE_END) {
                 return Err(Fault::Malformed("no line end behind a chunk".to_string()));
             }
+            body.extend_from_slice(data);
+            self.buf.consume(size as usize + 2);
         }
     }
 
     async fn read_chunk_size(&mut self) -> Result<u64, Fault> {
         loop {
-            match httparse::parse_chunk_size(&self.buf) {
+            match httparse::parse_chunk_size(self.buf.bytes()) {
                 Ok(httparse::Status::Complete((length, size))) => {
-                    self.buf.drain(..length);
+                    self.buf.consume(length);
                     return Ok(size);
                 }
                 Ok(httparse::Status::Partial) if self.buf.len() <= MAX_CHUNK_LINE => {}
@@ -176,10 +185,10 @@
     /// Skips the lines after the last chunk, up to and including the empty one.
     async fn skip_trailers(&mut self) -> Result<(), Fault> {
         loop {
-            let end = self.buf.windows(2).position(|pair| pair == b"\r\n");
+            let end = self.buf.bytes().windows(2).position(|pair| pair == b"\r\n");
             match end {
                 Some(length) => {
-                    self.buf.drain(..length + 2);
+                    self.buf.consume(length + 2);
                     if length == 0 {
                         return Ok(());
                     }
@@ -202,7 +211,7 @@
                 return Err(Fault::BodyTooLong(max_bytes));
             }
         }
-        Ok(std::mem::take(&mut self.buf))
+        Ok(self.buf.take(self.buf.len()))
     }
 
     /// Reads available bytes into the buffer and returns their number; 0 if the peer closed the stream.
@@ -212,7 +221,7 @@
         let read = poll_fn(|cx| Pin::new(&mut *stream).poll_read(cx, &mut chunk))
             .await
             .map_err(Fault::Io)?;
-        self.buf.extend_from_slice(&chunk[..read]);
+        self.buf.extend(&chunk[..read]);
         Ok(read)
     }
 }
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -5,6 +5,7 @@
 //! message stay in the buffer of the connection, where they are detected and not taken for the next
 //! message.
 
+mod buffer;
 mod call;
 mod connection;
 mod framing;
--- a/components/http1/tests/http1.rs
+++ b/components/http1/tests/http1.rs
@@ -1,8 +1,11 @@
 //! Reading and writing of messages, and rejection of invalid ones.
 
-use async_std::io::Cursor;
+use async_std::io::{self, Cursor, Read};
 use async_std::task::block_on;
 use http1::{request_framing, response_framing, CloseDelimited, Connection, Fault, Framing};
+use proptest::prelude::*;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 const MAX_BODY_BYTES: u64 = 64;
 
@@ -121,3 +124,55 @@
     let signed = headers(&[("Content-Length", "+3")]);
     assert!(request_framing(&signed).is_err());
 }
+
+/// A stream whose reads return parts of at most these lengths, in turn.
+struct Parts {
+    bytes: Vec<u8>,
+    lengths: Vec<usize>,
+    reads: usize,
+}
+
+impl Read for Parts {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let length = self.lengths[self.reads % self.lengths.len()];
+        let length = length.min(self.bytes.len()).min(buf.len());
+        self.reads += 1;
+        let rest = self.bytes.split_off(length);
+        buf[..length].copy_from_slice(&self.bytes);
+        self.bytes = rest;
+        Poll::Ready(Ok(length))
+    }
+}
+
+proptest! {
+    #[test]
+    fn message_is_the_same_however_its_bytes_arrive(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..200), 0..20),
+        trailers in 0..4usize,
+        lengths in prop::collection::vec(1..300usize, 1..8),
+    ) {
+        let mut text = b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        for chunk in &chunks {
+            text.extend(format!("{:x};x=y\r\n", chunk.len()).bytes());
+            text.extend(chunk);
+            text.extend(b"\r\n");
+        }
+        text.extend(b"0\r\n");
+        text.extend(b"x: y\r\n".repeat(trailers));
+        text.extend(b"\r\nrest");
+        let mut connection = Connection::new(Parts { bytes: text, lengths, reads: 0 });
+        let (head, body) = block_on(async {
+            let head = connection.response_head(1_000).await.expect("a head");
+            let framing = response_framing("GET", &head, CloseDelimited::Reject).expect("a framing");
+            (head, connection.body(framing, 10_000).await.expect("a body"))
+        });
+        prop_assert_eq!(head.status, 200);
+        prop_assert_eq!(body, chunks.concat());
+        let rest = block_on(connection.body(Framing::Length(4), 4)).expect("the rest");
+        prop_assert_eq!(rest, b"rest");
+    }
+}
