A peer that sends faster than it is read no longer stops its thread

What callers saw: no answer from a node, and silence at its readiness, for as long as one connection went on sending.

Cause: a read that is always ready never returned to the executor, so no other task, timer or deadline ran on the node's one thread.

Change: the reader of connections lets other tasks run after 16 KB without a wait for data; the readers of frames between nodes after 32 frames.

The readers of frames have no test of their own.

--- a/components/daemon/src/links/accept.rs
+++ b/components/daemon/src/links/accept.rs
@@ -1,6 +1,6 @@
 //! Connections that other nodes open to this one.
 
-use super::{apply_delay, frames, max_message_bytes, socket, FrameSender, Reply};
+use super::{apply_delay, frames, max_message_bytes, socket, FrameSender, Reply, FRAMES_PER_YIELD};
 use crate::local;
 use crate::node::Node;
 use async_std::future::timeout;
@@ -102,7 +102,12 @@
     reply: &Reply,
 ) -> Error {
     let mut delay = DelayEstimator::default();
+    let mut received: u64 = 0;
     loop {
+        received += 1;
+        if received % FRAMES_PER_YIELD == 0 {
+            task::yield_now().await;
+        }
         let bytes = match socket::receive(stream, vm.as_str()).await {
             Ok(bytes) => bytes,
             Err(error) => return error,
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -3,12 +3,13 @@
 use super::REDIAL_PAUSE_US;
 use super::{
     apply_delay, frames, max_message_bytes, on_connection_lost, on_not_sent, socket, transmit_open,
-    FrameSender, Link, OpenLink, Reply,
+    FrameSender, Link, OpenLink, Reply, FRAMES_PER_YIELD,
 };
 use crate::node::Node;
 use async_channel::Receiver;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use async_std::task;
 use audit::stats;
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
@@ -183,7 +184,12 @@
     };
     let reply = Reply::Peer(sender);
     let mut delay = DelayEstimator::default();
+    let mut received: u64 = 0;
     loop {
+        received += 1;
+        if received % FRAMES_PER_YIELD == 0 {
+            task::yield_now().await;
+        }
         let bytes = match socket::receive(stream, vm.as_str()).await {
             Ok(bytes) => bytes,
             Err(error) => return error,
--- a/components/daemon/src/links/mod.rs
+++ b/components/daemon/src/links/mod.rs
@@ -30,6 +30,9 @@
 /// broken. Memory for the queue is allocated as frames arrive, since a node has hundreds of
 /// connections and their queues are almost always empty.
 const MAX_QUEUED_FRAMES: usize = 1_024;
+/// After this many frames from one connection, the other tasks of the thread run: a peer may send
+/// faster than its frames are handled.
+const FRAMES_PER_YIELD: u64 = 32;
 /// Minimum pause after a failed dial, in microseconds.
 const REDIAL_PAUSE_US: u64 = 100 * MILLISECOND;
 /// A node whose dial failed is not chosen as a contact for this time after the pause, in
--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::framing::Framing;
 use crate::head::{parse_request, parse_response, RequestHead, ResponseHead};
 use async_std::io::Read;
+use async_std::task;
 use futures_util::future::poll_fn;
 use std::fmt;
 use std::io;
@@ -13,6 +14,9 @@
 const READ_SIZE: usize = 4_096;
 /// Maximum length of the line with the size of a chunk, and of a trailer, in bytes.
 const MAX_CHUNK_LINE: usize = 1_024;
+/// After this many bytes without a wait for data, a read lets the other tasks of its thread run. A
+/// peer that sends faster than they are read would otherwise stop them, and their timers.
+const YIELD_AFTER_BYTES: usize = 16_384;
 
 const LINE_END: &[u8] = b"\r\n";
 
@@ -53,6 +57,8 @@
 pub struct Connection<S> {
     stream: S,
     buf: Buffer,
+    /// Bytes read since the last wait for data.
+    read_without_wait: usize,
 }
 
 impl<S: Read + Unpin> Connection<S> {
@@ -61,6 +67,7 @@
         Connection {
             stream,
             buf: Buffer::default(),
+            read_without_wait: 0,
         }
     }
 
@@ -216,11 +223,23 @@
 
     /// Reads available bytes into the buffer and returns their number; 0 if the peer closed the stream.
     async fn fill(&mut self) -> Result<usize, Fault> {
+        if self.read_without_wait >= YIELD_AFTER_BYTES {
+            self.read_without_wait = 0;
+            task::yield_now().await;
+        }
         let mut chunk = [0; READ_SIZE];
         let stream = &mut self.stream;
-        let read = poll_fn(|cx| Pin::new(&mut *stream).poll_read(cx, &mut chunk))
-            .await
-            .map_err(Fault::Io)?;
+        let read_without_wait = &mut self.read_without_wait;
+        let read = poll_fn(|cx| {
+            let read = Pin::new(&mut *stream).poll_read(cx, &mut chunk);
+            if read.is_pending() {
+                *read_without_wait = 0;
+            }
+            read
+        })
+        .await
+        .map_err(Fault::Io)?;
+        self.read_without_wait += read;
         self.buf.extend(&chunk[..read]);
         Ok(read)
     }
--- a/components/http1/tests/http1.rs
+++ b/components/http1/tests/http1.rs
@@ -2,9 +2,10 @@
 
 use async_std::io::{self, Cursor, Read};
 use async_std::task::block_on;
+use futures_util::future::{select, Either};
 use http1::{request_framing, response_framing, CloseDelimited, Connection, Fault, Framing};
 use proptest::prelude::*;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::task::{Context, Poll};
 
 const MAX_BODY_BYTES: u64 = 64;
@@ -125,6 +126,18 @@
     assert!(request_framing(&signed).is_err());
 }
 
+#[test]
+fn peer_that_sends_faster_than_it_is_read_stops_the_other_tasks_of_the_thread() {
+    const LARGE_BODY_BYTES: u64 = 50_000_000;
+    let mut connection = Connection::new(async_std::io::repeat(b'y'));
+    let reading = connection.body(Framing::UntilClose, LARGE_BODY_BYTES);
+    let other = async_std::task::yield_now();
+    let (reading, other) = (pin!(reading), pin!(other));
+    let is_other_first =
+        block_on(async { matches!(select(reading, other).await, Either::Right(_)) });
+    assert!(is_other_first);
+}
+
 /// A stream whose reads return parts of at most these lengths, in turn.
 struct Parts {
     bytes: Vec<u8>,
