Every part of a message has a bound in bytes

What callers saw: one connection of a caller whose trailers don't end took a node from all its other callers; one server that sends interim responses or trailers without end did the same to the node beside it, and the deadline of the exchange never ended it.

Cause: each trailer was bounded, their number was not; interim responses were skipped without a bound; chunk extensions were bounded line by line.

Change: trailers and chunk extensions have 16 KB each for a message, a head counts with the interim responses before it, and responses to other requests that are skipped count against the largest body. Beyond that the message is a fault that names the part: 431 for a caller, a broken exchange for an upstream, which may have run.

--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -119,6 +119,7 @@
     fn from(fault: &Fault) -> BadRequest {
         let status = match fault {
             Fault::HeadTooLong => 431,
+            Fault::FramingTooLong(..) => 431,
             Fault::BodyTooLong(_) => 413,
             Fault::UnsupportedEncoding(_) => 501,
             Fault::Malformed(_) | Fault::Truncated | Fault::Io(_) => 400,
--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -14,6 +14,9 @@
 const READ_SIZE: usize = 4_096;
 /// Maximum length of the line with the size of a chunk, and of a trailer, in bytes.
 const MAX_CHUNK_LINE: usize = 1_024;
+/// Maximum size of the trailers of a body, and of its chunk extensions together, in bytes.
+const MAX_TRAILER_BYTES: usize = 16_384;
+const MAX_EXTENSION_BYTES: usize = 16_384;
 /// After this many bytes without a wait for data, a read lets the other tasks of its thread run. A
 /// peer that sends faster than they are read would otherwise stop them, and their timers.
 const YIELD_AFTER_BYTES: usize = 16_384;
@@ -23,8 +26,11 @@
 /// Why a message could not be read.
 #[derive(Debug)]
 pub enum Fault {
-    /// The head is longer than the limit or has too many headers.
+    /// The head, with the interim responses before it, is longer than the limit or has too many
+    /// headers.
     HeadTooLong,
+    /// The trailers of a body, or the extensions of its chunks, are longer than this limit, in bytes.
+    FramingTooLong(&'static str, usize),
     /// The body is longer than this limit, in bytes.
     BodyTooLong(u64),
     /// The message is not valid HTTP/1.1, or its framing is ambiguous.
@@ -41,6 +47,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::HeadTooLong => f.write_str("the head is too long"),
+            Fault::FramingTooLong(part, limit) => {
+                write!(f, "the {part} are longer than {limit} bytes")
+            }
             Fault::BodyTooLong(limit) => write!(f, "the body is longer than {limit} bytes"),
             Fault::Malformed(cause) => f.write_str(cause),
             Fault::UnsupportedEncoding(encoding) => {
@@ -52,6 +61,12 @@
     }
 }
 
+/// Number of hexadecimal digits of a number.
+fn hex_digits(number: u64) -> usize {
+    let bits = u64::BITS - number.leading_zeros();
+    bits.div_ceil(4).max(1) as usize
+}
+
 /// A stream with a buffer of bytes that were received and not yet consumed.
 #[derive(Debug)]
 pub struct Connection<S> {
@@ -106,8 +121,10 @@
         }
     }
 
-    /// Reads the head of the next response. Interim (1xx) responses are skipped.
+    /// Reads the head of the next response. Interim (1xx) responses are skipped; with them, the head
+    /// is at most `max_bytes` long.
     pub async fn response_head(&mut self, max_bytes: usize) -> Result<ResponseHead, Fault> {
+        let mut skipped = 0;
         loop {
             match parse_response(self.buf.bytes())? {
                 Some((head, length)) => {
@@ -115,9 +132,13 @@
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    skipped += length;
+                    if skipped > max_bytes {
+                        return Err(Fault::HeadTooLong);
+                    }
                     continue;
                 }
-                None if self.buf.len() > max_bytes => return Err(Fault::HeadTooLong),
+                None if skipped + self.buf.len() > max_bytes => return Err(Fault::HeadTooLong),
                 None => {}
             }
             if self.fill().await? == 0 {
@@ -154,8 +175,16 @@
 
     async fn read_chunks(&mut self, max_bytes: u64) -> Result<Vec<u8>, Fault> {
         let mut body = Vec::new();
+        let mut extension_bytes = 0;
         loop {
-            let size = self.read_chunk_size().await?;
+            let (size, line_length) = self.read_chunk_size().await?;
+            extension_bytes += line_length.saturating_sub(hex_digits(size) + LINE_END.len());
+            if extension_bytes > MAX_EXTENSION_BYTES {
+                return Err(Fault::FramingTooLong(
+                    "chunk extensions",
+                    MAX_EXTENSION_BYTES,
+                ));
+            }
             if size == 0 {
                 self.skip_trailers().await?;
                 return Ok(body);
@@ -173,12 +202,13 @@
         }
     }
 
-    async fn read_chunk_size(&mut self) -> Result<u64, Fault> {
+    /// Reads the line with the size of a chunk. Returns the size and the length of the line.
+    async fn read_chunk_size(&mut self) -> Result<(u64, usize), Fault> {
         loop {
             match httparse::parse_chunk_size(self.buf.bytes()) {
                 Ok(httparse::Status::Complete((length, size))) => {
                     self.buf.consume(length);
-                    return Ok(size);
+                    return Ok((size, length));
                 }
                 Ok(httparse::Status::Partial) if self.buf.len() <= MAX_CHUNK_LINE => {}
                 _ => return Err(Fault::Malformed("a chunk's size is no number".to_string())),
@@ -191,6 +221,7 @@
 
     /// Skips the lines after the last chunk, up to and including the empty one.
     async fn skip_trailers(&mut self) -> Result<(), Fault> {
+        let mut skipped = 0;
         loop {
             let end = self.buf.bytes().windows(2).position(|pair| pair == b"\r\n");
             match end {
@@ -199,6 +230,10 @@
                     if length == 0 {
                         return Ok(());
                     }
+                    skipped += length + 2;
+                    if skipped > MAX_TRAILER_BYTES {
+                        return Err(Fault::FramingTooLong("trailers", MAX_TRAILER_BYTES));
+                    }
                     continue;
                 }
                 None if self.buf.len() > MAX_CHUNK_LINE => {
--- a/components/http1/tests/http1.rs
+++ b/components/http1/tests/http1.rs
@@ -126,6 +126,34 @@
     assert!(request_framing(&signed).is_err());
 }
 
+async fn chunked_body(text: &str) -> Result<Vec<u8>, Fault> {
+    let mut connection = connection(text);
+    connection.body(Framing::Chunked, MAX_BODY_BYTES).await
+}
+
+#[test]
+fn trailers_and_chunk_extensions_are_read_without_a_bound() {
+    let trailers = "x: y\r\n".repeat(4_000);
+    let body = block_on(chunked_body(&format!("0\r\n{trailers}\r\n")));
+    assert!(matches!(body, Err(Fault::FramingTooLong("trailers", _))));
+    let extended = format!("1;{}\r\ny\r\n", "x".repeat(600)).repeat(40);
+    let body = block_on(chunked_body(&format!("{extended}0\r\n\r\n")));
+    assert!(matches!(
+        body,
+        Err(Fault::FramingTooLong("chunk extensions", _))
+    ));
+    let body = block_on(chunked_body("2;x=y\r\nok\r\n0\r\nx: y\r\n\r\n"));
+    assert_eq!(body.expect("a body"), b"ok");
+}
+
+#[test]
+fn interim_responses_are_skipped_without_a_bound() {
+    let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(100);
+    let text = format!("{interim}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let head = block_on(connection(&text).response_head(1_000));
+    assert!(matches!(head, Err(Fault::HeadTooLong)));
+}
+
 #[test]
 fn peer_that_sends_faster_than_it_is_read_stops_the_other_tasks_of_the_thread() {
     const LARGE_BODY_BYTES: u64 = 50_000_000;
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -236,11 +236,17 @@
         req: &Request,
         options: &ExchangeOptions<'_>,
     ) -> std::result::Result<(Answer, Option<Duration>), Fault> {
+        let max_body_bytes = self.max_body_bytes as u64;
+        let mut skipped_bytes = 0;
         for _ in 0..=MAX_SKIPPED_RESPONSES {
             let head = connection.response_head(MAX_HEAD_BYTES).await?;
             let framing = response_framing(&req.method, &head, self.close_delimited)?;
-            let body = connection.body(framing, self.max_body_bytes as u64).await?;
+            let body = connection.body(framing, max_body_bytes).await?;
             if is_for_other_request(&head, options) {
+                skipped_bytes += body.len() as u64;
+                if skipped_bytes > max_body_bytes {
+                    return Err(Fault::BodyTooLong(max_body_bytes));
+                }
                 tracing::info!(
                     status = head.status,
                     "skipped a response to an earlier request"
