A response without an id is no longer taken for the one that is due

Cause: a response was skipped only if it carried another request's id; one without any id counted as the one that was due, with all it said of load, limits and not having run.

Change: where upstreams repeat the id, a response without one ends the exchange before its body is read.

--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -57,7 +57,7 @@
 pub struct ExchangeOptions<'a> {
     /// Headers set by this node. They replace headers of the caller with the same name.
     pub headers: Vec<(&'a str, String)>,
-    /// Header in which a response repeats the request's ID, and the ID.
+    /// Header in which every response repeats the request's ID, and the ID.
     pub request_id: Option<(&'a str, &'a str)>,
     /// Whether the request may run more than once.
     pub repeatable: bool,
@@ -230,6 +230,7 @@
 
     /// Reads the response to this request. Also returns for how long the connection may be reused.
     /// Responses with the ID of another request are left over from earlier requests and are skipped.
+    /// One without an ID belongs to no request, and what follows it can't be told apart either.
     async fn read_response(
         &self,
         connection: &mut Connection<TcpStream>,
@@ -240,9 +241,14 @@
         let mut skipped_bytes = 0;
         for _ in 0..=MAX_SKIPPED_RESPONSES {
             let head = connection.response_head(MAX_HEAD_BYTES).await?;
+            let addressee = addressee(&head, options);
+            if addressee == Addressee::Nobody {
+                let cause = "received a response without the ID of a request";
+                return Err(Fault::Malformed(cause.to_string()));
+            }
             let framing = response_framing(&req.method, &head, self.close_delimited)?;
             let body = connection.body(framing, max_body_bytes).await?;
-            if is_for_other_request(&head, options) {
+            if addressee == Addressee::OtherRequest {
                 skipped_bytes += body.len() as u64;
                 if skipped_bytes > max_body_bytes {
                     return Err(Fault::BodyTooLong(max_body_bytes));
@@ -348,13 +354,25 @@
     )
 }
 
-/// Whether a response carries the ID of another request. Without an ID it counts as the response to
-/// this request.
-fn is_for_other_request(head: &ResponseHead, options: &ExchangeOptions<'_>) -> bool {
+/// The request to which a response belongs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Addressee {
+    ThisRequest,
+    OtherRequest,
+    Nobody,
+}
+
+/// The request whose ID a response carries. Where responses carry no IDs, the next one is for this
+/// request.
+fn addressee(head: &ResponseHead, options: &ExchangeOptions<'_>) -> Addressee {
     let Some((name, id)) = options.request_id else {
-        return false;
+        return Addressee::ThisRequest;
     };
-    http1::header_value(&head.headers, name).is_some_and(|received| received != id)
+    match http1::header_value(&head.headers, name) {
+        Some(received) if received == id => Addressee::ThisRequest,
+        Some(_) => Addressee::OtherRequest,
+        None => Addressee::Nobody,
+    }
 }
 
 fn answer(head: ResponseHead, framing: Framing, body: Vec<u8>) -> Answer {
