An endless request at the operators' port no longer stops a node

What callers saw: nothing. One connection to the operators' port that sent a body in chunks of one byte without end took the node from all its callers until it closed; no key was needed, and no timer ran meanwhile.

Cause: async-h1 reads the rest of a body that no endpoint has read, without a limit, and never gives the thread back while data is at hand.

Change: http1::LimitedStream stands below async-h1. It bounds the bytes of a request (32 KB, and the declared length of a body sent with the fleet's key) and lets other tasks run after 16 KB without a wait.

--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -11,10 +11,12 @@
 use crate::node::Node;
 use crate::store;
 use async_channel::{Receiver, Sender};
+use async_h1::server::{ConnectionStatus, Server};
 use async_std::future::timeout;
-use async_std::net::TcpListener;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use audit::Origin;
+use http1::LimitedStream;
 use metrics_exporter_prometheus::PrometheusHandle;
 use names::SECOND;
 use quarantine::Fingerprint;
@@ -36,6 +38,8 @@
 const MAX_RELEASE_BYTES: usize = 16 * 1024;
 /// Maximum size of a pushed revision, in bytes.
 const MAX_PUSH_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of everything else of a request, in bytes.
+const MAX_OVERHEAD_BYTES: usize = 32 * 1024;
 
 /// State of a node, for operators and scripts.
 #[derive(Debug, Clone, Serialize)]
@@ -191,14 +195,40 @@
         };
         let app = app.clone();
         local::spawn(async move {
-            let served = async_h1::accept(stream, |req| app.respond(req));
-            if let Err(error) = served.await {
+            if let Err(error) = serve_connection(app, stream).await {
                 tracing::debug!(%error, "an operator's connection ended");
             }
         });
     }
 }
 
+/// Serves one connection until it ends. async-h1 reads the rest of a body that no endpoint has read,
+/// without a limit of its own.
+async fn serve_connection(
+    app: tide::Server<AppState>,
+    stream: TcpStream,
+) -> Result<(), http_types::Error> {
+    let overhead_bytes = MAX_OVERHEAD_BYTES as u64;
+    let stream = LimitedStream::new(stream, overhead_bytes);
+    let fleet_key = &app.state().fleet_key;
+    let mut server = Server::new(stream.clone(), |req: http_types::Request| {
+        stream.allow(overhead_bytes + max_body_bytes(&req, fleet_key) as u64);
+        app.respond(req)
+    });
+    while server.accept_one().await? == ConnectionStatus::KeepAlive {
+        stream.allow(overhead_bytes);
+    }
+    Ok(())
+}
+
+/// Maximum size of a request's body, in bytes.
+fn max_body_bytes(req: &http_types::Request, fleet_key: &str) -> usize {
+    match req.len() {
+        Some(length) if has_fleet_key(req, fleet_key) => length.min(MAX_PUSH_BYTES),
+        _ => 0,
+    }
+}
+
 /// Moves recorded histogram samples into their buckets. Otherwise the samples would accumulate
 /// until the metrics are scraped.
 pub async fn run_upkeep(prometheus: PrometheusHandle) {
@@ -453,11 +483,7 @@
 
 /// Checks that the request carries the fleet's key as a bearer token; all changes require it.
 fn authorise(req: &Request<AppState>) -> tide::Result<()> {
-    let expected = format!("Bearer {}", req.state().fleet_key);
-    let given = req
-        .header("authorization")
-        .map(|values| values.last().as_str().to_string());
-    if given.as_deref() == Some(expected.as_str()) {
+    if has_fleet_key(req.as_ref(), &req.state().fleet_key) {
         return Ok(());
     }
     Err(tide::Error::from_str(
@@ -465,3 +491,8 @@
         "needs the fleet's key",
     ))
 }
+
+fn has_fleet_key(req: &http_types::Request, fleet_key: &str) -> bool {
+    let given = req.header("authorization").map(|values| values.last());
+    given.is_some_and(|given| given.as_str() == format!("Bearer {fleet_key}"))
+}
--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::buffer::Buffer;
 use crate::framing::Framing;
 use crate::head::{parse_request, parse_response, RequestHead, ResponseHead};
+use crate::limited::YIELD_AFTER_BYTES;
 use async_std::io::Read;
 use async_std::task;
 use futures_util::future::poll_fn;
@@ -17,10 +18,6 @@
 /// Maximum size of the trailers of a body, and of its chunk extensions together, in bytes.
 const MAX_TRAILER_BYTES: usize = 16_384;
 const MAX_EXTENSION_BYTES: usize = 16_384;
-/// After this many bytes without a wait for data, a read lets the other tasks of its thread run. A
-/// peer that sends faster than they are read would otherwise stop them, and their timers.
-const YIELD_AFTER_BYTES: usize = 16_384;
-
 const LINE_END: &[u8] = b"\r\n";
 
 /// Why a message could not be read.
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod framing;
 mod head;
+mod limited;
 mod patience;
 mod write;
 
@@ -17,5 +18,6 @@
 pub use connection::{Connection, Fault};
 pub use framing::{request_framing, response_framing, CloseDelimited, Framing};
 pub use head::{header_value, is_hop_header, unique_header, Header, RequestHead, ResponseHead};
+pub use limited::LimitedStream;
 pub use patience::ResponseTimeouts;
 pub use write::{request_bytes, response_bytes};
