An endless response of the platform no longer outlives the timeout of its call

What operators saw: nothing from a node whose platform sent a response in chunks of one byte without end. The call's timeout of 2 s could not fire, since the read never gave the thread back.

The store of registered upstreams is read by http1 and was sound.

Change: the client reads at most 4 MB, through http1::LimitedStream.

--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -3,6 +3,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use errors::{Error, Result, Step};
+use http1::LimitedStream;
 use http_types::{Method, Request, Response, StatusCode, Url};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -14,6 +15,8 @@
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 /// Maximum size of a value.
 const MAX_VALUE_BYTES: usize = 1024 * 1024;
+/// Maximum size of a response, in bytes.
+const MAX_RESPONSE_BYTES: u64 = 4 * 1024 * 1024;
 /// Header that carries an object's version.
 const VERSION_HEADER: &str = "object-version";
 
@@ -176,7 +179,7 @@
             let stream = TcpStream::connect(address)
                 .await
                 .map_err(|error| Error::new(Step::Connect, address, error))?;
-            async_h1::client::connect(stream, req)
+            async_h1::client::connect(LimitedStream::new(stream, MAX_RESPONSE_BYTES), req)
                 .await
                 .map_err(|error| Error::new(Step::Platform, address, error))
         };
