A request body that is late for its deadline is refused at the deadline

What callers saw: a connection whose body came too slowly stayed open for 10 s, also where the request's deadline had passed long before.

Cause: the time for a body was a constant, and the deadline was read only once the body was there.

Change: the body has to arrive by the deadline, within 10 s at most; then 408, not run.

Evidence: body_that_arrives_after_its_deadline_keeps_its_connection_open is red on the program before (no answer within 5 s).

--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -148,8 +148,8 @@
     received: Moment,
 ) -> Result<CallerRequest, BadRequest> {
     let account_key = take_account_key(names, &mut head.headers)?;
-    let body = read_body(connection, &head, limits).await?;
     let deadline_ms = integer_header(&head.headers, &names.deadline_ms)?;
+    let body = read_body(connection, &head, limits, deadline_ms).await?;
     let id = match &names.request_id {
         Some(name) => single_header(&head.headers, name)?
             .unwrap_or("-")
@@ -248,14 +248,12 @@
     connection: &mut Connection<TcpStream>,
     head: &RequestHead,
     limits: Limits,
+    deadline_ms: Option<u64>,
 ) -> Result<Vec<u8>, BadRequest> {
     let framing = request_framing(&head.headers).map_err(|fault| BadRequest::from(&fault))?;
-    match timeout(
-        BODY_TIMEOUT,
-        connection.body(framing, limits.max_body_bytes),
-    )
-    .await
-    {
+    let deadline = deadline_ms.map_or(BODY_TIMEOUT, Duration::from_millis);
+    let body = connection.body(framing, limits.max_body_bytes);
+    match timeout(deadline.min(BODY_TIMEOUT), body).await {
         Ok(body) => body.map_err(|fault| BadRequest::from(&fault)),
         Err(_) => Err(bad_request(
             408,
