The bytes that delimit the chunks of a body have a bound

Cause: the limit counted the data of the chunks alone, and five bytes delimit each byte of data.

Change: sizes and line ends together may be as long as the longest body allowed, but 16 KB at least; extensions keep their own bound.

--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -26,7 +26,8 @@
     /// The head, with the interim responses before it, is longer than the limit or has too many
     /// headers.
     HeadTooLong,
-    /// The trailers of a body, or the extensions of its chunks, are longer than this limit, in bytes.
+    /// The trailers of a body, the extensions of its chunks, or all that delimits its chunks, are longer
+    /// than this limit, in bytes.
     FramingTooLong(&'static str, usize),
     /// The body is longer than this limit, in bytes.
     BodyTooLong(u64),
@@ -173,9 +174,16 @@
     async fn read_chunks(&mut self, max_bytes: u64) -> Result<Vec<u8>, Fault> {
         let mut body = Vec::new();
         let mut extension_bytes = 0;
+        let mut framing_bytes = 0;
+        let max_framing_bytes = MAX_EXTENSION_BYTES.max(max_bytes as usize);
         loop {
             let (size, line_length) = self.read_chunk_size().await?;
-            extension_bytes += line_length.saturating_sub(hex_digits(size) + LINE_END.len());
+            let size_bytes = hex_digits(size) + LINE_END.len();
+            framing_bytes += size_bytes + LINE_END.len();
+            if framing_bytes > max_framing_bytes {
+                return Err(Fault::FramingTooLong("chunk sizes", max_framing_bytes));
+            }
+            extension_bytes += line_length.saturating_sub(size_bytes);
             if extension_bytes > MAX_EXTENSION_BYTES {
                 return Err(Fault::FramingTooLong(
                     "chunk extensions",
--- a/components/http1/tests/http1.rs
+++ b/components/http1/tests/http1.rs
@@ -146,6 +146,20 @@
     assert_eq!(body.expect("a body"), b"ok");
 }
 
+#[test]
+fn chunk_sizes_are_read_without_a_bound() {
+    block_on(async {
+        let read = |chunks| async move {
+            let text = format!("{}0\r\n\r\n", "1\r\nx\r\n".repeat(chunks));
+            let mut connection = connection(&text);
+            connection.body(Framing::Chunked, 10_000).await
+        };
+        assert_eq!(read(3_000).await.expect("a body").len(), 3_000);
+        let body = read(4_000).await;
+        assert!(matches!(body, Err(Fault::FramingTooLong("chunk sizes", _))));
+    });
+}
+
 #[test]
 fn interim_responses_are_skipped_without_a_bound() {
     let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(100);
