Tests of endless messages: one loop, and the bytes that are read are counted

What is read is counted where it can be: more_than_twice_the_longest_message_is_read gives the reader of connections endless heads and bodies of nine shapes and counts each byte that it takes, without slack. A paced sender was tried first and dropped: a debug build on a busy machine reads more slowly than 2 MB/s.

--- a/components/http1/tests/http1.rs
+++ b/components/http1/tests/http1.rs
@@ -5,7 +5,9 @@
 use futures_util::future::{select, Either};
 use http1::{request_framing, response_framing, CloseDelimited, Connection, Fault, Framing};
 use proptest::prelude::*;
+use std::cell::Cell;
 use std::pin::{pin, Pin};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 const MAX_BODY_BYTES: u64 = 64;
@@ -146,6 +148,66 @@
     assert_eq!(body.expect("a body"), b"ok");
 }
 
+/// A peer that sends a start, and then a piece again and again.
+struct EndlessPeer {
+    start: &'static [u8],
+    piece: &'static [u8],
+    sent: Rc<Cell<usize>>,
+}
+
+impl Read for EndlessPeer {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let sent = self.sent.get();
+        for (byte, at) in buf.iter_mut().zip(sent..) {
+            let in_piece = at.saturating_sub(self.start.len()) % self.piece.len();
+            *byte = *self.start.get(at).unwrap_or(&self.piece[in_piece]);
+        }
+        self.sent.set(sent + buf.len());
+        Poll::Ready(Ok(buf.len()))
+    }
+}
+
+/// The longest head and the longest body, in bytes, in the test of endless messages.
+const MAX_ENDLESS_BYTES: usize = 100_000;
+const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const IN_EXTENSION: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+const IN_TRAILERS: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+
+#[test]
+fn more_than_twice_the_longest_message_is_read() {
+    let messages: [(&[u8], &[u8]); 9] = [
+        (b"HTTP/1.1 200 ", b"O"),
+        (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n"),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"yyyy"),
+        (CHUNKED, b"1\r\ny\r\n"),
+        (CHUNKED, b"4\r\nyyyy\r\n"),
+        (CHUNKED, b"1;xxxxxxxx\r\ny\r\n"),
+        (IN_EXTENSION, b"x=y;"),
+        (IN_TRAILERS, b"x: y\r\n"),
+    ];
+    for (start, piece) in messages {
+        let sent = Rc::new(Cell::new(0));
+        let mut connection = Connection::new(EndlessPeer {
+            start,
+            piece,
+            sent: sent.clone(),
+        });
+        let result = block_on(async {
+            let head = connection.response_head(MAX_ENDLESS_BYTES).await?;
+            let framing = response_framing("GET", &head, CloseDelimited::Accept)?;
+            connection.body(framing, MAX_ENDLESS_BYTES as u64).await
+        });
+        let piece = String::from_utf8_lossy(piece);
+        assert!(result.is_err(), "{piece:?}");
+        assert!(sent.get() <= 2 * MAX_ENDLESS_BYTES, "{piece:?}: {sent:?}");
+    }
+}
+
 #[test]
 fn chunk_sizes_are_read_without_a_bound() {
     block_on(async {
