--- a/review/standins-2/site_.py
+++ b/review/standins-2/site_.py
@@ -18,6 +18,7 @@
 TEMPLATE = os.path.join(ROOT, "platform", "settings.ini")
 HOST = "site.example"
 START = time.monotonic()
+PROCESSES = []
 
 
 class CannotRun(Exception):
@@ -494,6 +495,7 @@
         self.process = subprocess.Popen([PROGRAM], env=environment, cwd=ROOT, stdin=subprocess.DEVNULL,
                                         stdout=log, stderr=log)
         self.starts += 1
+        PROCESSES.append(self.process)
 
     def signal(self, which):
         try:
@@ -661,5 +663,9 @@
         record.say("the case could not run:", error)
     except Exception as error:  # the stand-ins failed, not the node
         record.say("the case could not run:", repr(error))
+    for process in PROCESSES:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
     sys.stdout.flush()
     os._exit(code)
