--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Starts the case; see claim.txt.
-exec python3 "$(dirname "$0")/case.py"
+exec python3 -B "$(dirname "$0")/case.py"
