--- a/review/7/case.py
+++ b/review/7/case.py
@@ -105,4 +105,5 @@
     return not broken
 
 
-standin.main(case)
+# TROUBLE=0 does the same without the disruption.
+standin.main(case, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins-2/site_.py
+++ b/review/standins-2/site_.py
@@ -647,12 +647,11 @@
         return count
 
 
-def main(case):
+def main(case, trouble):
     """Runs `case(record, trouble)`, which returns whether the rule held, and exits as agreed."""
     import sys
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say("run with the disruption" if trouble else "run without the disruption")
     code = 2
     try:
