Acknowledged departures are in the store before they are acknowledged

What callers saw: a server that had deregistered, and whose node had acknowledged it, got requests that may run only once over 4.9 s later.

Hypotheses: (1) the end is in the memory of nodes only; (2) it is stored or known to another node, and the restarted node applies the heartbeat before it learns it; (3) the other nodes go on from an older record.

Change: a report by which an incarnation accepts no more work (deregistered, or draining) is acknowledged once this node's record in the store says so, with the last four earlier incarnations of the VM (field `e`). If the store does not accept it within 0.8 s the answer is 503 and the write goes on; the upstream gets no work from the notice on in either case. A node that starts reads the latest records (not those that may lag) and applies no registration and no health check before it knows the departures of its earlier boot, from the store or from the record that another node holds. A replaced incarnation that reports draining stays draining.

Weighed: - Cost: one write a departure, in the store's memory only; at 760 VMs a roll-out of the whole fleet adds 760 writes to the 760 that name the new upstreams.

--- a/components/audit/src/registrations.rs
+++ b/components/audit/src/registrations.rs
@@ -4,7 +4,8 @@
 use crate::stats;
 use names::Name;
 use registry::{
-    ConfiguredUpstream, DepartureOutcome, HeartbeatOutcome, Incarnation, Instance, Mismatch, Record,
+    ConfiguredUpstream, Departed, DepartureOutcome, HeartbeatOutcome, Incarnation, Instance,
+    Mismatch, Record,
 };
 
 /// A heartbeat of the local upstream registered a change.
@@ -103,6 +104,26 @@
     );
 }
 
+/// A departure notice or a registration was not acknowledged, since what it says would not outlive
+/// this node.
+pub fn report_not_stored(incarnation: &Incarnation) {
+    tracing::info!(
+        instance = %incarnation.id,
+        born_ms = incarnation.born_ms,
+        "departure is not acknowledged: the store has not accepted it in time"
+    );
+}
+
+/// An earlier boot of this node has stored that an incarnation accepts no more work.
+pub fn departure_restored(departed: &Departed) {
+    tracing::info!(
+        instance = %departed.id,
+        born_ms = departed.born_ms,
+        state = departed.state.as_str(),
+        "departure read from this node's stored record"
+    );
+}
+
 /// The incarnation that a previous boot of this node had registered still answers at its address.
 pub fn upstream_found(instance: &Instance, adopted: bool) {
     tracing::info!(instance = %instance.id, taken = adopted, "a known upstream was found at its address");
--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -1,6 +1,6 @@
 //! HTTP endpoint at which the local upstream registers.
 
-use super::{health, matches_settings, on_local_change, Registration};
+use super::{departures, health, matches_settings, on_local_change, Registration};
 use crate::home_driver;
 use crate::local;
 use crate::node::Node;
@@ -12,7 +12,7 @@
 use http1::{request_framing, Connection, Fault};
 use names::MILLISECOND;
 use platform::Registration as Report;
-use registry::{Change, DepartureOutcome, HeartbeatOutcome, Instance};
+use registry::{Change, Departed, DepartureOutcome, HeartbeatOutcome, Incarnation, Instance};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +25,10 @@
 /// Pause after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Maximum wait of a report until it can be acknowledged. The upstream expects that within a second.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum number of reports that wait for what an earlier boot has stored.
+const MAX_REPORTS_HELD: u32 = 64;
 /// Minimum time between two checks of the upstream's identity, in microseconds: twice a second is
 /// within its budget of probes.
 const IDENTITY_CHECK_INTERVAL_US: u64 = 500 * MILLISECOND;
@@ -73,9 +77,9 @@
         .adapter
         .registration(&head.method, &head.target, &body);
     let (status, text) = match read {
-        Ok(report) => match apply_report(node, registration, report).await {
+        Ok(report) => match apply_once_known(node, registration, report).await {
             ReportOutcome::Acknowledged => (200, "{}".to_string()),
-            ReportOutcome::Unconfirmed => (503, "another start stands here".to_string()),
+            ReportOutcome::Unconfirmed => (503, "not confirmed; report again".to_string()),
             ReportOutcome::Rejected => (400, "not the upstream of this VM's settings".to_string()),
         },
         Err(error) => {
@@ -132,12 +136,74 @@
     }
 }
 
-/// Applies a registration or departure notice. All its consequences have taken effect on return, so
-/// that the answer may acknowledge it.
+/// Applies a report once the departures that an earlier boot has acknowledged are known. If that
+/// takes long, the report is not acknowledged, but still applied.
+async fn apply_once_known(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    report: Report,
+) -> ReportOutcome {
+    if registration.predecessor.is_open() {
+        return apply_report(node, registration, report).await;
+    }
+    if registration.reports_held.get() >= MAX_REPORTS_HELD {
+        return ReportOutcome::Unconfirmed;
+    }
+    registration
+        .reports_held
+        .set(registration.reports_held.get() + 1);
+    let (tx, rx) = async_channel::bounded(1);
+    let node = node.clone();
+    let registration = registration.clone();
+    local::spawn_contained("held-registration", async move {
+        registration.predecessor.wait().await;
+        registration
+            .reports_held
+            .set(registration.reports_held.get() - 1);
+        let outcome = apply_report(&node, &registration, report).await;
+        tx.try_send(outcome).ok();
+    });
+    match timeout(ACKNOWLEDGEMENT_TIMEOUT, rx.recv()).await {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(_)) | Err(_) => ReportOutcome::Unconfirmed,
+    }
+}
+
+/// Applies a registration or departure notice. All its consequences have taken effect on return, and
+/// outlive this node, so that the answer may acknowledge it.
 async fn apply_report(
     node: &Rc<Node>,
     registration: &Rc<Registration>,
     report: Report,
+) -> ReportOutcome {
+    let departing = departing_incarnation(&report);
+    let outcome = apply_in_memory(node, registration, report).await;
+    let (Some(incarnation), ReportOutcome::Acknowledged) = (departing, outcome) else {
+        return outcome;
+    };
+    if departures::store(node, registration, &incarnation).await {
+        return outcome;
+    }
+    audit::report_not_stored(&incarnation);
+    ReportOutcome::Unconfirmed
+}
+
+/// The incarnation that a report says accepts no more work.
+fn departing_incarnation(report: &Report) -> Option<Incarnation> {
+    match report {
+        Report::Heartbeat(heartbeat) => {
+            let departed = Departed::of(&heartbeat.instance);
+            departed.map(|departed| departed.incarnation())
+        }
+        Report::Departure(incarnation) => Some(incarnation.clone()),
+    }
+}
+
+/// Applies a registration or departure notice to the state of this node.
+async fn apply_in_memory(
+    node: &Rc<Node>,
+    registration: &Rc<Registration>,
+    report: Report,
 ) -> ReportOutcome {
     let mut cold_ms = None;
     let mut prior_starts = PriorStarts::Until(node.started);
--- a/components/daemon/src/registration/health.rs
+++ b/components/daemon/src/registration/health.rs
@@ -29,17 +29,12 @@
 /// Makes the upstream that an earlier boot of this node recorded current, if it still runs and is
 /// ready.
 pub async fn restore_upstream(node: Rc<Node>, registration: Rc<Registration>, recorded: Instance) {
-    if registration.local.borrow().current().is_some()
+    if recorded.state != State::Ready
+        || registration.local.borrow().current().is_some()
         || !matches_settings(&node, &registration, &recorded, "record")
     {
         return;
     }
-    if recorded.state != State::Ready {
-        if registration.local.borrow_mut().restore_state(&recorded) {
-            on_local_change(&node, &registration, PriorStarts::Until(node.started));
-        }
-        return;
-    }
     let path = health_path(&node, &recorded).await;
     let identity = match path {
         Some(path) => check_identity(&node, &recorded, &path, ANSWER_TIMEOUT).await,
@@ -51,6 +46,7 @@
     };
     match identity {
         Ok(()) => {
+            registration.predecessor.wait().await;
             let adopted = registration.local.borrow_mut().adopt(recorded.clone());
             audit::upstream_found(&recorded, adopted);
             if adopted {
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -1,6 +1,7 @@
 //! Registered fleets: the local upstream, the records of all nodes, and their distribution to the
 //! store and to the other nodes.
 
+mod departures;
 mod door;
 mod health;
 mod offer;
@@ -19,13 +20,16 @@
 use crate::links::Reply;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
+use async_std::sync::Mutex;
 use audit::StartupRecords;
+use departures::{DepartureWrites, PredecessorGate};
 use era::Eras;
 use evacuation::Evacuations;
 use home::PriorStarts;
 use names::{BootId, Moment, Name, MILLISECOND};
 use platform::Adapter;
 use quarantine::Fingerprint;
+use records::StoreContent;
 use registry::{
     ConfiguredUpstream, Declared, Fleet, Incarnation, Instance, LocalUpstream, Record, Version,
 };
@@ -66,6 +70,14 @@
     identity_checked_at: Cell<Moment>,
     /// Writes of other nodes' records to the store that are in progress.
     peer_writes: Cell<u32>,
+    /// What the store holds of this node.
+    stored: RefCell<StoreContent>,
+    /// Held during a write of this node's record.
+    writing: Mutex<()>,
+    predecessor: PredecessorGate,
+    /// Reports that wait until the predecessor's departures are known.
+    reports_held: Cell<u32>,
+    departure_writes: DepartureWrites,
     /// Signals that this node's record has changed and has to be written to the store.
     write_requests: (Sender<()>, Receiver<()>),
 }
@@ -103,6 +115,11 @@
             has_new_records: Cell::new(false),
             identity_checked_at: Cell::new(Moment(0)),
             peer_writes: Cell::new(0),
+            stored: RefCell::default(),
+            writing: Mutex::new(()),
+            predecessor: PredecessorGate::default(),
+            reports_held: Cell::new(0),
+            departure_writes: DepartureWrites::default(),
             write_requests: async_channel::bounded(1),
         }
     }
@@ -167,6 +184,7 @@
 
 /// Schedules the offer of this node's record after the store was restored from an older copy.
 pub fn schedule_offer(registration: &Registration) {
+    registration.stored.borrow_mut().forget_departed();
     registration.request_write();
 }
 
--- a/components/daemon/src/registration/offer.rs
+++ b/components/daemon/src/registration/offer.rs
@@ -2,7 +2,7 @@
 //! again, and a node that can't reach the store has another one write it. All nodes may lose power
 //! right afterwards, and would then find one another only through the store.
 
-use super::records::{decode, rewrite, StoredRecord};
+use super::records::{decode, rewrite};
 use super::Registration;
 use crate::links;
 use crate::local;
@@ -54,18 +54,14 @@
 }
 
 /// Offers this node's record at its scheduled time, until the store of the current era has it.
-pub(super) async fn run(
-    node: &Rc<Node>,
-    registration: &Rc<Registration>,
-    stored: &mut StoredRecord,
-) {
+pub(super) async fn run(node: &Rc<Node>, registration: &Rc<Registration>) {
     loop {
         let Some(at) = registration.eras.borrow().offer_at() else {
             return;
         };
         let wait_us = at.since(node.now());
         task::sleep(Duration::from_micros(wait_us)).await;
-        let writing = pin!(rewrite(node, registration, stored));
+        let writing = pin!(rewrite(node, registration));
         let delegating = pin!(delegate(node, registration));
         match select(writing, delegating).await {
             Either::Left(_) => {}
@@ -145,7 +141,7 @@
     else {
         return Ok(());
     };
-    if decode(&object).is_ok_and(|found| found.version >= record.version) {
+    if decode(&object).is_ok_and(|found| found.record.version >= record.version) {
         return Ok(());
     }
     let replace = store.put(kind, vm, Some(object.revision), &value);
--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -4,7 +4,7 @@
 //! connection opens. `registry` describes how changes reach the other halls, and how nodes find the
 //! records that they missed.
 
-use super::{health, Registration};
+use super::{departures, health, Registration};
 use crate::configuration;
 use crate::containment;
 use crate::links::{self, Reply};
@@ -168,6 +168,10 @@
         MergeOutcome::Conflict => report_conflict(node, registration, offered),
         MergeOutcome::OwnConflict(version) => {
             containment::adopt_predecessor_record(node, registration, &offered);
+            departures::restore(node, registration, &offered, &[]);
+            if sender.is_some() && boot != node.boot {
+                registration.predecessor.open();
+            }
             let own = registration.fleet.borrow_mut().supersede(version);
             audit::own_record_changed(&own);
             announce(node, registration, &own);
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -5,7 +5,7 @@
 //! one, and some time after another incarnation of the upstream became current, so that a node
 //! which restarts together with all others finds its upstream without waiting for a registration.
 
-use super::{health, offer, peers, Registration, Source};
+use super::{departures, health, offer, peers, Registration, Source};
 use crate::containment;
 use crate::local;
 use crate::node::Node;
@@ -19,7 +19,7 @@
 use platform::{Consistency, PutOutcome, StoredObject};
 use quarantine::Fingerprint;
 use rand::Rng;
-use registry::{Incarnation, Instance, Record, State};
+use registry::{Incarnation, Instance, Record, State, StoredRecord};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,46 +41,48 @@
 
 /// What is known of this node's record in the store.
 #[derive(Debug, Default)]
-pub(super) struct StoredRecord {
+pub(super) struct StoreContent {
     revision: Option<u64>,
     peers: String,
     upstream: Option<Incarnation>,
+    departed: Vec<Incarnation>,
     quarantined: Vec<Fingerprint>,
 }
 
 /// Reads the other nodes' records and maintains this node's record, for as long as the node runs.
 pub async fn run(node: Rc<Node>, registration: Rc<Registration>) {
-    let mut stored = StoredRecord::default();
-    if !node.cfg.first_start {
+    if node.cfg.first_start {
+        registration.predecessor.open();
+    } else {
         // Reads first: if the stored record of a restarting node is still right, no write is
-        // needed.
-        read_records(&node, &registration, &mut stored).await;
+        // needed. A stale answer may lack a departure that the earlier boot has acknowledged.
+        read_records(&node, &registration, Consistency::Latest).await;
     }
     wait_for_upstream(&node, &registration).await;
-    if !has_stored_address(&registration, &stored) {
-        write_until_done(&node, &registration, &mut stored).await;
+    if !has_stored_address(&registration) {
+        write_until_done(&node, &registration).await;
     }
     if !knows_others(&registration) {
         // Of two nodes that start together, the one that reads last finds both records.
-        read_records(&node, &registration, &mut stored).await;
+        read_records(&node, &registration, Consistency::MayLag).await;
     }
-    read_while_isolated(&node, &registration, &mut stored).await;
+    read_while_isolated(&node, &registration).await;
     registration.request_write();
     while registration.write_requests.1.recv().await.is_ok() {
         if offer::is_due(&registration) {
-            offer::run(&node, &registration, &mut stored).await;
+            offer::run(&node, &registration).await;
             continue;
         }
         let after_ms = rand::rng().random_range(MIN_WRITE_DELAY_MS..=2 * MIN_WRITE_DELAY_MS);
-        delay_write(&registration, &stored, Duration::from_millis(after_ms)).await;
+        delay_write(&registration, Duration::from_millis(after_ms)).await;
         if offer::is_due(&registration) {
             continue;
         }
-        let is_due = !has_stored_address(&registration, &stored)
-            || has_unstored_upstream(&registration, &stored)
-            || has_unstored_quarantine(&registration, &stored);
+        let is_due = !has_stored_address(&registration)
+            || has_unstored_upstream(&registration)
+            || has_unstored_quarantine(&registration);
         if is_due {
-            write_until_done(&node, &registration, &mut stored).await;
+            write_until_done(&node, &registration).await;
         }
     }
 }
@@ -88,8 +90,8 @@
 /// Delays a write, unless the quarantined requests differ from the stored ones: if all nodes lose
 /// power now, these requests would crash further upstreams. A write is not delayed either when the
 /// store has lost records.
-async fn delay_write(registration: &Registration, stored: &StoredRecord, pause: Duration) {
-    let is_urgent = || has_unstored_quarantine(registration, stored) || offer::is_due(registration);
+async fn delay_write(registration: &Registration, pause: Duration) {
+    let is_urgent = || has_unstored_quarantine(registration) || offer::is_due(registration);
     let until_urgent =
         async { while !is_urgent() && registration.write_requests.1.recv().await.is_ok() {} };
     timeout(pause, until_urgent).await.ok();
@@ -100,17 +102,13 @@
 }
 
 /// Whether the quarantined requests differ from the stored ones.
-fn has_unstored_quarantine(registration: &Registration, stored: &StoredRecord) -> bool {
-    registration.fleet.borrow().own().quarantined != stored.quarantined
+fn has_unstored_quarantine(registration: &Registration) -> bool {
+    registration.fleet.borrow().own().quarantined != registration.stored.borrow().quarantined
 }
 
 /// Reads the requests that other nodes have quarantined from the store.
 pub async fn read_quarantined(node: &Rc<Node>, registration: &Rc<Registration>) {
-    // This node's own stored record is known from its writes.
-    let mut stored = StoredRecord::default();
-    if let Err(error) =
-        apply_stored_records(node, registration, &mut stored, Consistency::Latest).await
-    {
+    if let Err(error) = apply_stored_records(node, registration, Consistency::Latest).await {
         tracing::info!(%error, "failed to read the quarantined requests from the store");
     }
 }
@@ -154,16 +152,17 @@
     }
 }
 
-/// Reads the other nodes' records until the store has answered or another node has sent records.
-async fn read_records(node: &Rc<Node>, registration: &Rc<Registration>, stored: &mut StoredRecord) {
+/// Reads the other nodes' records until the store has answered or another node has sent what this
+/// node needs of them.
+async fn read_records(node: &Rc<Node>, registration: &Rc<Registration>, consistency: Consistency) {
     let mut pause = MIN_PAUSE_MS;
-    while let Err(error) =
-        apply_stored_records(node, registration, stored, Consistency::MayLag).await
-    {
+    while let Err(error) = apply_stored_records(node, registration, consistency).await {
         set_reachable(node, false);
         tracing::info!(%error, "failed to read the records from the store");
         pause = back_off(pause).await;
-        if knows_others(registration) {
+        let has_others = knows_others(registration);
+        registration.has_read_records.set(has_others);
+        if has_others && registration.predecessor.is_open() {
             break;
         }
     }
@@ -173,11 +172,7 @@
 }
 
 /// Reads again, a few times, while no other node is known: a stale answer may name no other node.
-async fn read_while_isolated(
-    node: &Rc<Node>,
-    registration: &Rc<Registration>,
-    stored: &mut StoredRecord,
-) {
+async fn read_while_isolated(node: &Rc<Node>, registration: &Rc<Registration>) {
     let mut pause = ISOLATED_PAUSE;
     for _ in 0..ISOLATED_READS {
         if knows_others(registration) {
@@ -185,7 +180,7 @@
         }
         task::sleep(pause).await;
         pause *= 2;
-        read_records(node, registration, stored).await;
+        read_records(node, registration, Consistency::MayLag).await;
     }
     registration.has_read_records.set(true);
 }
@@ -198,7 +193,6 @@
 async fn apply_stored_records(
     node: &Rc<Node>,
     registration: &Rc<Registration>,
-    stored: &mut StoredRecord,
     consistency: Consistency,
 ) -> Result<()> {
     let kind = registration.adapter.record_kind();
@@ -206,98 +200,118 @@
     let listing = platform_call(node, Purpose::Fleet, list).await?;
     audit::records_listed(listing.objects.len(), listing.at);
     for object in &listing.objects {
-        let record = match decode(object) {
-            Ok(record) => record,
+        let found = match decode(object) {
+            Ok(found) => found,
             Err(error) => {
                 audit::object_unreadable(object, &error);
                 continue;
             }
         };
-        if object.name == node.cfg.vm {
-            *stored = StoredRecord::from_record(object, &record);
-            containment::adopt_predecessor_record(node, registration, &record);
-            if record.boot != node.boot {
-                node.quotas.restarted();
+        // Of its own boot, this node knows from its writes what the store holds.
+        if object.name == node.cfg.vm && found.record.boot != node.boot {
+            let mut stored = registration.stored.borrow_mut();
+            if stored.revision.is_none_or(|known| known < object.revision) {
+                *stored = StoreContent::new(object.revision, &found);
             }
+            drop(stored);
+            adopt_predecessor(node, registration, &found);
+            node.quotas.restarted();
         }
-        peers::on_record(node, registration, record, Source::Store);
+        peers::on_record(node, registration, found.record, Source::Store);
+    }
+    if consistency == Consistency::Latest {
+        registration.predecessor.open();
     }
     node.fleet_changed();
     Ok(())
 }
 
 /// Whether the stored record has this node's present address.
-fn has_stored_address(registration: &Registration, stored: &StoredRecord) -> bool {
-    stored.peers == registration.fleet.borrow().own().peers
+fn has_stored_address(registration: &Registration) -> bool {
+    registration.stored.borrow().peers == registration.fleet.borrow().own().peers
 }
 
 /// Whether the upstream is ready and its incarnation differs from the stored one.
-fn has_unstored_upstream(registration: &Registration, stored: &StoredRecord) -> bool {
+fn has_unstored_upstream(registration: &Registration) -> bool {
     let fleet = registration.fleet.borrow();
+    let stored = registration.stored.borrow();
     let upstream = fleet.own().upstream.as_ref();
     let ready = upstream.filter(|upstream| upstream.state == State::Ready);
     ready.is_some_and(|upstream| stored.upstream.as_ref() != Some(&upstream.incarnation()))
 }
 
 /// Writes this node's record whatever the store holds, and retries until it is accepted.
-pub(super) async fn rewrite(
-    node: &Rc<Node>,
-    registration: &Rc<Registration>,
-    stored: &mut StoredRecord,
-) {
-    stored.revision = None;
-    write_until_done(node, registration, stored).await;
+pub(super) async fn rewrite(node: &Rc<Node>, registration: &Rc<Registration>) {
+    registration.stored.borrow_mut().revision = None;
+    write_until_done(node, registration).await;
+}
+
+/// Writes this node's record, and retries until it is accepted.
+async fn write_until_done(node: &Rc<Node>, registration: &Rc<Registration>) {
+    write_if_due(node, registration, |_| true).await;
 }
 
-async fn write_until_done(
+/// Writes this node's record if `is_due` says so once no other write is in progress, and retries
+/// until it is accepted.
+pub(super) async fn write_if_due(
     node: &Rc<Node>,
     registration: &Rc<Registration>,
-    stored: &mut StoredRecord,
+    is_due: impl Fn(&StoreContent) -> bool,
 ) {
     let mut pause = MIN_PAUSE_MS;
-    while let Err(error) = write(node, registration, stored).await {
-        set_reachable(node, false);
+    loop {
+        let writing = registration.writing.lock().await;
+        if !is_due(&registration.stored.borrow()) {
+            return;
+        }
+        let written = write(node, registration).await;
+        drop(writing);
+        set_reachable(node, written.is_ok());
+        let Err(error) = written else {
+            return;
+        };
         tracing::info!(%error, "failed to write this node's record to the store");
         pause = back_off(pause).await;
     }
-    set_reachable(node, true);
 }
 
-async fn write(
-    node: &Rc<Node>,
-    registration: &Rc<Registration>,
-    stored: &mut StoredRecord,
-) -> Result<()> {
+async fn write(node: &Rc<Node>, registration: &Rc<Registration>) -> Result<()> {
     let kind = registration.adapter.record_kind();
     let store = registration.adapter.store();
     loop {
-        let own = registration.fleet.borrow().own().clone();
+        let own = StoredRecord {
+            record: registration.fleet.borrow().own().clone(),
+            departed: registration.local.borrow().departed(),
+        };
+        let vm = own.record.vm.as_str();
         let value =
-            serde_json::to_vec(&own).map_err(|error| Error::new(Step::Platform, &own.vm, error))?;
-        let put = store.put(kind, own.vm.as_str(), stored.revision, &value);
+            serde_json::to_vec(&own).map_err(|error| Error::new(Step::Platform, vm, error))?;
+        let revision = registration.stored.borrow().revision;
+        let put = store.put(kind, vm, revision, &value);
         let put = platform_call(node, Purpose::OwnRecord, put).await;
         if put.is_err() {
             registration.eras.borrow_mut().write_unanswered(node.now());
         }
         match put? {
             PutOutcome::Written(at) => {
-                stored.update(at.revision, &own);
+                *registration.stored.borrow_mut() = StoreContent::new(at.revision, &own);
                 offer::on_stored(node, registration, at.era);
                 return Ok(());
             }
-            PutOutcome::Conflict(None) => stored.revision = None,
+            PutOutcome::Conflict(None) => registration.stored.borrow_mut().revision = None,
             PutOutcome::Conflict(Some(object)) => {
-                stored.revision = Some(object.revision);
+                registration.stored.borrow_mut().revision = Some(object.revision);
                 match decode(&object) {
                     Ok(found) => {
-                        *stored = StoredRecord::from_record(&object, &found);
+                        *registration.stored.borrow_mut() =
+                            StoreContent::new(object.revision, &found);
                         if found == own {
                             offer::on_stored(node, registration, store::known_era(node));
                             return Ok(());
                         }
-                        containment::adopt_predecessor_record(node, registration, &found);
-                        if found.boot != own.boot {
-                            take_over(node, registration, found);
+                        adopt_predecessor(node, registration, &found);
+                        if found.record.boot != own.record.boot {
+                            take_over(node, registration, found.record);
                         }
                     }
                     // From another writer: it is overwritten.
@@ -308,21 +322,38 @@
     }
 }
 
-impl StoredRecord {
-    fn from_record(object: &StoredObject, record: &Record) -> StoredRecord {
-        let mut stored = StoredRecord::default();
-        stored.update(object.revision, record);
-        stored
+impl StoreContent {
+    fn new(revision: u64, stored: &StoredRecord) -> StoreContent {
+        let record = &stored.record;
+        StoreContent {
+            revision: Some(revision),
+            peers: record.peers.clone(),
+            upstream: record.upstream.as_ref().map(Instance::incarnation),
+            departed: stored
+                .all_departed()
+                .map(|departed| departed.incarnation())
+                .collect(),
+            quarantined: record.quarantined.clone(),
+        }
+    }
+
+    /// Whether the store remembers that an incarnation accepts no more work.
+    pub(super) fn has_departed(&self, incarnation: &Incarnation) -> bool {
+        self.departed.iter().any(|known| known.matches(incarnation))
     }
 
-    fn update(&mut self, revision: u64, record: &Record) {
-        self.revision = Some(revision);
-        self.peers = record.peers.clone();
-        self.upstream = record.upstream.as_ref().map(Instance::incarnation);
-        self.quarantined = record.quarantined.clone();
+    /// After the store was restored from an older copy, it may have lost the departures.
+    pub(super) fn forget_departed(&mut self) {
+        self.departed.clear();
     }
 }
 
+/// Applies what an earlier boot of this node has stored and acknowledged.
+fn adopt_predecessor(node: &Rc<Node>, registration: &Registration, found: &StoredRecord) {
+    containment::adopt_predecessor_record(node, registration, &found.record);
+    departures::restore(node, registration, &found.record, &found.departed);
+}
+
 /// Takes over from an earlier boot of this node.
 fn take_over(node: &Rc<Node>, registration: &Rc<Registration>, earlier: Record) {
     let own = registration.fleet.borrow().own().version;
@@ -341,10 +372,11 @@
 }
 
 /// Decodes the record in an object, which must have the name of the record's VM.
-pub(super) fn decode(object: &StoredObject) -> Result<Record> {
+pub(super) fn decode(object: &StoredObject) -> Result<StoredRecord> {
     let bad = |cause: String| Error::new(Step::Platform, &object.name, cause);
-    let record: Record =
+    let stored: StoredRecord =
         serde_json::from_slice(&object.value).map_err(|error| bad(error.to_string()))?;
+    let record = &stored.record;
     if record.vm != object.name {
         return Err(bad(format!("the record is of the VM {}", record.vm)));
     }
@@ -354,5 +386,5 @@
             record.version.generation, record.version.change
         )));
     }
-    Ok(record)
+    Ok(stored)
 }
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -22,7 +22,7 @@
     Change, DepartureOutcome, Heartbeat, HeartbeatOutcome, LocalUpstream, CONFIRMATION_US,
 };
 pub use misdirected::Misdirection;
-pub use record::{Instance, Record, State, Version};
+pub use record::{Departed, Instance, Record, State, StoredRecord, Version};
 pub use spread::{
     announcement_targets, can_defer, compare, contacts, cross_hall_contacts, is_replaced,
     should_forward, start_contacts, versions, Comparison, Versions, CONTACTS_PER_HALL,
--- a/components/registry/src/local.rs
+++ b/components/registry/src/local.rs
@@ -6,12 +6,15 @@
 //! continues to register and the other does not: then the registration of the other was false.
 
 use crate::incarnation::Incarnation;
-use crate::record::{Instance, State};
+use crate::record::{Departed, Instance, State};
 use names::{Moment, SECOND};
 use std::collections::VecDeque;
 
 /// Maximum number of ended incarnations that are remembered.
 const MAX_ENDED: usize = 64;
+/// Maximum number of departed incarnations that the store remembers. Registrations are late by
+/// seconds, and an upstream drains for at least two.
+const MAX_STORED: usize = 4;
 /// An incarnation that reports an earlier start than the current one becomes current when it has
 /// registered for at least this time, in microseconds, without a registration of the current one in
 /// between: it is the successor, and its clock was set back.
@@ -151,6 +154,7 @@
         let current = self.current.as_ref().map(Instance::incarnation);
         if let Some(ended) = self.find_ended(&incarnation) {
             if ended.was_reported {
+                self.record_end(incarnation, heartbeat.instance.state, true);
                 return HeartbeatOutcome::Ended;
             }
             return self.on_resumed(now, heartbeat, current);
@@ -217,8 +221,8 @@
         true
     }
 
-    /// Applies the state that another node remembers of an incarnation. A state never reverts to an
-    /// earlier one. Returns whether anything changed.
+    /// Applies the state that another node or the store remembers of an incarnation. A state never
+    /// reverts to an earlier one. Returns whether anything changed.
     pub fn restore_state(&mut self, instance: &Instance) -> bool {
         if instance.state == State::Ready {
             return false;
@@ -232,18 +236,52 @@
                 current.state = instance.state;
                 true
             }
-            Some(_) => false,
+            Some(current) if current.incarnation().matches(&incarnation) => false,
             None => {
-                if instance.state == State::Gone {
-                    self.record_end(incarnation, State::Gone, true);
-                    return false;
-                }
                 self.replace(instance.clone(), 0);
                 true
             }
+            Some(_) => {
+                let was_reported = instance.state == State::Gone;
+                self.record_end(incarnation, instance.state, was_reported);
+                false
+            }
         }
     }
 
+    /// Applies what the store remembers of an incarnation that accepts no more work. Returns
+    /// whether the state of the current one changed.
+    pub fn restore_departed(&mut self, departed: &Departed) -> bool {
+        let incarnation = departed.incarnation();
+        match self.current.as_mut() {
+            Some(current) if current.incarnation().matches(&incarnation) => {
+                let before = current.state;
+                current.state = before.max(departed.state);
+                current.state != before
+            }
+            _ => {
+                let was_reported = departed.state == State::Gone;
+                self.record_end(incarnation, departed.state, was_reported);
+                false
+            }
+        }
+    }
+
+    /// The latest earlier incarnations that accept no more work, oldest first, for the store.
+    pub fn departed(&self) -> Vec<Departed> {
+        let ended = self.ended.iter();
+        let departed: Vec<Departed> = ended
+            .filter(|ended| ended.state != State::Ready)
+            .map(|ended| Departed {
+                id: ended.incarnation.id.clone(),
+                born_ms: ended.incarnation.born_ms,
+                state: ended.state,
+            })
+            .collect();
+        let surplus = departed.len().saturating_sub(MAX_STORED);
+        departed.into_iter().skip(surplus).collect()
+    }
+
     /// Records that `incarnation` has ended, because another one answers at its address. Returns
     /// whether it was the current one.
     pub fn mark_absent(&mut self, incarnation: &Incarnation) -> bool {
@@ -270,12 +308,16 @@
         current: Option<Incarnation>,
     ) -> HeartbeatOutcome {
         let incarnation = heartbeat.instance.incarnation();
+        let state = heartbeat.instance.state;
         match current {
             Some(current) if !current.claims_to_precede(&incarnation) => {
                 match self.on_unconfirmed(now, heartbeat) {
-                    // It may be acknowledged: it gets no work, so the acknowledgement promises
-                    // nothing.
-                    HeartbeatOutcome::Doubted => HeartbeatOutcome::Ended,
+                    // It may be acknowledged, since it gets no work. If it reports that it is
+                    // draining, it must not get any when it resumes either.
+                    HeartbeatOutcome::Doubted => {
+                        self.record_end(incarnation, state, false);
+                        HeartbeatOutcome::Ended
+                    }
                     outcome => outcome,
                 }
             }
@@ -371,16 +413,16 @@
         ended.find(|ended| ended.incarnation == *incarnation)
     }
 
+    /// Records an end, as the latest one.
     fn record_end(&mut self, incarnation: Incarnation, state: State, was_reported: bool) {
-        let mut ended = self.ended.iter_mut();
-        if let Some(known) = ended.find(|known| known.incarnation == incarnation) {
-            known.was_reported |= was_reported;
-            known.state = known.state.max(state);
-            return;
-        }
+        let is_known = |ended: &Ended| ended.incarnation == incarnation;
+        let known = self.ended.iter().position(is_known);
+        let known = known.and_then(|at| self.ended.remove(at));
         if self.ended.len() >= MAX_ENDED {
             self.ended.pop_front();
         }
+        let state = known.as_ref().map_or(state, |known| known.state.max(state));
+        let was_reported = was_reported || known.is_some_and(|known| known.was_reported);
         self.ended.push_back(Ended {
             incarnation,
             state,
--- a/components/registry/src/record.rs
+++ b/components/registry/src/record.rs
@@ -60,6 +60,35 @@
     }
 }
 
+/// An incarnation that accepts no more work, as the store remembers it for later boots of its node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departed {
+    #[serde(rename = "i")]
+    pub id: Name,
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub born_ms: Option<u64>,
+    #[serde(rename = "z")]
+    pub state: State,
+}
+
+impl Departed {
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+
+    /// The departure of an instance; none if it accepts work.
+    pub fn of(instance: &Instance) -> Option<Departed> {
+        (instance.state != State::Ready).then(|| Departed {
+            id: instance.id.clone(),
+            born_ms: instance.born_ms,
+            state: instance.state,
+        })
+    }
+}
+
 /// Orders the records of one VM: `generation` increases with each boot of its node, `change` with
 /// each change of the record.
 #[derive(
@@ -127,3 +156,23 @@
         self.serving && self.upstream.as_ref().is_some_and(ready)
     }
 }
+
+/// What the store holds of a node: its record, and what only a later boot of the node needs to know.
+/// Nodes do not send the latter to one another. Earlier versions ignore it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredRecord {
+    #[serde(flatten)]
+    pub record: Record,
+    /// Earlier incarnations of the upstream that accept no more work, oldest first. Their
+    /// registrations may still arrive.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub departed: Vec<Departed>,
+}
+
+impl StoredRecord {
+    /// All incarnations that the record lists as accepting no more work.
+    pub fn all_departed(&self) -> impl Iterator<Item = Departed> + '_ {
+        let current = self.record.upstream.as_ref().and_then(Departed::of);
+        self.departed.iter().cloned().chain(current)
+    }
+}
