A departure notice about the upstream of another VM is rejected

A node acknowledged the departure notice of an upstream on another VM (200), noted the end in its own memory and told nobody. The upstream's own node went on giving it requests, so the acknowledgement said what did not hold, with or without a kill.

Cause: an incarnation that was not the current one was recorded as ended, with no look at where it runs.

Change: a notice about an incarnation that this VM has never had, and that the record of another VM names, gets 400, so that the upstream calls its own node. A heartbeat that says draining was rejected there before (it names an address). Passing the end on to the other node was weighed: that node is on the upstream's own VM and is the one that it calls first; while it is down, nothing reaches the upstream.

--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -26,9 +26,9 @@
 pub use notices::{bad_notice, drain_advertised, request_limit};
 pub use purpose::Purpose;
 pub use registrations::{
-    departure_restored, implausible_record, own_record_changed, peer_record_offered,
-    record_conflict, report_not_stored, upstream_departing, upstream_found, upstream_registered,
-    upstream_still_answers, wrong_upstream,
+    departure_elsewhere, departure_restored, implausible_record, own_record_changed,
+    peer_record_offered, record_conflict, report_not_stored, upstream_departing, upstream_found,
+    upstream_registered, upstream_still_answers, wrong_upstream,
 };
 pub use requests::{
     attempt_decided, call_ended, caller_changed, cold_state_changed, hedge_decided, no_route,
--- a/components/audit/src/registrations.rs
+++ b/components/audit/src/registrations.rs
@@ -104,6 +104,16 @@
     );
 }
 
+/// A departure notice was rejected, because the upstream is that of another VM.
+pub fn departure_elsewhere(incarnation: &Incarnation, vm: &Name) {
+    tracing::info!(
+        instance = %incarnation.id,
+        born_ms = incarnation.born_ms,
+        vm = %vm,
+        "departure notice is rejected: the upstream is on another VM"
+    );
+}
+
 /// A departure notice or a registration was not acknowledged, since what it says would not outlive
 /// this node.
 pub fn report_not_stored(incarnation: &Incarnation) {
--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -235,6 +235,9 @@
             (changed, ReportOutcome::acknowledged_unless(is_unconfirmed))
         }
         Report::Departure(incarnation) => {
+            if is_elsewhere(registration, &incarnation) {
+                return ReportOutcome::Rejected;
+            }
             let departure = registration.local.borrow_mut().on_departure(&incarnation);
             audit::upstream_departing(&incarnation, departure);
             let is_unconfirmed = departure == DepartureOutcome::Doubted;
@@ -251,6 +254,20 @@
     outcome
 }
 
+/// Whether a departure notice is about the upstream of another VM. Only that VM's node can keep work
+/// from it.
+fn is_elsewhere(registration: &Registration, incarnation: &Incarnation) -> bool {
+    if registration.local.borrow().knows(incarnation) {
+        return false;
+    }
+    let fleet = registration.fleet.borrow();
+    let vm = fleet.vm_of(incarnation);
+    if let Some(vm) = vm {
+        audit::departure_elsewhere(incarnation, vm);
+    }
+    vm.is_some()
+}
+
 /// Checks the current upstream's identity when another incarnation registers at the address of one
 /// that is ready: if the current one still answers, the registration is false. A false registration
 /// would deprive the upstream of work for up to 4 s.
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -120,6 +120,15 @@
             .filter(|record| record.vm != self.own_vm)
     }
 
+    /// The other VM whose upstream is `incarnation`.
+    pub fn vm_of(&self, incarnation: &Incarnation) -> Option<&Name> {
+        let runs_there = |record: &&Record| {
+            let upstream = record.upstream.as_ref();
+            upstream.is_some_and(|upstream| upstream.incarnation().matches(incarnation))
+        };
+        self.others().find(runs_there).map(|record| &record.vm)
+    }
+
     /// The records of the nodes in a hall, including this node's own if it is in that hall.
     pub fn in_hall<'a>(&'a self, hall: &'a Name) -> impl Iterator<Item = &'a Record> {
         self.records
--- a/components/registry/src/local.rs
+++ b/components/registry/src/local.rs
@@ -131,6 +131,13 @@
         self.current.as_ref()
     }
 
+    /// Whether `incarnation` runs or has run here, as far as is known.
+    pub fn knows(&self, incarnation: &Incarnation) -> bool {
+        let current = self.current.as_ref().map(Instance::incarnation);
+        current.is_some_and(|current| current.matches(incarnation))
+            || self.find_ended(incarnation).is_some()
+    }
+
     /// Whether `other` has the incarnation, service and address of the current one.
     pub fn is_current(&self, other: &Instance) -> bool {
         self.current.as_ref().is_some_and(|current| {
