A node that stops keeps its record while a departed upstream runs

A departed upstream serves on for seconds. If its node was stopped as planned in that time and started again, together with all others, a late heartbeat made the upstream ready again: in the test it got requests 2 s after the acknowledgement.

Cause: a stopping node whose upstream is gone takes the VM for removed and deletes its record, and with it the departure.

Change: it first looks whether something accepts connections at the upstream's address, and keeps the record if so, or if that is not known in 0.2 s. An upstream that has exited refuses at once, and the record is deleted as before. If nothing serves there, a registration that arrives late can bring no request to the departed upstream.

Ruled out: the stop of one node alone; the others remember the departure and tell it at its start (green before the change).

--- a/components/daemon/src/registration/health.rs
+++ b/components/daemon/src/registration/health.rs
@@ -2,9 +2,10 @@
 //! previous boot: it continues to run while the node restarts, and its next registration may be
 //! seconds away.
 
-use super::{matches_settings, on_local_change, Registration};
+use super::{configured_upstream, matches_settings, on_local_change, Registration};
 use crate::node::Node;
 use async_std::future::timeout;
+use async_std::net::TcpStream;
 use async_std::task;
 use errors::{Error, Result, Step};
 use home::PriorStarts;
@@ -19,6 +20,8 @@
 /// Maximum wait while another incarnation waits for an acknowledgement, which it expects within a
 /// second.
 const IDENTITY_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum wait for a connection to the local upstream, which is on this VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum size of an answer, in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 * 1024;
 /// Maximum number of checks for a configuration, which names the health path, and the pause
@@ -86,6 +89,16 @@
         .is_ok()
 }
 
+/// Whether something accepts connections at the address of the local upstream. Also true if the
+/// attempt neither succeeds nor fails in time.
+pub async fn accepts_connections(node: &Node) -> bool {
+    let Some(address) = configured_upstream(node).address else {
+        return false;
+    };
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    !matches!(connected, Ok(Err(_)))
+}
+
 /// Checks that the upstream at the address of `instance` identifies itself as `instance`. Fails if
 /// another one or none answers.
 async fn check_identity(
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -114,7 +114,8 @@
 }
 
 /// Removes this node's record from the store, at the end of a planned stop after the upstream has
-/// exited: the VM is removed too, and other nodes need not find it.
+/// exited: the VM is removed too, and other nodes need not find it. A departed upstream may go on
+/// running while its node restarts, and the record then has to keep its departure.
 pub async fn withdraw(node: &Rc<Node>, registration: &Registration, limit: Duration) {
     let is_gone = |registration: &Registration| {
         let local = registration.local.borrow();
@@ -127,12 +128,21 @@
         // A record that names quarantined requests stays, for nodes that start later.
         return;
     }
-    let kind = registration.adapter.record_kind();
-    let store = registration.adapter.store();
-    let remove = store.remove(kind, node.cfg.vm.as_str());
-    match timeout(limit, platform_call(node, Purpose::OwnRecord, remove)).await {
-        Ok(Ok(())) => tracing::info!("this node's record was removed"),
-        Ok(Err(error)) => tracing::info!(%error, "this node's record was not removed"),
+    let remove = async {
+        if health::accepts_connections(node).await {
+            tracing::info!("this node's record stays: something serves at the upstream's address");
+            return Ok(());
+        }
+        let kind = registration.adapter.record_kind();
+        let store = registration.adapter.store();
+        let remove = store.remove(kind, node.cfg.vm.as_str());
+        platform_call(node, Purpose::OwnRecord, remove).await?;
+        tracing::info!("this node's record was removed");
+        Ok(())
+    };
+    match timeout(limit, remove).await {
+        Ok(Ok(())) => {}
+        Ok(Err::<(), Error>(error)) => tracing::info!(%error, "this node's record was not removed"),
         Err(_) => tracing::info!("this node's record was not removed in time"),
     }
 }
