An operator's drain is in the store before it is confirmed

What operators saw: nothing yet; found by listing what a node acknowledges. An operator's drain of an upstream, answered with 200, ended when the node was killed: the upstream got requests again at once. Other nodes were not told of the drain either, and went on offering it requests that its node refused.

Cause: the drain was in the memory of the node only, and the node's record was not announced when it changed.

Change: the record in the store says whether an operator has drained the upstream (field `d`); `/drain` and `/undrain` announce the record, answer once the store holds it, and with 503 if it does not within 1.5 s (the change is in effect then, and the write goes on). A node resumes the drain that its earlier boot stored, unless an operator has said otherwise since. Departures use the same confirmation; a report that arrives during the write of another one now waits for a second write instead of being refused.

Not changed: where the platform lists the VMs, a drain stays in memory.

--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -9,6 +9,7 @@
 use crate::home_driver;
 use crate::local;
 use crate::node::Node;
+use crate::registration;
 use crate::store;
 use async_channel::{Receiver, Sender};
 use async_h1::server::{ConnectionStatus, Server};
@@ -128,8 +129,9 @@
 pub enum Command {
     /// Returns the node's state.
     Status(Sender<Status>),
-    /// Starts (`true`) or ends a drain of the local upstream.
-    Drain(bool, Sender<()>),
+    /// Starts (`true`) or ends a drain of the local upstream; the answer is whether that outlives
+    /// this process.
+    Drain(bool, Sender<bool>),
     /// Releases a quarantined request; the answer is whether anything was recorded against it.
     Release(Box<Released>, Sender<bool>),
     /// Applies a revision that the platform accepted.
@@ -251,7 +253,7 @@
                     node.drained_by_upstream.set(false);
                 }
                 home_driver::update_drain_state(&node);
-                tx.try_send(()).ok();
+                local::spawn(confirm_drain(node.clone(), tx));
             }
             Command::Release(released, tx) => {
                 audit::release_requested(released.fingerprint, &released.who, &released.why);
@@ -267,6 +269,16 @@
     }
 }
 
+/// Answers whether the start or end of a drain is stored. Where the platform lists the VMs, it is in
+/// this node's memory only.
+async fn confirm_drain(node: Rc<Node>, tx: Sender<bool>) {
+    let is_stored = match &node.registration {
+        Some(registration) => registration::store_operator_drain(&node, registration).await,
+        None => true,
+    };
+    tx.try_send(is_stored).ok();
+}
+
 fn node_status(node: &Rc<Node>) -> Status {
     let load = node.load();
     let spent = node.gate.borrow().spent();
@@ -440,7 +452,13 @@
 
 async fn drain(req: Request<AppState>, drained: bool) -> tide::Result {
     authorise(&req)?;
-    send_command(req.state(), |tx| Command::Drain(drained, tx)).await?;
+    let is_stored = send_command(req.state(), |tx| Command::Drain(drained, tx)).await?;
+    if !is_stored {
+        return Err(tide::Error::from_str(
+            StatusCode::ServiceUnavailable,
+            "in effect, but not stored: a restart of the node may undo it; try again",
+        ));
+    }
     Ok(if drained { "drained\n" } else { "undrained\n" }.into())
 }
 
--- a/components/daemon/src/registration/departures.rs
+++ b/components/daemon/src/registration/departures.rs
@@ -4,15 +4,12 @@
 //! arrives later. It is therefore in the store before it is acknowledged, and a node that has just
 //! started applies registrations only once it knows the departures that its earlier boot stored.
 
-use super::records::{write_if_due, StoreContent};
-use super::{matches_settings, on_local_change, Registration};
-use crate::local;
+use super::records::StoreContent;
+use super::{confirm, matches_settings, on_local_change, Registration};
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
-use async_std::future::timeout;
 use home::PriorStarts;
 use registry::{Departed, Incarnation, Record};
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -55,25 +52,6 @@
     }
 }
 
-/// Tasks that wait until the store holds the departures of the local upstream.
-#[derive(Debug, Default)]
-pub(super) struct DepartureWrites {
-    is_running: Cell<bool>,
-    /// Dropped when the running write has ended.
-    waiting: RefCell<Vec<Sender<()>>>,
-}
-
-/// Ends the running write also if it panics.
-struct RunningWrite(Rc<Registration>);
-
-impl Drop for RunningWrite {
-    fn drop(&mut self) {
-        let writes = &self.0.departure_writes;
-        writes.is_running.set(false);
-        writes.waiting.borrow_mut().clear();
-    }
-}
-
 /// Stores that `incarnation` accepts no more work. Returns whether the store holds that, so that it
 /// may be acknowledged. The write continues if it takes longer, for the upstream's next report.
 pub(super) async fn store(
@@ -81,23 +59,9 @@
     registration: &Rc<Registration>,
     incarnation: &Incarnation,
 ) -> bool {
-    let is_stored = || registration.stored.borrow().has_departed(incarnation);
-    if is_stored() {
-        return true;
-    }
-    let (tx, rx) = async_channel::bounded(1);
-    registration.departure_writes.waiting.borrow_mut().push(tx);
-    if !registration.departure_writes.is_running.replace(true) {
-        let running = RunningWrite(registration.clone());
-        let node = node.clone();
-        let incarnation = incarnation.clone();
-        local::spawn_contained("store-departure", async move {
-            let is_due = |stored: &StoreContent| !stored.has_departed(&incarnation);
-            write_if_due(&node, &running.0, is_due).await;
-        });
-    }
-    timeout(STORE_TIMEOUT, rx.recv()).await.ok();
-    is_stored()
+    let incarnation = incarnation.clone();
+    let is_stored = move |stored: &StoreContent| stored.has_departed(&incarnation);
+    confirm::stored_within(node, registration, STORE_TIMEOUT, is_stored).await
 }
 
 /// Applies the departures that an earlier boot of this node has acknowledged: that of the upstream in
--- a/components/daemon/src/registration/mod.rs
+++ b/components/daemon/src/registration/mod.rs
@@ -1,15 +1,18 @@
 //! Registered fleets: the local upstream, the records of all nodes, and their distribution to the
 //! store and to the other nodes.
 
+mod confirm;
 mod departures;
 mod door;
 mod health;
 mod offer;
+mod operator_drain;
 mod peers;
 mod records;
 
 pub use door::serve as serve_registrations;
 pub use offer::store_for_peer;
+pub use operator_drain::store as store_operator_drain;
 pub use peers::{
     on_buckets, on_digest, on_misdirected, on_record, on_versions, run_dials, send_to_other_halls,
     Source,
@@ -22,7 +25,8 @@
 use async_channel::{Receiver, Sender};
 use async_std::sync::Mutex;
 use audit::StartupRecords;
-use departures::{DepartureWrites, PredecessorGate};
+use confirm::ConfirmingWrite;
+use departures::PredecessorGate;
 use era::Eras;
 use evacuation::Evacuations;
 use home::PriorStarts;
@@ -77,7 +81,10 @@
     predecessor: PredecessorGate,
     /// Reports that wait until the predecessor's departures are known.
     reports_held: Cell<u32>,
-    departure_writes: DepartureWrites,
+    /// Whether it is known if operators have drained the upstream: from the record of the earlier
+    /// boot, or from a command to this one.
+    operator_drain_known: Cell<bool>,
+    confirming_write: ConfirmingWrite,
     /// Signals that this node's record has changed and has to be written to the store.
     write_requests: (Sender<()>, Receiver<()>),
 }
@@ -119,7 +126,8 @@
             writing: Mutex::new(()),
             predecessor: PredecessorGate::default(),
             reports_held: Cell::new(0),
-            departure_writes: DepartureWrites::default(),
+            operator_drain_known: Cell::new(false),
+            confirming_write: ConfirmingWrite::default(),
             write_requests: async_channel::bounded(1),
         }
     }
--- a/components/daemon/src/registration/records.rs
+++ b/components/daemon/src/registration/records.rs
@@ -5,7 +5,7 @@
 //! one, and some time after another incarnation of the upstream became current, so that a node
 //! which restarts together with all others finds its upstream without waiting for a registration.
 
-use super::{departures, health, offer, peers, Registration, Source};
+use super::{departures, health, offer, operator_drain, peers, Registration, Source};
 use crate::containment;
 use crate::local;
 use crate::node::Node;
@@ -46,6 +46,7 @@
     peers: String,
     upstream: Option<Incarnation>,
     departed: Vec<Incarnation>,
+    drained_by_operator: bool,
     quarantined: Vec<Fingerprint>,
 }
 
@@ -292,6 +293,7 @@
         let own = StoredRecord {
             record: registration.fleet.borrow().own().clone(),
             departed: registration.local.borrow().departed(),
+            drained_by_operator: node.drained_by_operator.get(),
         };
         let vm = own.record.vm.as_str();
         let value =
@@ -343,6 +345,7 @@
                 .all_departed()
                 .map(|departed| departed.incarnation())
                 .collect(),
+            drained_by_operator: stored.drained_by_operator,
             quarantined: record.quarantined.clone(),
         }
     }
@@ -352,6 +355,10 @@
         self.departed.iter().any(|known| known.matches(incarnation))
     }
 
+    pub(super) fn is_drained_by_operator(&self) -> bool {
+        self.drained_by_operator
+    }
+
     /// After the store was restored from an older copy, it may have lost the departures.
     pub(super) fn forget_departed(&mut self) {
         self.departed.clear();
@@ -362,6 +369,9 @@
 fn adopt_predecessor(node: &Rc<Node>, registration: &Registration, found: &StoredRecord) {
     containment::adopt_predecessor_record(node, registration, &found.record);
     departures::restore(node, registration, &found.record, &found.departed);
+    if found.record.boot != node.boot {
+        operator_drain::restore(node, registration, found.drained_by_operator);
+    }
 }
 
 /// Takes over from an earlier boot of this node.
--- a/components/registry/src/record.rs
+++ b/components/registry/src/record.rs
@@ -167,6 +167,13 @@
     /// registrations may still arrive.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub departed: Vec<Departed>,
+    /// Whether an operator has drained the upstream.
+    #[serde(rename = "d", default, skip_serializing_if = "is_false")]
+    pub drained_by_operator: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 impl StoredRecord {
--- a/components/registry/tests/departed.rs
+++ b/components/registry/tests/departed.rs
@@ -56,6 +56,7 @@
     StoredRecord {
         record: record(local.current().cloned()),
         departed: local.departed(),
+        drained_by_operator: false,
     }
 }
 
@@ -122,6 +123,14 @@
         "version":{"generation":2,"change":3},"serving":true,"upstream":null}"#;
     let again: StoredRecord = serde_json::from_str(long_names).expect("a record");
     assert_eq!(again.record, record(None));
+    let drained = StoredRecord {
+        drained_by_operator: true,
+        ..again
+    };
+    let text = serde_json::to_string(&drained).expect("a record is written");
+    assert_snapshot!(text, @r#"{"v":"vm","h":"north","p":"10.0.0.1:81","b":7,"n":{"g":2,"c":3},"s":true,"u":null,"d":true}"#);
+    let again: StoredRecord = serde_json::from_str(&text).expect("a record");
+    assert_eq!(again, drained);
 }
 
 /// Guards against a late registration that makes a departed upstream ready after a restart.
