A departure notice without a start time is stored for the current start

What callers saw: nothing yet; found by reading the change. A notice may lack the start time of the upstream (earlier versions send an empty body). If the store listed a departure of an earlier start under the same id, such a notice was taken for that one: it was acknowledged, but nothing was stored, and after a kill of all nodes a late registration brought the upstream requests.

Cause: whether the store holds a departure was asked with the incarnation as reported, which matches any start under that id.

Change: it is asked with the incarnation that the report applies to.

The change has no effect where notices carry the start time, or where upstreams report none at all.

--- a/components/daemon/src/registration/departures.rs
+++ b/components/daemon/src/registration/departures.rs
@@ -59,7 +59,7 @@
     registration: &Rc<Registration>,
     incarnation: &Incarnation,
 ) -> bool {
-    let incarnation = incarnation.clone();
+    let incarnation = registration.local.borrow().identify(incarnation);
     let is_stored = move |stored: &StoreContent| stored.has_departed(&incarnation);
     confirm::stored_within(node, registration, STORE_TIMEOUT, is_stored).await
 }
--- a/components/registry/src/local.rs
+++ b/components/registry/src/local.rs
@@ -138,6 +138,14 @@
             || self.find_ended(incarnation).is_some()
     }
 
+    /// The incarnation that a report means. A report may lack the start time, and an earlier
+    /// incarnation may have had the same identifier.
+    pub fn identify(&self, reported: &Incarnation) -> Incarnation {
+        let current = self.current.as_ref().map(Instance::incarnation);
+        let current = current.filter(|current| current.matches(reported));
+        current.unwrap_or_else(|| reported.clone())
+    }
+
     /// Whether `other` has the incarnation, service and address of the current one.
     pub fn is_current(&self, other: &Instance) -> bool {
         self.current.as_ref().is_some_and(|current| {
