A node ignores departures in a record of its own boot that another writer changed

Cause: a fault of "Acknowledged departures are in the store before they are acknowledged". The reading node sees two records with one version and sends both to the VM's node. That node applied the departure in the changed one, though it names its own boot, whose state the node has itself.

Change: departures are restored from records of other boots only, as quarantined requests and operators' drains are.

--- a/components/daemon/src/registration/departures.rs
+++ b/components/daemon/src/registration/departures.rs
@@ -72,6 +72,10 @@
     record: &Record,
     earlier: &[Departed],
 ) {
+    if record.boot == node.boot {
+        // Another writer has changed the record. Of its own boot, this node knows better.
+        return;
+    }
     let mut changed = false;
     for departed in earlier {
         audit::departure_restored(departed);
