A node that restarts while the store is down takes its earlier record from any peer

Cause: a fault of "Acknowledged departures are in the store before they are acknowledged". Registrations wait until the earlier boot's record is known from the store or from another node, but only an announcement counted. If the record came by a comparison first, it was superseded there, and no later one opened the gate.

Change: the record counts whichever way another node sends it.

--- a/components/daemon/src/registration/peers.rs
+++ b/components/daemon/src/registration/peers.rs
@@ -169,7 +169,7 @@
         MergeOutcome::OwnConflict(version) => {
             containment::adopt_predecessor_record(node, registration, &offered);
             departures::restore(node, registration, &offered, &[]);
-            if sender.is_some() && boot != node.boot {
+            if !matches!(source, Source::Store) && boot != node.boot {
                 registration.predecessor.open();
             }
             let own = registration.fleet.borrow_mut().supersede(version);
