Tests of the command line: the platform listens on the socket that reserved its port

Cause: the port was probed with a listener that was closed again. A child process that another test starts at that moment holds a copy of it until it executes its program. The platform then can't listen, and its error was dropped; a first connection may still be accepted by the copy.

Change: the listener that has reserved the port is the one the platform serves.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -5,13 +5,6 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
-use std::sync::atomic::{AtomicU16, Ordering};
-use std::time::{Duration, Instant};
-
-const STARTUP_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Next port for these tests; below the range from which the system assigns ports.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(19_000);
 
 struct Site {
     platform: SocketAddr,
@@ -21,16 +14,11 @@
 impl Site {
     /// Starts a platform and creates a directory of declarations that the test may change.
     fn new(name: &str) -> Site {
-        let platform = free_address();
-        async_std::task::spawn(Platform::default().app().listen(platform));
-        let began = Instant::now();
-        while TcpStream::connect(platform).is_err() {
-            assert!(
-                began.elapsed() < STARTUP_TIMEOUT,
-                "the platform does not start"
-            );
-            std::thread::sleep(Duration::from_millis(10));
-        }
+        // Keeps the port bound: a probe that is closed again may live on in a child process that
+        // another test is starting, and the platform then fails to listen.
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let platform = listener.local_addr().expect("the platform's address");
+        async_std::task::spawn(Platform::default().app().listen(listener));
         let dir = std::env::temp_dir().join(format!("drumwheel-cli-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory");
         let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/windhoek");
@@ -83,16 +71,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    loop {
-        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn exit_code(output: &Output) -> Option<i32> {
     output.status.code()
 }
