--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -5,6 +5,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::time::Duration;
+
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
 struct Site {
     platform: SocketAddr,
@@ -19,6 +22,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let platform = listener.local_addr().expect("the platform's address");
         async_std::task::spawn(Platform::default().app().listen(listener));
+        exchange(platform, "GET", "/").expect("the platform answers");
         let dir = std::env::temp_dir().join(format!("drumwheel-cli-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory");
         let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/windhoek");
@@ -53,15 +57,7 @@
 
     /// Sends a control request to the platform.
     fn control(&self, path: &str) {
-        let mut stream = TcpStream::connect(self.platform).expect("a connection");
-        let text = format!(
-            "POST /control/{path} HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\
-             Content-Length: 0\r\n\r\n"
-        );
-        stream
-            .write_all(text.as_bytes())
-            .expect("the request is sent");
-        stream.read_to_end(&mut Vec::new()).ok();
+        exchange(self.platform, "POST", &format!("/control/{path}")).expect("an answer");
     }
 }
 
@@ -71,6 +67,20 @@
     }
 }
 
+/// Sends a request without a body. Returns the answer.
+fn exchange(platform: SocketAddr, method: &str, path: &str) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(platform)?;
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes())?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer)?;
+    Ok(answer)
+}
+
 fn exit_code(output: &Output) -> Option<i32> {
     output.status.code()
 }
@@ -99,7 +109,8 @@
 fn plan_prints_its_base_and_history_lists_the_changes() {
     let site = Site::new("plan");
     let dir = site.dir.display().to_string();
-    assert!(text(&site.run("plan", &[&dir])).contains("apply with --base 0"));
+    let first = text(&site.run("plan", &[&dir]));
+    assert!(first.contains("apply with --base 0"), "{first}");
     assert_eq!(exit_code(&site.apply("0", "first", &[])), Some(0));
     site.replace_policy("#{ repeatable: true }\n");
     let plan = text(&site.run("plan", &[&dir]));
