An answer cut by a reset beside its upload is not complete

Callers got the part of an answer as a whole 200: an upstream answered a long upload at once with no length, sent a part and reset the connection while the upload was being written.

Cause: a failed write takes the pending error of the socket. The next read then sees an orderly end, and that is what completes an answer without a length. `Pool::exchange` went on reading after a failed write.

An answer that only the close of its connection ends is now broken if a write on that connection has failed. Answers with a length or chunks, and answers before the end of an upload that was not reset, are passed on as before.

--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -84,6 +84,27 @@
     }
 }
 
+/// How much of a request was sent by the time its response had arrived.
+#[derive(Debug)]
+enum Sent {
+    Whole,
+    /// The rest was not needed.
+    Part,
+    /// A write failed.
+    Failed(std::io::Error),
+}
+
+/// What ends a response, and what may follow on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ResponseEnd {
+    /// Its length or its last chunk; the connection may be reused for this long.
+    Reusable(Duration),
+    /// Its length or its last chunk; the upstream closes the connection.
+    Closing,
+    /// Nothing but the close of the connection.
+    Close,
+}
+
 #[derive(Debug)]
 struct Idle {
     since: Moment,
@@ -159,24 +180,30 @@
             let writing = pin!(write_all(writer, &bytes));
             let reading = pin!(self.read_response(&mut connection, req, options));
             match select(writing, reading).await {
-                Either::Left((Ok(()), reading)) => (reading.await, true),
+                Either::Left((Ok(()), reading)) => (reading.await, Sent::Whole),
                 Either::Left((Err((0, error)), _)) => {
                     let error = Error::new(Step::Upstream, self.address.get(), error);
                     return Err(Failure::NotSent(error));
                 }
                 // The upstream may have run the request anyway, and may have responded.
-                Either::Left((Err(_), reading)) => (reading.await, false),
+                Either::Left((Err((_, error)), reading)) => (reading.await, Sent::Failed(error)),
                 // The response arrived before the request was sent completely. The upstream would
                 // read the next request on this connection as the rest of the body.
-                Either::Right((result, _)) => (result, false),
+                Either::Right((result, _)) => (result, Sent::Part),
             }
         };
-        let (result, is_fully_sent) = outcome;
-        let (answer, reusable_for) = result.map_err(|error| self.broken(error))?;
-        if is_fully_sent && !connection.has_bytes() && self.incarnation_count.get() == incarnation {
-            if let Some(usable_for) = reusable_for {
+        let (result, sent) = outcome;
+        let (answer, end) = result.map_err(|error| self.broken(error))?;
+        match (sent, end) {
+            // The failed write has taken the socket's error, so that a reset looks like the orderly
+            // close that ends the response.
+            (Sent::Failed(error), ResponseEnd::Close) => return Err(self.broken(error)),
+            (Sent::Whole, ResponseEnd::Reusable(usable_for))
+                if !connection.has_bytes() && self.incarnation_count.get() == incarnation =>
+            {
                 self.release(connection, usable_for);
             }
+            _ => {}
         }
         Ok(answer)
     }
@@ -228,7 +255,7 @@
         false
     }
 
-    /// Reads the response to this request. Also returns for how long the connection may be reused.
+    /// Reads the response to this request. Also returns what shows that it is complete.
     /// Responses with the ID of another request are left over from earlier requests and are skipped.
     /// One without an ID belongs to no request, and what follows it can't be told apart either.
     async fn read_response(
@@ -236,7 +263,7 @@
         connection: &mut Connection<TcpStream>,
         req: &Request,
         options: &ExchangeOptions<'_>,
-    ) -> std::result::Result<(Answer, Option<Duration>), Fault> {
+    ) -> std::result::Result<(Answer, ResponseEnd), Fault> {
         let max_body_bytes = self.max_body_bytes as u64;
         let mut skipped_bytes = 0;
         for _ in 0..=MAX_SKIPPED_RESPONSES {
@@ -259,8 +286,8 @@
                 );
                 continue;
             }
-            let reusable_for = usable_for(&head, framing);
-            return Ok((answer(head, framing, body), reusable_for));
+            let end = response_end(&head, framing);
+            return Ok((answer(head, framing, body), end));
         }
         Err(Fault::Malformed(
             "received only responses to other requests".to_string(),
@@ -394,17 +421,19 @@
     }
 }
 
-/// How long the connection may be reused; `None` if it must be closed.
-fn usable_for(head: &ResponseHead, framing: Framing) -> Option<Duration> {
+fn response_end(head: &ResponseHead, framing: Framing) -> ResponseEnd {
+    if framing == Framing::UntilClose {
+        return ResponseEnd::Close;
+    }
     let connection = http1::header_value(&head.headers, "connection").unwrap_or_default();
     let closes = connection
         .split(',')
         .any(|token| token.trim().eq_ignore_ascii_case("close"));
-    if closes || framing == Framing::UntilClose {
-        return None;
+    if closes {
+        return ResponseEnd::Closing;
     }
     let keep_alive = http1::header_value(&head.headers, "keep-alive").and_then(keep_alive_seconds);
-    Some(keep_alive.map_or(IDLE_LIMIT, |seconds| {
+    ResponseEnd::Reusable(keep_alive.map_or(IDLE_LIMIT, |seconds| {
         Duration::from_secs(seconds).mul_f64(KEEP_ALIVE_FRACTION)
     }))
 }
