A response with a status outside HTTP's range is rejected

A status below 200 was taken for an interim response: a head with status 000 was skipped, and the bytes behind it were read as the answer that was due. 600 to 999 were passed on to callers, and 101 was skipped although no request asks for another protocol.

Such a response is now malformed, so that its exchange is broken and the caller gets a 502. Blank and control bytes in names of fields, folded lines and control bytes in values were rejected before; the test covers them too.

Evidence: response_outside_the_protocol_passes_for_one, red before the change with 000, 099, 600, 999 and 101.

--- a/components/http1/src/head.rs
+++ b/components/http1/src/head.rs
@@ -1,10 +1,16 @@
 //! Heads of requests and responses.
 
 use crate::Fault;
+use std::ops::RangeInclusive;
 
 /// Maximum number of headers in a head.
 const MAX_HEADERS: usize = 128;
 
+/// Status codes that HTTP defines.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// Status of a switch to another protocol, which no request here asks for.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Headers that concern one connection only and are not forwarded, in lower case.
 const HOP_HEADERS: &[&str] = &[
     "connection",
@@ -92,8 +98,12 @@
     let httparse::Status::Complete(length) = res.parse(bytes).map_err(parse_fault)? else {
         return Ok(None);
     };
+    let status = res.code.unwrap_or_default();
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(Fault::Malformed(format!("status {status:03}")));
+    }
     let head = ResponseHead {
-        status: res.code.unwrap_or_default(),
+        status,
         reason: res.reason.unwrap_or_default().to_string(),
         headers: copy_headers(res.headers)?,
     };
--- a/components/http1/tests/http1.rs
+++ b/components/http1/tests/http1.rs
@@ -53,6 +53,36 @@
     assert_eq!(head.status, 200);
 }
 
+#[test]
+fn response_outside_the_protocol_passes_for_one() {
+    let heads = [
+        "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 999 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 1000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+        "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-\u{1}Odd: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Odd: 1\u{0}\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n folded\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 O\u{1}K\r\nContent-Length: 0\r\n\r\n",
+    ];
+    let passes = |head: &&str| {
+        // A valid response behind the invalid one must not be taken in its place.
+        let text = format!("{head}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        let result = block_on(connection(&text).response_head(1_000));
+        !matches!(result, Err(Fault::Malformed(_)))
+    };
+    let passed: Vec<&str> = heads.into_iter().filter(passes).collect();
+    assert!(passed.is_empty(), "{passed:#?}");
+}
+
 #[test]
 fn bytes_after_a_message_stay_in_the_buffer() {
     block_on(async {
