One limit on all that a node holds for others

Clients ended a process: it ran out of memory. They sent long bodies and stopped just short of the end, or read long answers slowly or not at all.

Cause: each message had a limit of its own, up to 16 MB, and nothing bounded them together. Besides, each body existed in up to four copies while it was passed on; a connection between nodes kept buffers of the size of its largest message, for good; up to 320 complete answers were kept for replay whatever their size; a socket may hold megabytes unread or unsent; and glibc keeps up to 64 MB of freed memory.

Change: the crate `buffers`. The allocator counts what is allocated, so that copies and the buffers of libraries count like everything else. Connections of callers, upstreams and nodes read through a gate. When the limit, half of the VM's memory (`memory_mb`), is reached, readers of more than 16 KB stop, and the connections that have held the most bytes for the longest time are closed; a request that is being served is kept. If nothing can be closed, a body is refused with 503, which is true: it has not run. A home node refuses an offer with a large body in the same way. Large bodies are written from where they are, messages between nodes go in fragments of 64 KB, kept answers have a limit in bytes, sockets of callers have small buffers, and freed memory goes back to the system.

--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -5,6 +5,7 @@
 //! and their number is logged with the next line of the kind. `docs/OPERATIONS.md` explains the
 //! lines.
 
+mod buffers;
 mod containment;
 mod declarations;
 mod limit;
@@ -17,6 +18,7 @@
 mod stop;
 mod store;
 
+pub use buffers::{connection_closed, request_too_large_now};
 pub use containment::{
     release_requested, request_cleared, request_quarantined, suspect_recorded, upstream_terminated,
 };
--- a/components/audit/src/limit.rs
+++ b/components/audit/src/limit.rs
@@ -24,9 +24,10 @@
     BadNotice,
     RequestLimit,
     Stop,
+    Closed,
 }
 
-const KINDS: usize = 13;
+const KINDS: usize = 14;
 
 thread_local! {
     static LIMITERS: RefCell<([Limiter; KINDS], Option<Clock>)> =
--- a/components/audit/src/stats.rs
+++ b/components/audit/src/stats.rs
@@ -93,6 +93,17 @@
     gauge!("drumwheel_requests_held").set(count as f64);
 }
 
+/// A connection to a peer of this `kind` was closed because of `cause`.
+pub fn connection_closed(cause: &'static str, kind: &'static str, activity: &'static str) {
+    counter!("drumwheel_connections_closed_total", "cause" => cause, "kind" => kind, "activity" => activity)
+        .increment(1);
+}
+
+/// A request was refused because there was no memory for its body.
+pub fn memory_refused() {
+    counter!("drumwheel_memory_refused_total").increment(1);
+}
+
 /// Invalid input was rejected; `door` is the interface or kind of sender.
 pub fn bad_input(door: &'static str) {
     counter!("drumwheel_bad_input_total", "door" => door).increment(1);
--- a/components/daemon/src/callers/connection.rs
+++ b/components/daemon/src/callers/connection.rs
@@ -4,6 +4,7 @@
 use super::reading::{wait_for_disconnect, ReadEnd, Reader, ResponseSlot};
 use super::response;
 use crate::local;
+use crate::memory::limit_socket_buffers;
 use crate::node::Node;
 use async_channel::Receiver;
 use async_std::future::timeout;
@@ -11,6 +12,7 @@
 use async_std::prelude::*;
 use async_std::task;
 use audit::stats;
+use buffers::{GatedStream, Holder, Kind};
 use futures_util::future::{select, Either};
 use futures_util::FutureExt;
 use http1::Connection;
@@ -28,8 +30,9 @@
 /// refused.
 pub async fn run(node: Rc<Node>, listener: TcpListener) {
     let usage = Rc::new(PipelineUsage::default());
+    limit_socket_buffers(&listener);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, caller)) = listener.accept().await else {
             task::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -40,10 +43,13 @@
         }
         node.caller_connections
             .set(node.caller_connections.get() + 1);
+        // Registered at once, so that it counts before its task runs.
+        let holder = node.buffers.register(Kind::Caller, caller);
         let (node, usage) = (node.clone(), usage.clone());
         local::spawn(async move {
-            let connection = AssertUnwindSafe(connection(&node, usage, stream));
-            if connection.catch_unwind().await.is_err() {
+            let connection = AssertUnwindSafe(connection(&node, usage, stream, &holder));
+            let served = pin!(connection.catch_unwind());
+            if let Either::Left((Err(_), _)) = select(served, pin!(holder.evicted())).await {
                 stats::panicked();
             }
             node.caller_connections
@@ -59,19 +65,19 @@
 
 /// Serves one connection until it ends. Further requests are read while earlier ones are being
 /// served.
-async fn connection(node: &Rc<Node>, usage: Rc<PipelineUsage>, stream: TcpStream) {
+async fn connection(node: &Rc<Node>, usage: Rc<PipelineUsage>, stream: TcpStream, holder: &Holder) {
     let Ok(address) = stream.peer_addr() else {
         return;
     };
     stream.set_nodelay(true).ok();
-    let pipeline = Rc::new(Pipeline::new(usage.clone()));
+    let pipeline = Rc::new(Pipeline::new(usage.clone(), holder.clone()));
     let (slots, answers) = async_channel::bounded(MAX_PIPELINED + 1);
     // The sender is dropped when this function returns, so that requests still in progress are
     // abandoned.
     let (_open, closed) = async_channel::bounded(1);
     let reader = Reader {
         node: node.clone(),
-        connection: Connection::new(stream.clone()),
+        connection: Connection::new(GatedStream::new(stream.clone(), holder.clone())),
         caller: address.ip(),
         pipeline: pipeline.clone(),
         usage,
@@ -108,7 +114,7 @@
                 return;
             }
         };
-        let Ok(buffered) = answer.recv().await else {
+        let Ok(mut buffered) = answer.recv().await else {
             return;
         };
         // On a planned stop, requests that were read already are answered first.
@@ -116,9 +122,14 @@
         if is_closing {
             pipeline.start_closing();
         }
-        let bytes = buffered.res.to_bytes(&method, is_closing);
+        buffered.start_writing();
+        let (head, body) = buffered.res.to_parts(&method, is_closing);
+        let writing = async {
+            stream.write_all(&head).await?;
+            stream.write_all(body).await
+        };
+        let written = timeout(WRITE_TIMEOUT, writing).await;
         drop(buffered);
-        let written = timeout(WRITE_TIMEOUT, stream.write_all(&bytes)).await;
         pipeline.on_answered();
         if is_closing || !matches!(written, Ok(Ok(()))) {
             return;
--- a/components/daemon/src/callers/pipeline.rs
+++ b/components/daemon/src/callers/pipeline.rs
@@ -3,6 +3,7 @@
 
 use super::response::Response;
 use async_channel::{Receiver, Sender};
+use buffers::Holder;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
@@ -28,30 +29,46 @@
     }
 }
 
-/// An answer that waits until it may be written; its bytes are counted until it is dropped.
+/// An answer until it is written. Its connection holds its bytes until it is dropped.
 #[derive(Debug)]
 pub struct BufferedAnswer {
     /// The answer.
     pub res: Response,
     usage: Rc<PipelineUsage>,
+    holder: Holder,
     bytes: usize,
+    /// Whether it waits for earlier answers, or for the writer.
+    is_waiting: bool,
 }
 
 impl BufferedAnswer {
     /// Counts the answer's bytes.
-    pub fn new(usage: Rc<PipelineUsage>, res: Response) -> BufferedAnswer {
+    pub fn new(usage: Rc<PipelineUsage>, holder: Holder, res: Response) -> BufferedAnswer {
         let bytes = res.body_bytes();
         usage.buffered_bytes.set(usage.buffered_bytes.get() + bytes);
-        BufferedAnswer { res, usage, bytes }
+        holder.answer_queued(bytes);
+        BufferedAnswer {
+            res,
+            usage,
+            holder,
+            bytes,
+            is_waiting: true,
+        }
+    }
+
+    /// The answer no longer waits: it is being written.
+    pub fn start_writing(&mut self) {
+        if std::mem::take(&mut self.is_waiting) {
+            let buffered_bytes = &self.usage.buffered_bytes;
+            buffered_bytes.set(buffered_bytes.get() - self.bytes);
+        }
     }
 }
 
 impl Drop for BufferedAnswer {
     fn drop(&mut self) {
-        let usage = &self.usage;
-        usage
-            .buffered_bytes
-            .set(usage.buffered_bytes.get() - self.bytes);
+        self.start_writing();
+        self.holder.answer_written(self.bytes);
     }
 }
 
@@ -59,6 +76,7 @@
 #[derive(Debug)]
 pub struct Pipeline {
     usage: Rc<PipelineUsage>,
+    holder: Holder,
     length: Cell<usize>,
     /// When it was created or its last answer was written.
     idle_since: Cell<Instant>,
@@ -69,9 +87,10 @@
 
 impl Pipeline {
     /// An empty pipeline.
-    pub fn new(usage: Rc<PipelineUsage>) -> Pipeline {
+    pub fn new(usage: Rc<PipelineUsage>, holder: Holder) -> Pipeline {
         Pipeline {
             usage,
+            holder,
             length: Cell::new(0),
             idle_since: Cell::new(Instant::now()),
             is_closing: Cell::new(false),
@@ -86,7 +105,10 @@
 
     /// Whether another request may be added.
     pub fn has_capacity(&self) -> bool {
-        self.is_empty() || self.length.get() < MAX_PIPELINED && self.usage.has_capacity()
+        self.is_empty()
+            || self.length.get() < MAX_PIPELINED
+                && self.usage.has_capacity()
+                && !self.holder.exceeds_share()
     }
 
     /// Since when the pipeline is empty, if it is.
@@ -111,11 +133,13 @@
             self.usage.behind.set(self.usage.behind.get() + 1);
         }
         self.length.set(self.length.get() + 1);
+        self.holder.request_opened();
     }
 
     /// Removes the first request, which was answered.
     pub fn on_answered(&self) {
         self.remove(1);
+        self.holder.request_closed();
         self.idle_since.set(Instant::now());
         // A full channel already holds a notification.
         self.changed.0.try_send(()).ok();
--- a/components/daemon/src/callers/reading.rs
+++ b/components/daemon/src/callers/reading.rs
@@ -3,7 +3,7 @@
 
 use super::pipeline::{BufferedAnswer, Pipeline, PipelineUsage};
 use super::request::{self, BadRequest, CallerRequest, Limits};
-use super::response;
+use super::response::{self, Response};
 use super::serve;
 use super::stopping;
 use crate::local;
@@ -12,6 +12,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use audit::stats;
+use buffers::GatedStream;
 use futures_util::future::{select, Either};
 use futures_util::FutureExt;
 use home::Reason;
@@ -88,7 +89,7 @@
     /// The node.
     pub node: Rc<Node>,
     /// The connection, with bytes that were read but not consumed yet.
-    pub connection: Connection<TcpStream>,
+    pub connection: Connection<GatedStream<TcpStream>>,
     /// The caller's address.
     pub caller: IpAddr,
     /// Requests in progress on this connection.
@@ -132,8 +133,13 @@
         let incomplete = IncompleteRequest::new(node.clone());
         let read = self.read_request_while_open(head, limits).await;
         drop(incomplete);
+        self.connection.stream().holder().message_ended();
         let res = match read {
             Some(Ok(call)) => return self.serve(call, method, is_last, open).await,
+            Some(Err(bad)) if bad.is_memory_short() => {
+                audit::request_too_large_now(&self.caller.to_string());
+                response::for_outcome(&node.cfg.headers, crate::memory::refusal(has_key))
+            }
             Some(Err(bad)) => {
                 stats::bad_input("caller");
                 response::bad_request(&bad)
@@ -141,8 +147,7 @@
             None => response::for_outcome(&node.cfg.headers, stopping::refusal(has_key)),
         };
         let (tx, answer) = async_channel::bounded(1);
-        tx.try_send(BufferedAnswer::new(self.usage.clone(), res))
-            .ok();
+        tx.try_send(self.buffer_answer(res)).ok();
         self.push_slot(ResponseSlot::Request {
             method,
             is_last: true,
@@ -244,7 +249,7 @@
             // The caller regards the request as not read and sends it again.
             return Err(ReadEnd::Finished);
         }
-        if wait_for_disconnect(self.connection.stream().clone())
+        if wait_for_disconnect(self.connection.stream().get_ref().clone())
             .now_or_never()
             .is_some()
         {
@@ -259,6 +264,7 @@
             open,
         })?;
         let (node, usage) = (self.node.clone(), self.usage.clone());
+        let holder = self.connection.stream().holder().clone();
         let closed = self.closed.clone();
         local::spawn_contained("request", async move {
             let disconnected = async move {
@@ -267,7 +273,7 @@
             };
             let res = serve::serve(&node, call, disconnected).await;
             // The connection may have ended by now.
-            tx.try_send(BufferedAnswer::new(usage, res)).ok();
+            tx.try_send(BufferedAnswer::new(usage, holder, res)).ok();
         });
         if is_last {
             return Err(ReadEnd::Finished);
@@ -286,6 +292,11 @@
         }
     }
 
+    fn buffer_answer(&self, res: Response) -> BufferedAnswer {
+        let holder = self.connection.stream().holder().clone();
+        BufferedAnswer::new(self.usage.clone(), holder, res)
+    }
+
     fn push_slot(&self, slot: ResponseSlot) -> Result<(), ReadEnd> {
         self.pipeline.add_request();
         // The channel has capacity for a full pipeline and one refusal behind it, so an error means
@@ -298,7 +309,8 @@
         if condition(&self.pipeline) {
             return Ok(());
         }
-        let disconnected = pin!(wait_for_disconnect(self.connection.stream().clone()));
+        let stream = self.connection.stream().get_ref().clone();
+        let disconnected = pin!(wait_for_disconnect(stream));
         match select(pin!(self.pipeline.wait_until(condition)), disconnected).await {
             Either::Left(((), _)) => Ok(()),
             Either::Right(((), _)) => Err(ReadEnd::Disconnected),
--- a/components/daemon/src/callers/request.rs
+++ b/components/daemon/src/callers/request.rs
@@ -4,9 +4,11 @@
 use accounts::KeyDigest;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use buffers::GatedStream;
 use http1::{request_framing, unique_header, Connection, Fault, Header, RequestHead};
 use names::{Moment, Name};
 use settings::Headers;
+use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -115,6 +117,16 @@
     pub cause: String,
 }
 
+/// Status of a request whose body can't be taken because memory is short.
+const MEMORY_SHORT_STATUS: u16 = 503;
+
+impl BadRequest {
+    /// Whether the request is valid and was refused for lack of memory.
+    pub fn is_memory_short(&self) -> bool {
+        self.status == MEMORY_SHORT_STATUS
+    }
+}
+
 impl From<&Fault> for BadRequest {
     fn from(fault: &Fault) -> BadRequest {
         let status = match fault {
@@ -122,6 +134,7 @@
             Fault::FramingTooLong(..) => 431,
             Fault::BodyTooLong(_) => 413,
             Fault::UnsupportedEncoding(_) => 501,
+            Fault::Io(error) if error.kind() == ErrorKind::OutOfMemory => MEMORY_SHORT_STATUS,
             Fault::Malformed(_) | Fault::Truncated | Fault::Io(_) => 400,
         };
         bad_request(status, fault.to_string())
@@ -141,7 +154,7 @@
 pub async fn read(
     names: &Headers,
     parent_of: impl Fn(&str) -> Option<Parent>,
-    connection: &mut Connection<TcpStream>,
+    connection: &mut Connection<GatedStream<TcpStream>>,
     caller: IpAddr,
     mut head: RequestHead,
     limits: Limits,
@@ -245,7 +258,7 @@
 }
 
 async fn read_body(
-    connection: &mut Connection<TcpStream>,
+    connection: &mut Connection<GatedStream<TcpStream>>,
     head: &RequestHead,
     limits: Limits,
     deadline_ms: Option<u64>,
--- a/components/daemon/src/callers/response.rs
+++ b/components/daemon/src/callers/response.rs
@@ -43,9 +43,9 @@
         }
     }
 
-    /// The complete response to a request with `method`; `is_closing`: whether the connection
-    /// closes after it.
-    pub fn to_bytes(&self, method: &str, is_closing: bool) -> Vec<u8> {
+    /// The complete response to a request with `method`, as bytes and, if it is large, the body behind
+    /// them; `is_closing`: whether the connection closes after it.
+    pub fn to_parts(&self, method: &str, is_closing: bool) -> (Vec<u8>, &[u8]) {
         let close = is_closing.then(|| ("Connection".to_string(), "close".to_string()));
         match self {
             Response::Answer(answer) => {
@@ -54,7 +54,7 @@
                 headers.retain(|(name, _)| !own.iter().any(|own| name.eq_ignore_ascii_case(own)));
                 headers.push(header(OUTCOME_HEADER, "answered"));
                 headers.extend(close);
-                http1::response_bytes(
+                http1::response_parts(
                     answer.status,
                     &answer.reason,
                     &headers,
@@ -71,13 +71,14 @@
                 headers.extend(close);
                 let sent_body = if method == "HEAD" { "" } else { body };
                 let content_length = Some(body.len() as u64);
-                http1::response_bytes(
+                let bytes = http1::response_bytes(
                     *status,
                     reason_phrase(*status),
                     &headers,
                     sent_body.as_bytes(),
                     content_length,
-                )
+                );
+                (bytes, &[])
             }
         }
     }
--- a/components/daemon/src/home_driver.rs
+++ b/components/daemon/src/home_driver.rs
@@ -235,6 +235,7 @@
             });
         }
         node.last_tick.set(now);
+        node.buffers.advance(now);
         if node.home.borrow().is_some() {
             with_home(&node, |home| home.tick(now));
         }
--- a/components/daemon/src/home_driver/offers.rs
+++ b/components/daemon/src/home_driver/offers.rs
@@ -58,7 +58,9 @@
         refuse_early(node, offer.id, refusal, &reply);
         return;
     }
-    if let Some(reason) = early_refusal(node, from, &offer, key) {
+    let reason = early_refusal(node, from, &offer, key);
+    let is_memory_short = node.buffers.refuses(req.body.len());
+    if let Some(reason) = reason.or(is_memory_short.then_some(Reason::Busy)) {
         let refusal = Refusal {
             reason,
             retry_after_ms: EARLY_REFUSAL_RETRY_AFTER_MS,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod links;
 mod local;
 mod look;
+mod memory;
 mod node;
 mod operators;
 mod ready;
@@ -93,6 +94,7 @@
     local::spawn(links::run_heartbeats(node.clone()));
     local::spawn(watching::run(node.clone()));
     local::spawn(home_driver::run_ticks(node.clone()));
+    local::spawn(memory::run(node.clone()));
     local::spawn(containment::run_expiry(node.clone()));
     local::spawn(callers::run_lease_renewals(node.clone()));
     local::spawn(operators::run_commands(node.clone(), rx));
--- a/components/daemon/src/links/accept.rs
+++ b/components/daemon/src/links/accept.rs
@@ -7,10 +7,12 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use audit::stats;
+use buffers::{Holder, Kind};
 use errors::{Error, Result, Step};
 use futures_util::FutureExt;
 use home::DelayEstimator;
 use names::Name;
+use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,9 +39,8 @@
         }
         serial += 1;
         let node = node.clone();
-        let peer = address.to_string();
         local::spawn(async move {
-            let served = AssertUnwindSafe(serve_peer(&node, stream, &peer, serial));
+            let served = AssertUnwindSafe(serve_peer(&node, stream, address, serial));
             if served.catch_unwind().await.is_err() {
                 stats::panicked();
             }
@@ -48,12 +49,17 @@
     }
 }
 
-async fn serve_peer(node: &Rc<Node>, stream: TcpStream, peer: &str, serial: u64) {
+async fn serve_peer(node: &Rc<Node>, stream: TcpStream, address: SocketAddr, serial: u64) {
+    let peer = address.to_string();
+    let holder = node.buffers.register(Kind::Peer, address);
     node.unauthenticated_peers
         .set(node.unauthenticated_peers.get() + 1);
-    let authenticated = timeout(AUTHENTICATION_TIMEOUT, authenticate(node, stream, peer))
-        .await
-        .unwrap_or_else(|_| Err(Error::new(Step::Handshake, peer, "handshake timed out")));
+    let authenticated = timeout(
+        AUTHENTICATION_TIMEOUT,
+        authenticate(node, stream, &peer, holder.clone()),
+    )
+    .await
+    .unwrap_or_else(|_| Err(Error::new(Step::Handshake, &peer, "handshake timed out")));
     node.unauthenticated_peers
         .set(node.unauthenticated_peers.get() - 1);
     let (socket, vm) = match authenticated {
@@ -64,7 +70,7 @@
             return;
         }
     };
-    let (tx, mut stream) = socket::split(socket);
+    let (tx, mut stream) = socket::split(socket, holder);
     let reply = Reply::Peer(FrameSender::new(node, &vm, tx.clone()));
     node.incoming.borrow_mut().insert(serial, reply.clone());
     let error = read(node, &vm, &mut stream, &reply).await;
@@ -77,8 +83,9 @@
     node: &Rc<Node>,
     stream: TcpStream,
     peer: &str,
+    holder: Holder,
 ) -> Result<(socket::Socket, Name)> {
-    let mut socket = socket::accept(stream, peer, max_message_bytes(node)).await?;
+    let mut socket = socket::accept(stream, peer, max_message_bytes(node), holder).await?;
     let bytes = socket::receive(&mut socket, peer).await?;
     let hello: Hello = wire::decode_message(peer, &bytes)?;
     let handshake = Handshake::new(
@@ -98,7 +105,7 @@
 async fn read(
     node: &Rc<Node>,
     vm: &Name,
-    stream: &mut futures_util::stream::SplitStream<socket::Socket>,
+    stream: &mut socket::MessageReader,
     reply: &Reply,
 ) -> Error {
     let mut delay = DelayEstimator::default();
@@ -108,7 +115,7 @@
         if received % FRAMES_PER_YIELD == 0 {
             task::yield_now().await;
         }
-        let bytes = match socket::receive(stream, vm.as_str()).await {
+        let bytes = match stream.receive(vm.as_str()).await {
             Ok(bytes) => bytes,
             Err(error) => return error,
         };
--- a/components/daemon/src/links/dial.rs
+++ b/components/daemon/src/links/dial.rs
@@ -11,9 +11,9 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use audit::stats;
+use buffers::{Holder, Kind};
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
-use futures_util::stream::SplitStream;
 use futures_util::FutureExt;
 use home::DelayEstimator;
 use names::Name;
@@ -32,7 +32,7 @@
 /// An open and authenticated connection.
 struct Opened {
     link: OpenLink,
-    stream: SplitStream<socket::Socket>,
+    stream: socket::MessageReader,
     abort: Receiver<()>,
 }
 
@@ -89,7 +89,7 @@
     let stream = TcpStream::connect(&address)
         .await
         .map_err(|error| Error::new(Step::Connect, &address, error))?;
-    let mut socket = socket::open(stream, &address, max_message_bytes(node)).await?;
+    let (mut socket, holder) = open_socket(node, stream, &address).await?;
     let welcome = authenticate(node, &mut socket, &address).await?;
     if welcome.hello.vm != *vm {
         let cause = format!("{} is at this address now", welcome.hello.vm);
@@ -99,7 +99,7 @@
     if node.view.borrow_mut().record_boot(vm, welcome.hello.boot) {
         node.entry.borrow_mut().forget(vm);
     }
-    let (tx, stream) = socket::split(socket);
+    let (tx, stream) = socket::split(socket, holder);
     let (abort, abort_rx) = async_channel::bounded(1);
     let link = OpenLink {
         sender: FrameSender::new(node, vm, tx),
@@ -118,6 +118,19 @@
     })
 }
 
+async fn open_socket(
+    node: &Rc<Node>,
+    stream: TcpStream,
+    peer: &str,
+) -> Result<(socket::Socket, Holder)> {
+    let address = stream
+        .peer_addr()
+        .map_err(|error| Error::new(Step::Connect, peer, error))?;
+    let holder = node.buffers.register(Kind::Peer, address);
+    let socket = socket::open(stream, peer, max_message_bytes(node), holder.clone()).await?;
+    Ok((socket, holder))
+}
+
 /// Reads the list of VMs and the revision from the peers at the seed addresses in the settings.
 pub async fn query_seeds(node: &Rc<Node>) {
     for address in node.cfg.seeds.clone() {
@@ -136,14 +149,14 @@
     let stream = TcpStream::connect(peer)
         .await
         .map_err(|error| Error::new(Step::Connect, peer, error))?;
-    let mut socket = socket::open(stream, peer, max_message_bytes(node)).await?;
+    let (mut socket, holder) = open_socket(node, stream, peer).await?;
     let welcome = authenticate(node, &mut socket, peer).await?;
     let summary = wire::encode(node.now().0, &Frame::Summary(node.summary()));
     socket::send_now(&mut socket, peer, summary).await?;
-    let (tx, mut stream) = socket::split(socket);
+    let (tx, mut stream) = socket::split(socket, holder);
     let reply = Reply::Peer(FrameSender::new(node, &welcome.hello.vm, tx));
     loop {
-        let bytes = socket::receive(&mut stream, peer).await?;
+        let bytes = stream.receive(peer).await?;
         let envelope = wire::decode(peer, &bytes)?;
         frames::on_frame(node, &welcome.hello.vm, envelope.frame, &reply);
     }
@@ -177,7 +190,7 @@
     }
 }
 
-async fn read(node: &Rc<Node>, vm: &Name, stream: &mut SplitStream<socket::Socket>) -> Error {
+async fn read(node: &Rc<Node>, vm: &Name, stream: &mut socket::MessageReader) -> Error {
     let (sender, link) = match node.links.borrow().get(vm) {
         Some(Link::Open(link)) => (link.sender.clone(), link.clone()),
         _ => return Error::new(Step::Frame, vm, "the connection was replaced"),
@@ -190,7 +203,7 @@
         if received % FRAMES_PER_YIELD == 0 {
             task::yield_now().await;
         }
-        let bytes = match socket::receive(stream, vm.as_str()).await {
+        let bytes = match stream.receive(vm.as_str()).await {
             Ok(bytes) => bytes,
             Err(error) => return error,
         };
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -12,12 +12,13 @@
 use crate::wakeup::Wakeup;
 use crate::watching::PlatformState;
 use async_channel::Sender;
-use budget::{Gate, HallBudget};
+use budget::HallBudget;
+use buffers::Gate;
 use clock::Clock;
 use declarations::{Route, Service};
 use entry::{Candidate, Entry, RetryBudgetConfig, SelectionRule, WeightedRoundRobin};
 use evacuation::Evacuated;
-use home::{Home, Load};
+use home::{AnswerLimit, Home, Load};
 use keys::{ClaimReply, Claims, KeyHash, KeyTable, KEY_RETENTION_US};
 use membership::View;
 use names::{AttemptId, BootId, Moment, Name, MILLISECOND};
@@ -93,6 +94,8 @@
     pub home: RefCell<Option<Home<SharedAnswer>>>,
     /// Requests that the home duty has accepted.
     pub jobs: RefCell<HashMap<AttemptId, Job>>,
+    /// What connections hold, and which may read on.
+    pub buffers: Rc<Gate>,
     /// Connections to the upstream.
     pub pool: Option<Rc<Pool>>,
     /// The connection for health probes of the upstream.
@@ -120,7 +123,7 @@
     /// Relays that wait for a run of the same key.
     pub key_waiters: RefCell<HashMap<KeyHash, Vec<Sender<RelayOutcome>>>>,
     /// Measuring budget.
-    pub gate: RefCell<Gate>,
+    pub gate: RefCell<budget::Gate>,
     /// Declarations in force.
     pub rollout: RefCell<Rollout>,
     /// Decides from which node a newer revision is fetched.
@@ -198,15 +201,24 @@
                 seed: boot.0,
                 ..home::Config::default()
             };
-            Home::new(boot, limits)
+            let mut home = Home::new(boot, limits);
+            home.limit_answers(AnswerLimit {
+                max_bytes: cfg.buffers.replay_bytes(),
+                size_of: answer_bytes,
+            });
+            home
         });
-        let pool = cfg.upstream.map(|address| Rc::new(pool(&cfg, address)));
-        let probe_pool = cfg
+        let buffers = Rc::new(Gate::new(cfg.buffers));
+        let new_pool = |address, idle_target| Rc::new(pool(&cfg, address, idle_target, &buffers));
+        let pool = cfg
             .upstream
-            .map(|address| Rc::new(probe_pool(&cfg, address)));
+            .map(|address| new_pool(address, cfg.warm_connections));
+        // One connection is enough: one health probe serves all starts that wait for its result.
+        let probe_pool = cfg.upstream.map(|address| new_pool(address, 1));
         Rc::new(Node {
             home: RefCell::new(home),
             jobs: RefCell::default(),
+            buffers,
             pool,
             probe_pool,
             entry: RefCell::new(Entry::new(boot, rule(&cfg.rule), boot.0)),
@@ -217,10 +229,13 @@
             next_query_seq: Cell::new(0),
             links: RefCell::default(),
             incoming: RefCell::default(),
-            keys: RefCell::new(KeyTable::new(MAX_KEYS, MAX_KEY_ANSWERS)),
+            keys: RefCell::new(
+                KeyTable::new(MAX_KEYS, MAX_KEY_ANSWERS)
+                    .with_answer_limit(cfg.buffers.replay_bytes(), answer_bytes),
+            ),
             claims: RefCell::new(Claims::new(MAX_KEYS)),
             key_waiters: RefCell::default(),
-            gate: RefCell::new(Gate::new(clock.now())),
+            gate: RefCell::new(budget::Gate::new(clock.now())),
             rollout: RefCell::default(),
             fetch: RefCell::default(),
             former_groups: RefCell::default(),
@@ -501,14 +516,20 @@
     }
 }
 
-fn pool(cfg: &Settings, address: SocketAddr) -> Pool {
-    let warm = cfg.warm_connections;
-    Pool::new(address, warm, cfg.max_body_bytes, cfg.end_by_close)
+fn answer_bytes(answer: &SharedAnswer) -> usize {
+    answer.body.len()
 }
 
-/// One connection is enough: one health probe serves all starts that wait for its result.
-fn probe_pool(cfg: &Settings, address: SocketAddr) -> Pool {
-    Pool::new(address, 1, cfg.max_body_bytes, cfg.end_by_close)
+fn pool(cfg: &Settings, address: SocketAddr, idle_target: usize, buffers: &Rc<Gate>) -> Pool {
+    let max_body_bytes = cfg.max_body_bytes;
+    let buffers = buffers.clone();
+    Pool::new(
+        address,
+        idle_target,
+        max_body_bytes,
+        cfg.end_by_close,
+        buffers,
+    )
 }
 
 fn watch(cfg: &Settings, now: Moment, boot: BootId) -> Watch {
--- a/components/home/src/duty.rs
+++ b/components/home/src/duty.rs
@@ -13,7 +13,7 @@
 use crate::message::{Load, Offer, QueryReply, Reason, Refusal};
 use crate::pace::Slowdown;
 use crate::queue::Queue;
-use crate::record::{Record, RecordLookup, Records};
+use crate::record::{AnswerLimit, Record, RecordLookup, Records};
 use crate::request_limit::RequestLimit;
 use crate::stragglers::Stragglers;
 use names::{AttemptId, BootId, Moment, MILLISECOND, SECOND};
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Limits the size of the answers that are kept for replay.
+    pub fn limit_answers(&mut self, limit: AnswerLimit<A>) {
+        self.records.limit_answers(limit);
+    }
+
     /// Starts, queues or refuses an offered attempt. An offer of an attempt that is already active or on
     /// record is ignored.
     pub fn offer(&mut self, now: Moment, offer: &Offer) -> Vec<Action> {
--- a/components/home/src/lib.rs
+++ b/components/home/src/lib.rs
@@ -29,7 +29,7 @@
 pub use limit::{Class, ConcurrencyLimit, Verdict};
 pub use message::{Load, Offer, QueryReply, Reason, Refusal, Suspicion};
 pub use pace::Slowdown;
-pub use record::{Record, RecordLookup, Records};
+pub use record::{AnswerLimit, Record, RecordLookup, Records};
 pub use request_limit::RequestLimit;
 pub use run_times::RunTimes;
 pub use stragglers::Stragglers;
--- a/components/home/src/record.rs
+++ b/components/home/src/record.rs
@@ -37,10 +37,31 @@
     records: HashMap<AttemptId, Record<A>>,
     order: VecDeque<(Moment, AttemptId)>,
     floors: HashMap<BootId, u64>,
-    answers: VecDeque<AttemptId>,
+    answers: VecDeque<(AttemptId, usize)>,
+    /// Size of the kept answers, in bytes.
+    answer_bytes: usize,
     max_records: usize,
     max_answers: usize,
     keep_us: u64,
+    answer_limit: AnswerLimit<A>,
+}
+
+/// Limit on the size of all answers that are kept for replay.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerLimit<A> {
+    /// Maximum size of all of them, in bytes.
+    pub max_bytes: usize,
+    /// Size of one, in bytes.
+    pub size_of: fn(&A) -> usize,
+}
+
+impl<A> Default for AnswerLimit<A> {
+    fn default() -> AnswerLimit<A> {
+        AnswerLimit {
+            max_bytes: usize::MAX,
+            size_of: |_| 0,
+        }
+    }
 }
 
 impl<A: Clone> Records<A> {
@@ -52,12 +73,19 @@
             order: VecDeque::new(),
             floors: HashMap::new(),
             answers: VecDeque::new(),
+            answer_bytes: 0,
             max_records,
             max_answers,
             keep_us,
+            answer_limit: AnswerLimit::default(),
         }
     }
 
+    /// Limits the size of the answers that are kept.
+    pub fn limit_answers(&mut self, limit: AnswerLimit<A>) {
+        self.answer_limit = limit;
+    }
+
     /// Looks an attempt up.
     pub fn look_up(&self, id: AttemptId) -> RecordLookup<A> {
         if let Some(record) = self.records.get(&id) {
@@ -77,8 +105,10 @@
             !self.records.contains_key(&id),
             "attempt {id} ended a second time"
         );
-        if matches!(record, Record::Answered(Some(_))) {
-            self.answers.push_back(id);
+        if let Record::Answered(Some(answer)) = &record {
+            let bytes = (self.answer_limit.size_of)(answer);
+            self.answers.push_back((id, bytes));
+            self.answer_bytes += bytes;
         }
         self.records.insert(id, record);
         self.order.push_back((now, id));
@@ -102,10 +132,12 @@
     }
 
     fn evict_answers(&mut self) {
-        while self.answers.len() > self.max_answers {
-            let Some(id) = self.answers.pop_front() else {
+        let max_bytes = self.answer_limit.max_bytes;
+        while self.answers.len() > self.max_answers || self.answer_bytes > max_bytes {
+            let Some((id, bytes)) = self.answers.pop_front() else {
                 return;
             };
+            self.answer_bytes -= bytes;
             if let Some(record) = self.records.get_mut(&id) {
                 *record = Record::Answered(None);
             }
--- a/components/http1/src/connection.rs
+++ b/components/http1/src/connection.rs
@@ -157,8 +157,34 @@
     }
 
     async fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, Fault> {
-        self.fill_to(length).await?;
-        Ok(self.buf.take(length))
+        let mut body = Vec::new();
+        self.append(&mut body, length, length).await?;
+        Ok(body)
+    }
+
+    /// Appends the next `length` bytes to `body`, which will have at most `max_length`, as they arrive.
+    /// Its capacity grows with what has arrived, not with what was announced.
+    async fn append(
+        &mut self,
+        body: &mut Vec<u8>,
+        length: usize,
+        max_length: usize,
+    ) -> Result<(), Fault> {
+        let mut missing = length;
+        while missing > 0 {
+            if self.buf.is_empty() && self.fill().await? == 0 {
+                return Err(Fault::Truncated);
+            }
+            let part = self.buf.len().min(missing);
+            if body.capacity() - body.len() < part {
+                let possible = max_length - body.len();
+                body.reserve_exact(possible.min(body.len().max(part)));
+            }
+            body.extend_from_slice(&self.buf.bytes()[..part]);
+            self.buf.consume(part);
+            missing -= part;
+        }
+        Ok(())
     }
 
     /// Reads until the buffer holds `length` bytes.
@@ -197,13 +223,13 @@
             if size > max_bytes || body.len() as u64 + size > max_bytes {
                 return Err(Fault::BodyTooLong(max_bytes));
             }
-            self.fill_to(size as usize + 2).await?;
-            let (data, rest) = self.buf.bytes().split_at(size as usize);
-            if !rest.starts_with(LINE_END) {
+            self.append(&mut body, size as usize, max_bytes as usize)
+                .await?;
+            self.fill_to(LINE_END.len()).await?;
+            if !self.buf.bytes().starts_with(LINE_END) {
                 return Err(Fault::Malformed("no line end behind a chunk".to_string()));
             }
-            body.extend_from_slice(data);
-            self.buf.consume(size as usize + 2);
+            self.buf.consume(LINE_END.len());
         }
     }
 
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -20,4 +20,4 @@
 pub use head::{header_value, is_hop_header, unique_header, Header, RequestHead, ResponseHead};
 pub use limited::LimitedStream;
 pub use patience::ResponseTimeouts;
-pub use write::{request_bytes, response_bytes};
+pub use write::{request_bytes, request_parts, response_bytes, response_parts};
--- a/components/keys/src/table.rs
+++ b/components/keys/src/table.rs
@@ -72,13 +72,17 @@
 pub struct KeyTable<A> {
     states: HashMap<KeyHash, State<A>>,
     ended_by_age: VecDeque<(Moment, KeyHash)>,
-    answers_by_age: VecDeque<KeyHash>,
+    answers_by_age: VecDeque<(KeyHash, usize)>,
+    /// Size of the kept answers, in bytes.
+    answer_bytes: usize,
     /// Keys whose callers received "not run", with the time, for as long as an earlier try may
     /// still arrive.
     not_run: HashMap<KeyHash, Moment>,
     not_run_by_age: VecDeque<(Moment, KeyHash)>,
     max_keys: usize,
     max_answers: usize,
+    max_answer_bytes: usize,
+    size_of: fn(&A) -> usize,
 }
 
 impl<A: Clone> KeyTable<A> {
@@ -89,10 +93,22 @@
             states: HashMap::new(),
             ended_by_age: VecDeque::new(),
             answers_by_age: VecDeque::new(),
+            answer_bytes: 0,
             not_run: HashMap::new(),
             not_run_by_age: VecDeque::new(),
             max_keys,
             max_answers,
+            max_answer_bytes: usize::MAX,
+            size_of: |_| 0,
+        }
+    }
+
+    /// Keeps answers of at most `max_bytes` bytes together; `size_of` returns the size of one.
+    pub fn with_answer_limit(self, max_bytes: usize, size_of: fn(&A) -> usize) -> KeyTable<A> {
+        KeyTable {
+            max_answer_bytes: max_bytes,
+            size_of,
+            ..self
         }
     }
 
@@ -138,8 +154,10 @@
                 self.not_run_by_age.push_back((now, key));
             }
             KeyOutcome::Answered(answer) => {
+                let bytes = (self.size_of)(&answer);
                 self.states.insert(key, State::Answered(Some(answer)));
-                self.answers_by_age.push_back(key);
+                self.answers_by_age.push_back((key, bytes));
+                self.answer_bytes += bytes;
                 self.ended_by_age.push_back((now, key));
                 self.evict_answers();
             }
@@ -179,10 +197,13 @@
     }
 
     fn evict_answers(&mut self) {
-        while self.answers_by_age.len() > self.max_answers {
-            let Some(key) = self.answers_by_age.pop_front() else {
+        while self.answers_by_age.len() > self.max_answers
+            || self.answer_bytes > self.max_answer_bytes
+        {
+            let Some((key, bytes)) = self.answers_by_age.pop_front() else {
                 return;
             };
+            self.answer_bytes -= bytes;
             if let Some(state) = self.states.get_mut(&key) {
                 *state = State::Answered(None);
             }
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -5,16 +5,22 @@
 use crate::headers::{self, Headers};
 use crate::millis::{Millis, MILLIS_FORMAT};
 use crate::shortage::{self, Admission, Hedging};
+use buffers::Limits;
 use errors::{Problem, Problems};
 use names::Name;
 use sections::Reader;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 /// Maximum number of slots of an upstream.
 const MAX_SLOTS: u64 = 10_000;
 /// Upper bound of the configurable body limit.
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// Memory of the VM that can be configured, in MB. With less, the program itself leaves no room.
+const MEMORY_MB: RangeInclusive<u64> = 48..=1_048_576;
+/// Default memory of the VM for the process, in MB: that of the smallest VMs.
+const DEFAULT_MEMORY_MB: u64 = 160;
 /// Default body limit.
 const DEFAULT_BODY_BYTES: u64 = 1024 * 1024;
 /// Default time for which an answer is awaited after the deadline: an upstream that ignores deadlines
@@ -120,6 +126,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Key that all nodes of the fleet share.
     pub fleet_key: String,
+    /// Limits on what the node holds for others, from the memory of the VM.
+    pub buffers: Limits,
     /// Maximum size of the body of a request or an answer.
     pub max_body_bytes: usize,
     /// Maximum number of connections of callers.
@@ -238,12 +246,14 @@
     );
     let seeds = addresses(reader, "peers", "seeds");
     let fleet_key = fleet_key(reader);
+    let buffers = buffers(reader);
     let max_body_bytes = reader.number_or(
         "limits",
         "body_bytes",
         1..=MAX_BODY_BYTES,
         DEFAULT_BODY_BYTES,
     ) as usize;
+    let max_body_bytes = max_body_bytes.min(buffers.message_bytes());
     let max_callers = reader.number_or("limits", "callers", 1..=100_000, 1_000) as usize;
     let stop_wait_ms = millis(reader, "limits", "stop_wait_ms", DEFAULT_STOP_WAIT_MS);
     let linger_ms = millis(reader, "limits", "linger", 0);
@@ -318,6 +328,7 @@
         in_force_within_ms,
         seeds,
         fleet_key: fleet_key?,
+        buffers,
         max_body_bytes,
         max_callers,
         stop_wait_ms,
@@ -334,6 +345,11 @@
         .0
 }
 
+fn buffers(reader: &mut Reader) -> Limits {
+    let memory_mb = reader.number_or("limits", "memory_mb", MEMORY_MB, DEFAULT_MEMORY_MB);
+    Limits::new(memory_mb as usize * 1024 * 1024)
+}
+
 fn usable(reader: &mut Reader) -> f64 {
     let allowed = "a fraction above 0, at most 1";
     let usable = reader.value_or("upstream", "usable", allowed, 1.0);
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -68,3 +68,20 @@
     assert_eq!(bound_ms("withdrawn_within = 3s\n"), 3_000);
     assert_eq!(bound_ms("withdrawn_within = 20s\n"), 12_000);
 }
+
+/// Guards against bodies that exceed the memory of a small VM, and a memory too small to run in.
+#[test]
+fn body_limit_exceeds_the_memory() {
+    let parse = |limits: &str| {
+        let text = format!("{VALID}\n[limits]\n{limits}");
+        Settings::parse("node.ini", &text)
+    };
+    let body_bytes = |limits| parse(limits).expect("valid settings").max_body_bytes;
+    assert_eq!(body_bytes("body_bytes = 16777216\n"), 16_777_216);
+    assert_eq!(
+        body_bytes("body_bytes = 16777216\nmemory_mb = 80\n"),
+        8_388_608
+    );
+    let problems = parse("memory_mb = 20\n").expect_err("invalid settings");
+    insta::assert_snapshot!(problems.to_string());
+}
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -4,6 +4,7 @@
 use async_std::io::{ErrorKind, ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use async_std::task;
+use buffers::{Gate, GatedStream, Kind};
 use clock::Clock;
 use errors::{Error, Result, Step};
 use futures_util::future::{select, Either};
@@ -12,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 use wire::{Answer, Request};
 
@@ -105,17 +107,21 @@
     Close,
 }
 
+/// A connection whose answers count against the limit on memory.
+type UpstreamConnection = Connection<GatedStream<TcpStream>>;
+
 #[derive(Debug)]
 struct Idle {
     since: Moment,
     usable_for: Duration,
-    connection: Connection<TcpStream>,
+    connection: UpstreamConnection,
 }
 
 /// Keep-alive connections to one upstream.
 #[derive(Debug)]
 pub struct Pool {
     clock: Clock,
+    gate: Rc<Gate>,
     address: Cell<SocketAddr>,
     max_body_bytes: usize,
     /// Number of idle connections that are opened in advance. Up to this many, but at least one, are
@@ -135,6 +141,7 @@
         idle_target: usize,
         max_body_bytes: usize,
         allow_close_delimited: bool,
+        gate: Rc<Gate>,
     ) -> Pool {
         let close_delimited = if allow_close_delimited {
             CloseDelimited::Accept
@@ -143,6 +150,7 @@
         };
         Pool {
             clock: Clock::start(),
+            gate,
             address: Cell::new(address),
             max_body_bytes,
             idle_target: Cell::new(idle_target),
@@ -166,7 +174,7 @@
         req: &Request,
         options: &ExchangeOptions<'_>,
     ) -> std::result::Result<Answer, Failure> {
-        let bytes = request_bytes(req, options);
+        let (head, body) = request_parts(req, options);
         let incarnation = self.incarnation_count.get();
         let mut connection = self
             .acquire(options.repeatable)
@@ -175,9 +183,9 @@
         if self.incarnation_count.get() != incarnation {
             return Err(Failure::Replaced);
         }
-        let writer = connection.stream().clone();
+        let writer = connection.stream().get_ref().clone();
         let outcome = {
-            let writing = pin!(write_all(writer, &bytes));
+            let writing = pin!(write_parts(writer, [&head, body]));
             let reading = pin!(self.read_response(&mut connection, req, options));
             match select(writing, reading).await {
                 Either::Left((Ok(()), reading)) => (reading.await, Sent::Whole),
@@ -192,6 +200,7 @@
                 Either::Right((result, _)) => (result, Sent::Part),
             }
         };
+        connection.stream().holder().message_ended();
         let (result, sent) = outcome;
         let (answer, end) = result.map_err(|error| self.broken(error))?;
         match (sent, end) {
@@ -214,7 +223,7 @@
             let Ok(stream) = self.connect().await else {
                 return;
             };
-            self.release(Connection::new(stream), IDLE_LIMIT);
+            self.release(stream, IDLE_LIMIT);
         }
     }
 
@@ -260,7 +269,7 @@
     /// One without an ID belongs to no request, and what follows it can't be told apart either.
     async fn read_response(
         &self,
-        connection: &mut Connection<TcpStream>,
+        connection: &mut UpstreamConnection,
         req: &Request,
         options: &ExchangeOptions<'_>,
     ) -> std::result::Result<(Answer, ResponseEnd), Fault> {
@@ -295,11 +304,11 @@
     }
 
     /// Returns an idle connection that is open and has no unread bytes, or opens a new one.
-    async fn acquire(&self, repeatable: bool) -> Result<Connection<TcpStream>> {
+    async fn acquire(&self, repeatable: bool) -> Result<UpstreamConnection> {
         loop {
             let idle = self.idle.borrow_mut().pop();
             let Some(idle) = idle else {
-                return Ok(Connection::new(self.connect().await?));
+                return self.connect().await;
             };
             let limit = if repeatable {
                 idle.usable_for
@@ -313,7 +322,7 @@
         }
     }
 
-    fn release(&self, connection: Connection<TcpStream>, usable_for: Duration) {
+    fn release(&self, connection: UpstreamConnection, usable_for: Duration) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < self.idle_target.get().max(1) {
             idle.push(Idle {
@@ -324,7 +333,7 @@
         }
     }
 
-    async fn connect(&self) -> Result<TcpStream> {
+    async fn connect(&self) -> Result<UpstreamConnection> {
         let address = self.address.get();
         let fail = |error: String| Error::new(Step::Connect, address, error);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -334,7 +343,8 @@
         stream
             .set_nodelay(true)
             .map_err(|error| fail(error.to_string()))?;
-        Ok(stream)
+        let holder = self.gate.register(Kind::Upstream, address);
+        Ok(Connection::new(GatedStream::new(stream, holder)))
     }
 
     fn broken(&self, error: impl std::fmt::Display) -> Failure {
@@ -342,22 +352,28 @@
     }
 }
 
-/// Writes all of `bytes`. An error comes with the number of bytes that were written before it.
-async fn write_all(
+/// Writes all parts. An error comes with the number of bytes that were written before it.
+async fn write_parts(
     mut stream: TcpStream,
-    bytes: &[u8],
+    parts: [&[u8]; 2],
 ) -> std::result::Result<(), (usize, std::io::Error)> {
     let mut written = 0;
-    while written < bytes.len() {
-        match stream.write(&bytes[written..]).await {
-            Ok(count) => written += count,
-            Err(error) => return Err((written, error)),
+    for mut rest in parts {
+        while !rest.is_empty() {
+            match stream.write(rest).await {
+                Ok(count) => {
+                    written += count;
+                    rest = &rest[count..];
+                }
+                Err(error) => return Err((written, error)),
+            }
         }
     }
     Ok(())
 }
 
-fn request_bytes(req: &Request, options: &ExchangeOptions<'_>) -> Vec<u8> {
+/// The request as bytes, and its body if that is too large to be copied behind the head.
+fn request_parts<'r>(req: &'r Request, options: &ExchangeOptions<'_>) -> (Vec<u8>, &'r [u8]) {
     let is_set = |name: &str| {
         let mut set = options.headers.iter();
         set.any(|(other, _)| name.eq_ignore_ascii_case(other))
@@ -372,7 +388,7 @@
         .iter()
         .map(|(name, value)| (*name, value.as_str()));
     let declare_empty = matches!(req.method.as_str(), "POST" | "PUT" | "PATCH");
-    http1::request_bytes(
+    http1::request_parts(
         &req.method,
         &req.target,
         forwarded.chain(set),
@@ -447,12 +463,12 @@
 }
 
 /// Whether an idle connection is still open and has no unread bytes.
-fn is_reusable(connection: &Connection<TcpStream>) -> bool {
+fn is_reusable(connection: &UpstreamConnection) -> bool {
     use std::os::fd::{AsRawFd, BorrowedFd};
     if connection.has_bytes() {
         return false;
     }
-    let stream = connection.stream();
+    let stream = connection.stream().get_ref();
     // SAFETY: the descriptor stays open as long as `stream`, which outlives the borrow.
     let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
     let Ok(copy) = fd.try_clone_to_owned() else {
--- a/components/upstream/tests/resets.rs
+++ b/components/upstream/tests/resets.rs
@@ -1,14 +1,17 @@
 //! Responses that end with their connection, which is reset while the request is still being sent.
 
 use async_std::task::block_on;
+use buffers::{Gate, Limits};
 use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 use upstream::{ExchangeOptions, Failure, Pool};
 use wire::{Answer, Request};
 
+const MEMORY_BYTES: usize = 160 * 1024 * 1024;
 const MAX_BODY_BYTES: usize = 1_000_000;
 const ID: &str = "q-1";
 /// Exceeds the socket buffers: the upstream's receive buffer is small.
@@ -18,6 +21,10 @@
 const ARRIVAL_TIME: Duration = Duration::from_millis(30);
 const TRIES: usize = 20;
 
+fn gate() -> Rc<Gate> {
+    Rc::new(Gate::new(Limits::new(MEMORY_BYTES)))
+}
+
 fn upload() -> Request {
     Request {
         service: "prices".into(),
@@ -73,7 +80,7 @@
 
 fn exchange(response: &'static str, end: End) -> Result<Answer, Failure> {
     let (address, upstream) = start(response, end);
-    let pool = Pool::new(address, 1, MAX_BODY_BYTES, true);
+    let pool = Pool::new(address, 1, MAX_BODY_BYTES, true, gate());
     let options = ExchangeOptions {
         request_id: Some(("Request-Id", ID)),
         ..ExchangeOptions::default()
--- a/components/upstream/tests/surplus.rs
+++ b/components/upstream/tests/surplus.rs
@@ -1,18 +1,25 @@
 //! Bytes of an upstream that belong to no request, in front of the response that is due.
 
 use async_std::task::block_on;
+use buffers::{Gate, Limits};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 use upstream::{ExchangeOptions, Failure, Pool};
 use wire::{Answer, Request};
 
+const MEMORY_BYTES: usize = 160 * 1024 * 1024;
 const MAX_BODY_BYTES: usize = 1_000;
 const ID: &str = "q-1";
 /// Time after which surplus bytes have arrived on an idle connection.
 const ARRIVAL_TIME: Duration = Duration::from_millis(200);
 
+fn gate() -> Rc<Gate> {
+    Rc::new(Gate::new(Limits::new(MEMORY_BYTES)))
+}
+
 fn req(method: &str) -> Request {
     Request {
         service: "prices".into(),
@@ -73,7 +80,7 @@
     options: &ExchangeOptions<'_>,
 ) -> Result<Answer, Failure> {
     let (address, upstream) = start(vec![vec![response]]);
-    let pool = Pool::new(address, 1, MAX_BODY_BYTES, true);
+    let pool = Pool::new(address, 1, MAX_BODY_BYTES, true, gate());
     let answer = block_on(pool.exchange(&req(method), options));
     upstream.join().expect("no panic");
     answer
@@ -138,7 +145,7 @@
 fn connection_with_bytes_behind_a_response_is_reused() {
     for surplus in [OWN_THEN_FOREIGN, OWN_THEN_LATE_FOREIGN] {
         let (address, upstream) = start(vec![vec![surplus], vec![OWN]]);
-        let pool = Pool::new(address, 1, MAX_BODY_BYTES, true);
+        let pool = Pool::new(address, 1, MAX_BODY_BYTES, true, gate());
         for _ in 0..2 {
             let answer = block_on(pool.exchange(&req("POST"), &with_ids())).expect("an answer");
             assert_eq!(answer.body, b"own");
@@ -151,7 +158,7 @@
 #[test]
 fn bytes_that_arrive_with_the_next_request_are_taken_for_its_response() {
     let (address, upstream) = start(vec![vec![OWN, FOREIGN_THEN_OWN], vec![OWN]]);
-    let pool = Pool::new(address, 1, MAX_BODY_BYTES, true);
+    let pool = Pool::new(address, 1, MAX_BODY_BYTES, true, gate());
     let exchange = || block_on(pool.exchange(&req("POST"), &with_ids()));
     assert_eq!(exchange().expect("an answer").body, b"own");
     let outcome = exchange();
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,6 +1,7 @@
 //! `drumwheel-node`: the process that runs next to each upstream, with entry and home duty.
 
 use bpaf::Bpaf;
+use buffers::heap::{self, CountingAllocator};
 use platform::Adapter;
 use settings::{FleetSource, LogFormat, Settings};
 use std::path::PathBuf;
@@ -22,7 +23,11 @@
 /// Exit code for invalid settings.
 const BAD_SETTINGS: u8 = 2;
 
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
 fn main() -> ExitCode {
+    heap::return_freed_memory();
     // Limits the executor of the HTTP library to one thread. Only a request with
     // `Expect: 100-continue` to the operators' address makes the library start it. The environment
     // may be changed only while there is no other thread.
