A caller finds a place when all connections are held

Callers got 503 "too many connections" for as long as others held every connection of a node: idle, with an unfinished head, or with a body that does not arrive.

Change: when all connections are open, one without a request makes room for the next caller: first one that never carried any, else one whose head or body does not arrive, else one whose answer has not been read for a second; the oldest of its kind. A connection whose request is being served is kept. The rule is `choose_displaced`, with tests for each crowd.

--- a/components/buffers/src/choice.rs
+++ b/components/buffers/src/choice.rs
@@ -1,6 +1,10 @@
-//! Which connections are closed when memory runs out.
+//! Which connections are closed when memory or connections run out.
 
-use names::Moment;
+use names::{Moment, SECOND};
+
+/// A connection whose caller reads an answer is not closed in favour of a new connection before this
+/// time, in microseconds.
+const SLOW_READER_AFTER_US: u64 = SECOND;
 
 /// What a connection is occupied with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +48,17 @@
     fn cost(&self, now: Moment) -> u128 {
         self.bytes as u128 * u128::from(now.since(self.since).max(1))
     }
+
+    /// How readily the connection is closed for a new one; the lowest goes first, none if it is kept.
+    fn displacement_rank(&self, now: Moment) -> Option<u8> {
+        match self.activity {
+            Activity::Idle { has_served: false } => Some(0),
+            Activity::Idle { has_served: true } => Some(1),
+            Activity::Receiving => Some(2),
+            Activity::Sending if now.since(self.since) > SLOW_READER_AFTER_US => Some(3),
+            Activity::Sending | Activity::Serving => None,
+        }
+    }
 }
 
 /// The connections to close until `excess` bytes are free: those that hold the most for the longest.
@@ -68,3 +83,14 @@
     });
     needed.map(|holding| holding.id).collect()
 }
+
+/// The connection to close in favour of a new one: an idle one, else one whose request does not
+/// arrive, else one whose answer is read slowly; among these the one that has been so for the longest.
+/// None if every connection has a request that is being served.
+pub fn choose_displaced(now: Moment, holdings: &[Holding]) -> Option<u64> {
+    let ranked = holdings.iter().filter_map(|holding| {
+        let rank = holding.displacement_rank(now)?;
+        Some(((rank, holding.since, holding.id), holding.id))
+    });
+    ranked.min().map(|(_, id)| id)
+}
--- a/components/buffers/src/gate.rs
+++ b/components/buffers/src/gate.rs
@@ -1,6 +1,6 @@
 //! Which connections hold memory, and which of them may read on.
 
-use crate::choice::{choose_evicted, Activity, Holding};
+use crate::choice::{choose_displaced, choose_evicted, Activity, Holding};
 use crate::heap;
 use crate::limits::Limits;
 use names::Moment;
@@ -215,6 +215,13 @@
         chosen.into_iter().filter_map(|id| self.close(id)).collect()
     }
 
+    /// Closes a connection in favour of a new one; none if all are in use.
+    pub fn displace_caller(&self) -> Option<Closed> {
+        let holdings = self.holdings(|state| state.kind == Kind::Caller);
+        let id = choose_displaced(self.now.get(), &holdings)?;
+        self.close(id)
+    }
+
     /// What the open connections that `filter` selects hold, apart from those that are being closed.
     fn holdings(&self, filter: impl Fn(&State) -> bool) -> Vec<Holding> {
         let holders = self.holders.borrow();
--- a/components/buffers/tests/choice.rs
+++ b/components/buffers/tests/choice.rs
@@ -1,7 +1,7 @@
-//! Which connections are closed when memory runs out, in the crowds for which the rules
+//! Which connections are closed when memory or connections run out, in the crowds for which the rules
 //! are made.
 
-use buffers::{choose_evicted, Activity, Holding, Limits};
+use buffers::{choose_displaced, choose_evicted, Activity, Holding, Limits};
 use names::{Moment, MILLISECOND, SECOND};
 use Activity::{Idle, Receiving, Sending, Serving};
 
@@ -60,6 +60,42 @@
     assert!(choose_evicted(NOW, 0, ALLOWANCE, &holdings).is_empty());
 }
 
+/// A crowd that holds every connection in one way, beside callers whose requests are served.
+#[test]
+fn crowd_that_holds_all_connections_keeps_a_new_caller_out() {
+    let never_used = Idle { has_served: false };
+    let kept = Idle { has_served: true };
+    for (crowd, held_ms) in [(never_used, 1), (kept, 1), (Receiving, 1), (Sending, 1_500)] {
+        let mut holdings = vec![
+            holding(1, Serving, 9_000, 0),
+            holding(2, Sending, 10, 10_000),
+        ];
+        holdings.extend((10..70).map(|id| holding(id, crowd, held_ms + id, 100)));
+        let displaced = choose_displaced(NOW, &holdings);
+        assert_eq!(displaced, Some(69), "{crowd:?}");
+    }
+}
+
+/// Connections that callers keep between requests go after those that never carried one.
+#[test]
+fn kept_connection_is_displaced_before_one_that_was_never_used() {
+    let holdings = [
+        holding(1, Idle { has_served: true }, 10_000, 0),
+        holding(2, Idle { has_served: false }, 50, 0),
+        holding(3, Receiving, 20_000, 10_000),
+    ];
+    assert_eq!(choose_displaced(NOW, &holdings), Some(2));
+}
+
+#[test]
+fn request_that_is_served_is_cut_for_a_new_caller() {
+    let holdings = [
+        holding(1, Serving, 9_000, 0),
+        holding(2, Sending, 900, 10_000),
+    ];
+    assert_eq!(choose_displaced(NOW, &holdings), None);
+}
+
 /// The parts of the memory, for VMs of the deployments' sizes.
 #[test]
 fn limits_together_exceed_the_memory() {
--- a/components/daemon/src/callers/connection.rs
+++ b/components/daemon/src/callers/connection.rs
@@ -4,7 +4,7 @@
 use super::reading::{wait_for_disconnect, ReadEnd, Reader, ResponseSlot};
 use super::response;
 use crate::local;
-use crate::memory::limit_socket_buffers;
+use crate::memory::{limit_socket_buffers, make_room};
 use crate::node::Node;
 use async_channel::Receiver;
 use async_std::future::timeout;
@@ -36,7 +36,7 @@
             task::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if node.caller_connections.get() >= node.cfg.max_callers {
+        if !make_room(&node).await {
             stats::bad_input("too many callers");
             local::spawn(reject(stream));
             continue;
--- a/components/daemon/src/memory.rs
+++ b/components/daemon/src/memory.rs
@@ -1,4 +1,5 @@
-//! Keeps the memory that this node holds for others within its limit.
+//! Keeps the memory that this node holds for others within its limit, and always has a place for
+//! another caller.
 
 use crate::node::Node;
 use async_std::net::TcpListener;
@@ -19,6 +20,8 @@
 const UNSENT_BYTES: u32 = 16 * 1024;
 /// Retry delay sent to callers whose request finds no memory, in milliseconds.
 const RETRY_MS: u64 = 1_000;
+/// Turns of the executor within which a displaced connection has ended.
+const MAX_TURNS: usize = 16;
 
 /// Closes connections and stops readers for as long as memory is short; runs until the node stops.
 pub async fn run(node: Rc<Node>) {
@@ -32,6 +35,26 @@
     }
 }
 
+/// Makes room for a new connection of a caller. Returns false if all connections are in use.
+pub async fn make_room(node: &Rc<Node>) -> bool {
+    let is_full = || node.caller_connections.get() >= node.cfg.max_callers;
+    if !is_full() {
+        return true;
+    }
+    node.buffers.advance(node.now());
+    let Some(closed) = node.buffers.displace_caller() else {
+        return false;
+    };
+    audit::connection_closed("connections", &closed, node.now());
+    for _ in 0..MAX_TURNS {
+        if !is_full() {
+            break;
+        }
+        task::yield_now().await;
+    }
+    true
+}
+
 /// Limits what the system buffers for each connection that `listener` accepts. Both options are
 /// inherited; without them, connections work with larger buffers.
 pub fn limit_socket_buffers(listener: &TcpListener) {
