The operators' tools read answers of nodes as strictly as nodes do

An operator's command took an answer of a node without a length for an empty one, and of two lengths the last. It read with async-h1, which checks neither and has no bound on a body. The calls now go through `http1::call`, as those to upstreams and to the platform's store do.

--- a/components/operator/src/nodes.rs
+++ b/components/operator/src/nodes.rs
@@ -1,13 +1,15 @@
 //! Calls to nodes at their operators' addresses.
 
 use async_std::future::timeout;
-use async_std::net::TcpStream;
+use async_std::net::ToSocketAddrs;
 use errors::{Error, Result, Step};
-use http_types::{Method, Request, Url};
+use http1::ResponseTimeouts;
 use rollout::Configuration;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// Maximum size of an answer, in bytes.
+const MAX_ANSWER_BYTES: u64 = 1024 * 1024;
 /// Timeout of a call to a node.
 const NODE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -66,14 +68,14 @@
 
 /// The state of the node at `address`.
 pub async fn status(address: &str) -> Result<NodeStatus> {
-    let bytes = call(address, Method::Get, "/status", None, Vec::new()).await?;
+    let bytes = call(address, "GET", "/status", None, Vec::new()).await?;
     serde_json::from_slice(&bytes).map_err(|error| Error::new(Step::Operators, address, error))
 }
 
 /// Drains the upstream of the node at `address`, or ends the drain.
 pub async fn drain(address: &str, fleet_key: &str, drained: bool) -> Result<()> {
     let path = if drained { "/drain" } else { "/undrain" };
-    call(address, Method::Post, path, Some(fleet_key), Vec::new()).await?;
+    call(address, "POST", path, Some(fleet_key), Vec::new()).await?;
     Ok(())
 }
 
@@ -81,57 +83,47 @@
 pub async fn release(address: &str, fleet_key: &str, release: &Release) -> Result<String> {
     let body =
         serde_json::to_vec(release).map_err(|error| Error::new(Step::Operators, address, error))?;
-    let bytes = call(address, Method::Post, "/release", Some(fleet_key), body).await?;
+    let bytes = call(address, "POST", "/release", Some(fleet_key), body).await?;
     Ok(String::from_utf8_lossy(&bytes).trim().to_string())
 }
 
 /// Sends a node a revision that the platform has accepted; returns the node's answer.
 pub async fn push(address: &str, fleet_key: &str, configuration: &Configuration) -> Result<String> {
     let body = wire::encode_message(configuration);
-    let bytes = call(
-        address,
-        Method::Post,
-        "/configuration",
-        Some(fleet_key),
-        body,
-    )
-    .await?;
+    let bytes = call(address, "POST", "/configuration", Some(fleet_key), body).await?;
     Ok(String::from_utf8_lossy(&bytes).trim().to_string())
 }
 
 async fn call(
     address: &str,
-    method: Method,
+    method: &str,
     path: &str,
     fleet_key: Option<&str>,
     body: Vec<u8>,
 ) -> Result<Vec<u8>> {
     let call_error = |error: String| Error::new(Step::Operators, address, error);
+    let authorization = fleet_key.map(|key| format!("Bearer {key}"));
+    let headers: Vec<(&str, &str)> = authorization
+        .iter()
+        .map(|value| ("Authorization", value.as_str()))
+        .collect();
     let exchange = async {
-        let url = Url::parse(&format!("http://{address}{path}"))
-            .map_err(|error| call_error(error.to_string()))?;
-        let mut req = Request::new(method, url);
-        if let Some(key) = fleet_key {
-            req.insert_header("authorization", format!("Bearer {key}"));
-        }
-        req.insert_header("connection", "close");
-        req.set_body(body);
-        let stream = TcpStream::connect(address)
-            .await
-            .map_err(|error| call_error(error.to_string()))?;
-        let mut res = async_h1::client::connect(stream, req)
-            .await
-            .map_err(|error| call_error(error.to_string()))?;
-        let bytes = res
-            .body_bytes()
-            .await
-            .map_err(|error| call_error(error.to_string()))?;
-        if !res.status().is_success() {
-            return Err(call_error(format!("status {}", res.status())));
-        }
-        Ok(bytes)
+        let resolved = address.to_socket_addrs().await;
+        let resolved = resolved
+            .map_err(|error| call_error(error.to_string()))?
+            .next();
+        let resolved = resolved.ok_or_else(|| call_error("no address is known".to_string()))?;
+        let timeouts = ResponseTimeouts::uniform(NODE_TIMEOUT);
+        let max_bytes = MAX_ANSWER_BYTES;
+        let answer =
+            http1::call(resolved, method, path, &headers, &body, max_bytes, timeouts).await;
+        answer.map_err(|fault| call_error(fault.to_string()))
     };
-    timeout(NODE_TIMEOUT, exchange)
+    let (head, bytes) = timeout(NODE_TIMEOUT, exchange)
         .await
-        .map_err(|_| call_error("no answer within the timeout".to_string()))?
+        .map_err(|_| call_error("no answer within the timeout".to_string()))??;
+    if !(200..300).contains(&head.status) {
+        return Err(call_error(format!("status {}", head.status)));
+    }
+    Ok(bytes)
 }
