The ports beside that of callers take a bounded number of connections

A crowd of idle connections at the ports for readiness, registrations and operators took the descriptors that callers need: each port took as many as came. Connections of nodes that have not authenticated themselves had a limit, but while a crowd held all 64, other nodes were closed.

Each of these ports now has 64 places, and a new connection takes that of the oldest. `drumwheel_connections_closed_total` names the port.

--- a/components/audit/src/buffers.rs
+++ b/components/audit/src/buffers.rs
@@ -4,6 +4,7 @@
 use crate::stats;
 use buffers::Closed;
 use names::{Moment, MILLISECOND};
+use std::net::SocketAddr;
 
 /// A connection is closed because of `cause`: `memory`, or `connections` in favour of a new one.
 pub fn connection_closed(cause: &'static str, closed: &Closed, now: Moment) {
@@ -23,6 +24,14 @@
     }
 }
 
+/// The oldest connection at `port` is closed in favour of a new one.
+pub fn port_connection_closed(port: &'static str, peer: SocketAddr) {
+    stats::connection_closed("connections", port, "-");
+    if allowed(Line::Closed) {
+        tracing::warn!(cause = "connections", kind = port, %peer, "a connection is closed");
+    }
+}
+
 /// A request of `caller` is refused because there is no memory for its body.
 pub fn request_too_large_now(caller: &str) {
     stats::memory_refused();
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod memory;
 mod node;
 mod operators;
+mod places;
 mod ready;
 mod recovery;
 mod registration;
--- a/components/daemon/src/links/accept.rs
+++ b/components/daemon/src/links/accept.rs
@@ -3,24 +3,28 @@
 use super::{apply_delay, frames, max_message_bytes, socket, FrameSender, Reply, FRAMES_PER_YIELD};
 use crate::local;
 use crate::node::Node;
+use crate::places::{Place, Places};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use audit::stats;
 use buffers::{Holder, Kind};
 use errors::{Error, Result, Step};
+use futures_util::future::{select, Either};
 use futures_util::FutureExt;
 use home::DelayEstimator;
 use names::Name;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use wire::{Handshake, Hello, Proof};
 
 /// Timeout of the WebSocket and authentication handshakes.
 const AUTHENTICATION_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum number of connections that are not authenticated yet; further ones are closed.
+/// Maximum number of connections that are not authenticated yet. A further one takes the place of the
+/// oldest.
 const MAX_UNAUTHENTICATED: usize = 64;
 /// Pause after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -28,19 +32,17 @@
 /// Accepts connections from peers; runs until the node stops.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let mut serial = 0;
+    let places = Places::new("peers", MAX_UNAUTHENTICATED);
     loop {
         let Ok((stream, address)) = listener.accept().await else {
             task::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if node.unauthenticated_peers.get() >= MAX_UNAUTHENTICATED {
-            stats::bad_input("peer");
-            continue;
-        }
         serial += 1;
+        let place = places.enter(address);
         let node = node.clone();
         local::spawn(async move {
-            let served = AssertUnwindSafe(serve_peer(&node, stream, address, serial));
+            let served = AssertUnwindSafe(serve_peer(&node, stream, address, serial, place));
             if served.catch_unwind().await.is_err() {
                 stats::panicked();
             }
@@ -49,19 +51,25 @@
     }
 }
 
-async fn serve_peer(node: &Rc<Node>, stream: TcpStream, address: SocketAddr, serial: u64) {
+async fn serve_peer(
+    node: &Rc<Node>,
+    stream: TcpStream,
+    address: SocketAddr,
+    serial: u64,
+    place: Place,
+) {
     let peer = address.to_string();
     let holder = node.buffers.register(Kind::Peer, address);
-    node.unauthenticated_peers
-        .set(node.unauthenticated_peers.get() + 1);
-    let authenticated = timeout(
+    let authenticating = pin!(timeout(
         AUTHENTICATION_TIMEOUT,
         authenticate(node, stream, &peer, holder.clone()),
-    )
-    .await
-    .unwrap_or_else(|_| Err(Error::new(Step::Handshake, &peer, "handshake timed out")));
-    node.unauthenticated_peers
-        .set(node.unauthenticated_peers.get() - 1);
+    ));
+    let authenticated = match select(authenticating, pin!(place.displaced())).await {
+        Either::Left((Ok(authenticated), _)) => authenticated,
+        Either::Left((Err(_), _)) => Err(Error::new(Step::Handshake, &peer, "handshake timed out")),
+        Either::Right(_) => Err(Error::new(Step::Handshake, &peer, "too many handshakes")),
+    };
+    drop(place);
     let (socket, vm) = match authenticated {
         Ok(authenticated) => authenticated,
         Err(error) => {
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -182,8 +182,6 @@
     pub incomplete_requests: Cell<usize>,
     /// Open connections of callers.
     pub caller_connections: Cell<usize>,
-    /// Connections of peers that have not authenticated themselves.
-    pub unauthenticated_peers: Cell<usize>,
 }
 
 impl Node {
@@ -265,7 +263,6 @@
             open_calls: Cell::new(0),
             incomplete_requests: Cell::new(0),
             caller_connections: Cell::new(0),
-            unauthenticated_peers: Cell::new(0),
             live: Rc::new(RefCell::new(Live::from_settings(&cfg))),
             caller_name: CallerName::default(),
             started: clock.now(),
--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -9,6 +9,7 @@
 use crate::home_driver;
 use crate::local;
 use crate::node::Node;
+use crate::places::Places;
 use crate::registration;
 use crate::store;
 use async_channel::{Receiver, Sender};
@@ -17,18 +18,22 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use audit::Origin;
+use futures_util::future::{select, Either};
 use http1::LimitedStream;
 use metrics_exporter_prometheus::PrometheusHandle;
 use names::SECOND;
 use quarantine::Fingerprint;
 use rollout::{Configuration, Offered};
 use serde::{Deserialize, Serialize};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tide::{Request, Response, StatusCode};
 
 /// Maximum number of commands that wait for the node's thread.
 const MAX_COMMANDS: usize = 64;
+/// Maximum number of connections.
+const MAX_CONNECTIONS: usize = 64;
 /// Pause after `accept` failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Timeout for an answer from the node's thread.
@@ -190,14 +195,18 @@
     app.at("/undrain").post(|req| drain(req, false));
     app.at("/release").post(release);
     app.at("/configuration").post(push);
+    let places = Places::new("operators", MAX_CONNECTIONS);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             task::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let app = app.clone();
+        let place = places.enter(peer);
         local::spawn(async move {
-            if let Err(error) = serve_connection(app, stream).await {
+            let serving = pin!(serve_connection(app, stream));
+            let displaced = pin!(place.displaced());
+            if let Either::Left((Err(error), _)) = select(serving, displaced).await {
                 tracing::debug!(%error, "an operator's connection ended");
             }
         });
--- a/components/daemon/src/ready.rs
+++ b/components/daemon/src/ready.rs
@@ -1,11 +1,14 @@
 //! The HTTP endpoint for readiness checks.
 
 use crate::local;
+use crate::places::Places;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::prelude::*;
 use async_std::task;
+use futures_util::future::select;
 use http1::{Connection, Fault};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +16,8 @@
 const MAX_HEAD_BYTES: usize = 8_000;
 /// A connection without a request for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum number of connections.
+const MAX_CONNECTIONS: usize = 64;
 /// Pause after `accept` has failed, for example because file descriptors ran out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -29,24 +34,31 @@
 
 /// Answers readiness checks at `path` for as long as the node runs.
 pub async fn serve(path: String, readiness: Rc<dyn Fn() -> Readiness>, listener: TcpListener) {
+    let places = Places::new("readiness", MAX_CONNECTIONS);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             task::sleep(ACCEPT_RETRY_PAUSE).await;
             continue;
         };
         let (path, readiness) = (path.clone(), readiness.clone());
+        let place = places.enter(peer);
         local::spawn_contained("readiness", async move {
-            let mut connection = Connection::new(stream);
-            loop {
-                let exchange = exchange(&path, &*readiness, &mut connection);
-                let Ok(Ok(true)) = timeout(IDLE_TIMEOUT, exchange).await else {
-                    return;
-                };
-            }
+            let serving = pin!(serve_connection(&path, &*readiness, stream));
+            select(serving, pin!(place.displaced())).await;
         });
     }
 }
 
+async fn serve_connection(path: &str, readiness: &dyn Fn() -> Readiness, stream: TcpStream) {
+    let mut connection = Connection::new(stream);
+    loop {
+        let exchange = exchange(path, readiness, &mut connection);
+        let Ok(Ok(true)) = timeout(IDLE_TIMEOUT, exchange).await else {
+            return;
+        };
+    }
+}
+
 async fn exchange(
     path: &str,
     readiness: &dyn Fn() -> Readiness,
--- a/components/daemon/src/registration/door.rs
+++ b/components/daemon/src/registration/door.rs
@@ -4,15 +4,18 @@
 use crate::home_driver;
 use crate::local;
 use crate::node::Node;
+use crate::places::Places;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::prelude::*;
 use async_std::task;
+use futures_util::future::select;
 use home::PriorStarts;
 use http1::{request_framing, Connection, Fault};
 use names::MILLISECOND;
 use platform::Registration as Report;
 use registry::{Change, Departed, DepartureOutcome, HeartbeatOutcome, Incarnation, Instance};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +25,8 @@
 const MAX_BODY_BYTES: u64 = 64 * 1024;
 /// Time without a registration after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum number of connections.
+const MAX_CONNECTIONS: usize = 64;
 /// Pause after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -35,33 +40,37 @@
 
 /// Serves registrations for as long as the node runs.
 pub async fn serve(node: Rc<Node>, registration: Rc<Registration>, listener: TcpListener) {
+    let places = Places::new("registrations", MAX_CONNECTIONS);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             task::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let node = node.clone();
         let registration = registration.clone();
+        let place = places.enter(peer);
         local::spawn_contained("registration", async move {
-            let mut connection = Connection::new(stream);
-            loop {
-                let served = timeout(
-                    IDLE_TIMEOUT,
-                    exchange(&node, &registration, &mut connection),
-                );
-                match served.await {
-                    Ok(Ok(true)) => {}
-                    Ok(Ok(false)) | Err(_) => return,
-                    Ok(Err(error)) => {
-                        tracing::info!(%error, "failed to read a registration");
-                        return;
-                    }
-                }
-            }
+            let serving = pin!(serve_connection(&node, &registration, stream));
+            select(serving, pin!(place.displaced())).await;
         });
     }
 }
 
+async fn serve_connection(node: &Rc<Node>, registration: &Rc<Registration>, stream: TcpStream) {
+    let mut connection = Connection::new(stream);
+    loop {
+        let served = timeout(IDLE_TIMEOUT, exchange(node, registration, &mut connection));
+        match served.await {
+            Ok(Ok(true)) => {}
+            Ok(Ok(false)) | Err(_) => return,
+            Ok(Err(error)) => {
+                tracing::info!(%error, "failed to read a registration");
+                return;
+            }
+        }
+    }
+}
+
 /// Handles one registration. Returns false when the connection has ended.
 async fn exchange(
     node: &Rc<Node>,
