--- a/components/daemon/src/operators.rs
+++ b/components/daemon/src/operators.rs
@@ -17,7 +17,8 @@
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use audit::Origin;
+use audit::{stats, Origin};
+use buffers::heap;
 use futures_util::future::{select, Either};
 use http1::LimitedStream;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -245,6 +246,7 @@
 pub async fn run_upkeep(prometheus: PrometheusHandle) {
     loop {
         task::sleep(UPKEEP_INTERVAL).await;
+        stats::set_gauge("drumwheel_heap_bytes", heap::allocated_bytes() as f64);
         prometheus.run_upkeep();
     }
 }
