--- a/components/audit/src/buffers.rs
+++ b/components/audit/src/buffers.rs
@@ -33,7 +33,7 @@
 }
 
 /// A request of `caller` is refused because there is no memory for its body.
-pub fn request_too_large_now(caller: &str) {
+pub fn request_refused_for_memory(caller: &str) {
     stats::memory_refused();
     if allowed(Line::Closed) {
         tracing::warn!(caller, "a request is refused: no memory for its body");
--- a/components/audit/src/lib.rs
+++ b/components/audit/src/lib.rs
@@ -18,7 +18,7 @@
 mod stop;
 mod store;
 
-pub use buffers::{connection_closed, port_connection_closed, request_too_large_now};
+pub use buffers::{connection_closed, port_connection_closed, request_refused_for_memory};
 pub use containment::{
     release_requested, request_cleared, request_quarantined, suspect_recorded, upstream_terminated,
 };
--- a/components/daemon/src/callers/reading.rs
+++ b/components/daemon/src/callers/reading.rs
@@ -7,6 +7,7 @@
 use super::serve;
 use super::stopping;
 use crate::local;
+use crate::memory;
 use crate::node::Node;
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
@@ -137,8 +138,8 @@
         let res = match read {
             Some(Ok(call)) => return self.serve(call, method, is_last, open).await,
             Some(Err(bad)) if bad.is_memory_short() => {
-                audit::request_too_large_now(&self.caller.to_string());
-                response::for_outcome(&node.cfg.headers, crate::memory::refusal(has_key))
+                audit::request_refused_for_memory(&self.caller.to_string());
+                response::for_outcome(&node.cfg.headers, memory::refusal(has_key))
             }
             Some(Err(bad)) => {
                 stats::bad_input("caller");
