--- a/components/buffers/tests/gate.rs
+++ b/components/buffers/tests/gate.rs
@@ -130,3 +130,19 @@
     holder.answer_written(9 * MB);
     assert!(!holder.exceeds_share());
 }
+
+/// A refusal tells the caller that its request has not run; a closed connection does not.
+#[test]
+fn waiting_request_is_closed_instead_of_refused() {
+    let gate = gate();
+    let serving = gate.register(Kind::Caller, peer());
+    let mut served = stream(serving.clone(), 200 * MB);
+    assert!(read(&mut served, 90 * MB).is_ready());
+    serving.request_opened();
+    let mut waiting = stream(gate.register(Kind::Caller, peer()), MB);
+    assert!(read(&mut waiting, 20_000).is_ready());
+    assert!(read(&mut waiting, MB).is_pending());
+    gate.relieve();
+    let refused = Poll::Ready(Err(ErrorKind::OutOfMemory));
+    assert_eq!(read(&mut waiting, MB), refused);
+}
